--- /dev/null
+++ b/include/jaspertrack/director-t.h
@@ -0,0 +1,231 @@
+/*
+ * Types of placement by flow label: events in, actions out.
+ *
+ * A director node forwards the packets of a flow to the endpoint that the
+ * flow's label names. Both ends of a flow return the label in each packet, so
+ * that any node can forward any packet without records, owners or peers.
+ *
+ * The library has no clock, socket, thread or global. Every event carries the
+ * driver's monotonic time in milliseconds.
+ */
+#ifndef JASPERTRACK_DIRECTOR_T_H
+#define JASPERTRACK_DIRECTOR_T_H
+
+#include "jaspertrack/types-t.h"
+
+#include <talloc.h>
+
+enum {
+	JT_ROUTE_PART_LIMIT = 16,	/* services that share one route */
+	JT_ENDPOINT_TABLE_LIMIT = 8192, /* incarnations known at once */
+};
+
+/* A service's part of a route's new flows. */
+struct jt_route_part {
+	uint32_t service_id;
+	uint32_t weight;
+};
+
+/* New flows to @address go to @parts by weight. */
+struct jt_route {
+	char name[JT_NAME_SIZE];
+	struct jt_address address;
+	struct jt_route_part parts[JT_ROUTE_PART_LIMIT];
+	size_t part_count;
+	uint32_t priority; /* 0 is the highest */
+};
+
+/* What the routing knows of a service. */
+struct jt_routed_service {
+	uint32_t id;		   /* jt_name_id() of the name */
+	uint32_t connection_limit; /* flows at one endpoint */
+};
+
+/* A whole routing configuration; immutable once built. */
+struct jt_routing {
+	uint64_t version;
+	struct jt_route *routes; /* sorted by address */
+	size_t route_count;
+	struct jt_routed_service *services; /* sorted by id */
+	size_t service_count;
+	uint32_t flow_idle_ms; /* a flow at rest for so long may be forgotten */
+};
+
+/* What discovery tells of one incarnation of an endpoint. */
+struct jt_endpoint_entry {
+	uint64_t id; /* of this start of the endpoint; never 0 */
+	uint32_t service_id;
+	uint32_t zone_id;
+	struct jt_address address;
+	uint32_t capacity; /* requests worked on at once */
+	bool draining;
+	uint32_t cold_left_ms; /* slow for so long after its start */
+	uint64_t revision;     /* of the entry in discovery */
+};
+
+/* How this node sees one incarnation. */
+enum jt_incarnation_state {
+	JT_INCARNATION_READY,
+	JT_INCARNATION_DRAINING, /* said that it leaves: no new flows */
+	JT_INCARNATION_LAPSED,	 /* its entry is gone, it may serve on */
+	JT_INCARNATION_DEAD,	 /* surely ended: its flows are reset */
+};
+
+/* Why an incarnation is taken for dead. */
+enum jt_death_cause {
+	JT_DEATH_NONE,
+	JT_DEATH_REFUSED,  /* its address refuses connections */
+	JT_DEATH_SILENT,   /* no answer to flows and connections */
+	JT_DEATH_REPLACED, /* another incarnation has its address */
+	JT_DEATH_CAUSES,
+};
+
+/* What became of a connection that was opened to see if an endpoint lives. */
+enum jt_probe_outcome {
+	JT_PROBE_CONNECTED,
+	JT_PROBE_REFUSED,
+	JT_PROBE_SILENT,
+	JT_PROBE_VOID, /* this node was held up: says nothing */
+};
+
+/* Flags of a flow's packet. */
+enum {
+	JT_PACKET_SYN = 1 << 0,
+	JT_PACKET_ACK = 1 << 1,
+	JT_PACKET_FIN = 1 << 2,
+	JT_PACKET_RST = 1 << 3,
+};
+
+/* A caller's packet as any codec gives it. */
+struct jt_label_packet {
+	struct jt_flow_key key;
+	uint8_t flags;
+	uint32_t label; /* 0: none yet */
+	uint32_t sequence;
+	uint32_t acknowledged;
+	uint32_t length; /* of the data */
+};
+
+enum jt_director_event_kind {
+	JT_DIRECTOR_PACKET,
+	JT_DIRECTOR_ROUTING,  /* a newer routing configuration */
+	JT_DIRECTOR_ENDPOINT, /* discovery's entry of an endpoint */
+	JT_DIRECTOR_GONE,     /* discovery has no such entry any more */
+	JT_DIRECTOR_LISTING,  /* all that discovery has will be told */
+	JT_DIRECTOR_LISTED,   /* all that discovery had at a revision is told */
+	JT_DIRECTOR_SUSPICION, /* a peer takes the endpoint for dead */
+	JT_DIRECTOR_PROBED,    /* the outcome of a probe */
+	JT_DIRECTOR_TICK,
+};
+
+struct jt_director_event {
+	enum jt_director_event_kind kind;
+	uint64_t now_ms;
+	union {
+		struct jt_label_packet packet;
+		/* Taken over by reference: see jt_director_handle(). */
+		const struct jt_routing *routing;
+		struct jt_endpoint_entry endpoint;
+		struct {
+			uint64_t id;
+			uint64_t revision;
+		} gone;
+		struct {
+			uint64_t revision;
+		} listed;
+		struct {
+			uint64_t id;
+		} suspicion;
+		struct {
+			uint64_t id;
+			enum jt_probe_outcome outcome;
+		} probed;
+	} u;
+};
+
+enum jt_director_action_kind {
+	JT_DIRECTOR_FORWARD, /* the packet in hand, to an endpoint */
+	JT_DIRECTOR_RESET,   /* tell the caller that its flow is over */
+	JT_DIRECTOR_DROP,    /* the packet in hand */
+	JT_DIRECTOR_PROBE,   /* open a connection to an endpoint */
+	JT_DIRECTOR_VERDICT, /* an endpoint is dead: tell peers */
+	JT_DIRECTOR_REVIVED, /* a dead endpoint lives */
+	JT_DIRECTOR_SEEN,    /* an endpoint's state changed */
+};
+
+enum jt_director_reason {
+	JT_DIRECTOR_PLACED,	   /* a new flow got its endpoint */
+	JT_DIRECTOR_PLACED_AGAIN,  /* its first endpoint has died */
+	JT_DIRECTOR_LABELLED,	   /* the label names the endpoint */
+	JT_DIRECTOR_REMEMBERED,	   /* this node placed the flow before */
+	JT_DIRECTOR_NO_ROUTE,	   /* no route has this address */
+	JT_DIRECTOR_NO_ENDPOINT,   /* no endpoint may take the flow */
+	JT_DIRECTOR_ENDPOINT_DEAD, /* the flow's endpoint is dead */
+	JT_DIRECTOR_UNKNOWN_LABEL, /* no endpoint known by that label */
+	JT_DIRECTOR_NO_LABEL,	   /* not a first packet, and no label */
+	JT_DIRECTOR_FORGED,	   /* only endpoints send such packets */
+	JT_DIRECTOR_OVER_SHARE,	   /* the route's share is used up */
+	JT_DIRECTOR_REASONS,
+};
+
+struct jt_director_action {
+	enum jt_director_action_kind kind;
+	enum jt_director_reason reason;
+	struct jt_flow_key key; /* forward, reset, drop */
+	uint64_t endpoint_id;
+	uint32_t label;
+	struct jt_address address; /* of the endpoint */
+	uint32_t reset_sequence;
+	enum jt_incarnation_state state;
+	enum jt_death_cause cause;
+	uint64_t revision; /* of the endpoint's entry */
+	uint64_t age_ms;   /* of the belief that decided */
+	uint64_t version;  /* of the routing that decided */
+};
+
+/* A growing list of actions; clear it between events. */
+struct jt_director_actions {
+	struct jt_director_action *items;
+	size_t count;
+	size_t capacity;
+};
+
+/* Faults that tests put into the mechanism, to prove the proofs. */
+enum jt_director_break {
+	JT_DIRECTOR_BREAK_NONE = 0,
+	JT_DIRECTOR_BREAK_GUESS_DEATH = 1 << 0,	 /* suspicion is proof */
+	JT_DIRECTOR_BREAK_NO_DETECTOR = 1 << 1,	 /* the dead are kept */
+	JT_DIRECTOR_BREAK_VERSION = 1 << 2,	 /* older routing is taken */
+	JT_DIRECTOR_BREAK_PLACE_COPIES = 1 << 3, /* SYN copies placed anew */
+	JT_DIRECTOR_BREAK_DRAINING = 1 << 4,	 /* leaving ones get flows */
+	JT_DIRECTOR_BREAK_FORGET_GONE = 1 << 5,	 /* no entry, no endpoint */
+	JT_DIRECTOR_BREAK_PROGRESS = 1 << 6,	 /* progress proves nothing */
+	JT_DIRECTOR_BREAK_STALE_ENTRY = 1 << 7,	 /* older entries are taken */
+};
+
+/* Limits and times; jt_director_options_init() gives the defaults. */
+struct jt_director_options {
+	uint32_t zone_id;
+	size_t flow_limit;	    /* flows remembered */
+	uint64_t flow_age_limit_ms; /* no flow lives longer */
+	uint32_t lapsed_grace_ms;   /* last resort after an entry went */
+	uint32_t probe_pause_ms;    /* between probes of one endpoint */
+	uint32_t dead_probe_pause_ms;
+	uint64_t seed;		  /* breaks ties between equals */
+	unsigned break_mechanism; /* enum jt_director_break, tests only */
+};
+
+struct jt_director_counters {
+	uint64_t by_reason[JT_DIRECTOR_REASONS];
+	uint64_t probes;
+	uint64_t deaths[JT_DEATH_CAUSES];
+	uint64_t revived;
+	uint64_t suspicions;
+	uint64_t routing_refused; /* versions not above the one in force */
+	uint64_t entries_refused; /* older than what is known, or no room */
+	uint64_t resent;	  /* packets that were sent again */
+};
+
+struct jt_director;
+
+#endif
--- /dev/null
+++ b/include/jaspertrack/director.h
@@ -0,0 +1,47 @@
+/* The decision library of placement by flow label. */
+#ifndef JASPERTRACK_DIRECTOR_H
+#define JASPERTRACK_DIRECTOR_H
+
+#include "jaspertrack/director-t.h"
+
+/* Fill @options with the default times and limits. */
+void jt_director_options_init(struct jt_director_options *options);
+
+/* A node that knows nothing yet; NULL when memory runs out. */
+struct jt_director *jt_director_create(TALLOC_CTX *mem_ctx,
+				       const struct jt_director_options *opts);
+
+/*
+ * Handle one event; what must be done is appended to @actions. A routing that
+ * is taken becomes a talloc child of the director; one that is refused stays
+ * with the caller (jt_director_routing() tells which).
+ */
+void jt_director_handle(struct jt_director *director,
+			struct jt_director_event *event,
+			struct jt_director_actions *actions);
+
+struct jt_director_actions *jt_director_actions_create(TALLOC_CTX *mem_ctx);
+void jt_director_actions_clear(struct jt_director_actions *actions);
+
+/* Views for drivers; pointers are good until the next event. */
+const struct jt_routing *
+jt_director_routing(const struct jt_director *director);
+const struct jt_director_counters *
+jt_director_counters(const struct jt_director *director);
+size_t jt_director_flow_count(const struct jt_director *director);
+/* How many incarnations are known in @state. */
+size_t jt_director_endpoint_count(const struct jt_director *director,
+				  enum jt_incarnation_state state);
+/* The @index-th known incarnation, with its state; false past the last. */
+bool jt_director_endpoint_at(const struct jt_director *director, size_t index,
+			     struct jt_endpoint_entry *entry,
+			     enum jt_incarnation_state *state);
+
+/* The label that names an incarnation in a flow's packets; never 0. */
+uint32_t jt_flow_label(uint64_t endpoint_id);
+
+const char *jt_director_reason_name(enum jt_director_reason reason);
+const char *jt_incarnation_state_name(enum jt_incarnation_state state);
+const char *jt_death_cause_name(enum jt_death_cause cause);
+
+#endif
--- a/src/common/jt_http_client.c
+++ b/src/common/jt_http_client.c
@@ -1,4 +1,5 @@
 #include "jt_http_client.h"
+#include "jt_timer.h"
 
 #include <curl/curl.h>
 #include <string.h>
@@ -8,7 +9,7 @@
 struct jt_http_client {
 	CURLM *multi;
 	struct tevent_context *loop;
-	struct tevent_timer *timer;
+	struct jt_timer *timer;
 };
 
 struct http_state {
@@ -109,16 +110,11 @@
 	return 0;
 }
 
-static void timer_due(struct tevent_context *loop, struct tevent_timer *timer,
-		      struct timeval now, void *private_data)
+static void timer_due(void *private_data)
 {
 	struct jt_http_client *client = private_data;
 	int running;
 
-	(void)loop;
-	(void)timer;
-	(void)now;
-	client->timer = NULL;
 	curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0,
 				 &running);
 	client_collect(client);
@@ -129,14 +125,10 @@
 	struct jt_http_client *client = userp;
 
 	(void)multi;
-	TALLOC_FREE(client->timer);
 	if (wait_ms >= 0)
-		client->timer = tevent_add_timer(
-			client->loop, client,
-			tevent_timeval_current_ofs((uint32_t)(wait_ms / 1000),
-						   (uint32_t)(wait_ms % 1000) *
-							   1000),
-			timer_due, client);
+		jt_timer_set(client->timer, (uint64_t)wait_ms);
+	else
+		jt_timer_stop(client->timer);
 	return 0;
 }
 
@@ -155,8 +147,9 @@
 	if (client == NULL)
 		return NULL;
 	client->loop = loop;
+	client->timer = jt_timer_create(client, loop, timer_due, client);
 	client->multi = curl_multi_init();
-	if (client->multi == NULL) {
+	if (client->multi == NULL || client->timer == NULL) {
 		talloc_free(client);
 		return NULL;
 	}
--- a/src/common/jt_http_server.c
+++ b/src/common/jt_http_server.c
@@ -1,5 +1,6 @@
 #include "jt_http_server.h"
 #include "jt_net.h"
+#include "jt_timer.h"
 
 #include <errno.h>
 #include <microhttpd.h>
@@ -13,7 +14,7 @@
 	struct MHD_Daemon *daemon;
 	struct tevent_context *loop;
 	struct tevent_fd *fd;
-	struct tevent_timer *timer;
+	struct jt_timer *timer;
 	jt_http_handler handler;
 	void *private_data;
 	bool running; /* inside MHD_run() */
@@ -40,27 +41,9 @@
 
 static void server_run(struct jt_http_server *server);
 
-static void server_timer(struct tevent_context *loop,
-			 struct tevent_timer *timer, struct timeval now,
-			 void *private_data)
+static void server_timer(void *private_data)
 {
-	struct jt_http_server *server = private_data;
-
-	(void)loop;
-	(void)timer;
-	(void)now;
-	server->timer = NULL;
-	server_run(server);
-}
-
-static void server_schedule(struct jt_http_server *server, uint64_t wait_ms)
-{
-	struct timeval when = tevent_timeval_current_ofs(
-		(uint32_t)(wait_ms / 1000), (uint32_t)(wait_ms % 1000) * 1000);
-
-	TALLOC_FREE(server->timer);
-	server->timer = tevent_add_timer(server->loop, server, when,
-					 server_timer, server);
+	server_run(private_data);
 }
 
 static void server_run(struct jt_http_server *server)
@@ -71,7 +54,7 @@
 	MHD_run(server->daemon);
 	server->running = false;
 	if (MHD_get_timeout(server->daemon, &wait_ms) == MHD_YES)
-		server_schedule(server, wait_ms);
+		jt_timer_set(server->timer, wait_ms);
 }
 
 static void server_readable(struct tevent_context *loop, struct tevent_fd *fd,
@@ -190,6 +173,9 @@
 	server->loop = loop;
 	server->handler = handler;
 	server->private_data = private_data;
+	server->timer = jt_timer_create(server, loop, server_timer, server);
+	if (server->timer == NULL)
+		goto fail;
 	jt_address_to_socket(opts->address, &name);
 	if (opts->certificate != NULL)
 		server->daemon = MHD_start_daemon(
@@ -260,7 +246,7 @@
 	request->suspended = false;
 	MHD_resume_connection(request->connection);
 	if (!request->server->running)
-		server_schedule(request->server, 0);
+		jt_timer_set(request->server->timer, 0);
 }
 
 void jt_http_reply(struct jt_http_request *request, unsigned status,
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -1,4 +1,6 @@
 /* jaspertrackd: one balancer node. */
+#include "main_director.h"
+#include "jt_director_settings.h"
 #include "jt_net.h"
 #include "jt_node.h"
 #include "jt_version.h"
@@ -11,7 +13,8 @@
 #include <string.h>
 #include <unistd.h>
 
-enum { EXIT_DONE = 0, EXIT_FAILED = 1, EXIT_USAGE = 2 };
+/* Names the settings file where --config does not. */
+#define SETTINGS_VARIABLE "JASPERTRACK_SETTINGS"
 
 struct options {
 	const char *config;
@@ -67,11 +70,13 @@
 	} else if (errors > 0) {
 		arg_print_errors(stderr, end, "jaspertrackd");
 		result = EXIT_USAGE;
-	} else if (config->count == 0) {
-		fprintf(stderr, "jaspertrackd: --config is needed\n");
+	} else if (config->count == 0 && getenv(SETTINGS_VARIABLE) == NULL) {
+		fprintf(stderr, "jaspertrackd: --config or " SETTINGS_VARIABLE
+				" is needed\n");
 		result = EXIT_USAGE;
 	} else {
-		options->config = config->filename[0];
+		options->config = config->count ? config->filename[0]
+						: getenv(SETTINGS_VARIABLE);
 		options->name = name->count ? name->sval[0] : NULL;
 		options->zone = zone->count ? zone->sval[0] : NULL;
 		options->log_level = level->count ? level->sval[0] : NULL;
@@ -201,6 +206,9 @@
 	bool run;
 	int result;
 
+	/* Until the handlers stand, these must not end the process. */
+	signal(SIGHUP, SIG_IGN);
+	signal(SIGPIPE, SIG_IGN);
 	result = parse_arguments(argc, argv, &daemon->options, &run);
 	if (!run)
 		goto out;
@@ -209,6 +217,11 @@
 		result = EXIT_FAILED;
 		goto out;
 	}
+	if (jt_director_settings_wanted(daemon->options.config)) {
+		result = main_director(daemon, daemon->options.config,
+				       daemon->options.check);
+		goto out;
+	}
 	settings = load_settings(daemon, &daemon->options, &error);
 	if (settings == NULL) {
 		fprintf(stderr, "jaspertrackd: %s\n", error);
--- /dev/null
+++ b/src/daemon/main_director.c
@@ -0,0 +1,166 @@
+#include "main_director.h"
+#include "jt_director_node.h"
+#include "jt_net.h"
+#include "jt_timer.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+
+enum { SETTINGS_LOOK_MS = 1000 };
+
+struct director_process {
+	struct tevent_context *loop;
+	struct jt_log log;
+	const char *file;
+	struct timespec changed;	       /* of the settings file */
+	struct jt_director_settings *settings; /* the node's */
+	struct jt_director_node *node;
+	struct jt_timer *look;
+	bool finished;
+};
+
+static void on_left(void *private_data)
+{
+	struct director_process *process = private_data;
+
+	process->finished = true;
+}
+
+static void on_terminate(struct tevent_context *loop, struct tevent_signal *se,
+			 int signum, int count, void *siginfo,
+			 void *private_data)
+{
+	struct director_process *process = private_data;
+
+	(void)loop;
+	(void)se;
+	(void)signum;
+	(void)count;
+	(void)siginfo;
+	jt_director_node_leave(process->node);
+}
+
+static void reload_rejected(struct director_process *process,
+			    const char *reason)
+{
+	jt_log_line(&process->log, LOG_ERR,
+		    "event=reload_rejected reason=\"%s\"", reason);
+}
+
+static void reload(struct director_process *process)
+{
+	TALLOC_CTX *frame = talloc_new(process);
+	struct jt_director_settings *settings;
+	const char *fixed;
+	char *error;
+
+	settings = jt_director_settings_load(frame, process->file, &error);
+	if (settings == NULL) {
+		reload_rejected(process, error);
+		goto out;
+	}
+	fixed = jt_director_settings_fixed_difference(process->settings,
+						      settings);
+	if (fixed != NULL) {
+		reload_rejected(process,
+				talloc_asprintf(frame,
+						"%s can't change while the "
+						"node runs",
+						fixed));
+		goto out;
+	}
+	process->log.threshold = settings->log_threshold;
+	process->settings = settings;
+	jt_director_node_reload(process->node, settings);
+	jt_log_line(&process->log, LOG_NOTICE, "event=reloaded");
+out:
+	talloc_free(frame);
+}
+
+static void on_reload(struct tevent_context *loop, struct tevent_signal *se,
+		      int signum, int count, void *siginfo, void *private_data)
+{
+	(void)loop;
+	(void)se;
+	(void)signum;
+	(void)count;
+	(void)siginfo;
+	reload(private_data);
+}
+
+/* The settings file may change with no signal. */
+static bool file_changed(struct director_process *process)
+{
+	struct stat status;
+
+	if (stat(process->file, &status) != 0 ||
+	    memcmp(&status.st_mtim, &process->changed,
+		   sizeof(status.st_mtim)) == 0)
+		return false;
+	process->changed = status.st_mtim;
+	return true;
+}
+
+static void on_look(void *private_data)
+{
+	struct director_process *process = private_data;
+
+	if (file_changed(process))
+		reload(process);
+	jt_timer_set(process->look, SETTINGS_LOOK_MS);
+}
+
+static int run(struct director_process *process)
+{
+	char *error = NULL;
+
+	process->loop = tevent_context_init(process);
+	process->log.program = "jaspertrackd";
+	process->log.threshold = process->settings->log_threshold;
+	signal(SIGPIPE, SIG_IGN);
+	file_changed(process);
+	process->node = jt_director_node_create(
+		process, process->loop, &process->log, process->settings,
+		on_left, process, &error);
+	process->look =
+		jt_timer_create(process, process->loop, on_look, process);
+	if (process->node == NULL || process->look == NULL) {
+		fprintf(stderr, "jaspertrackd: %s\n", error);
+		return EXIT_FAILED;
+	}
+	jt_timer_set(process->look, SETTINGS_LOOK_MS);
+	tevent_add_signal(process->loop, process, SIGTERM, 0, on_terminate,
+			  process);
+	tevent_add_signal(process->loop, process, SIGINT, 0, on_terminate,
+			  process);
+	tevent_add_signal(process->loop, process, SIGHUP, 0, on_reload,
+			  process);
+	jt_log_line(&process->log, LOG_NOTICE, "event=started node=%s zone=%s",
+		    process->settings->name, process->settings->zone);
+	while (!process->finished)
+		tevent_loop_once(process->loop);
+	return EXIT_DONE;
+}
+
+int main_director(TALLOC_CTX *mem_ctx, const char *file, bool check)
+{
+	struct director_process *process =
+		talloc_zero(mem_ctx, struct director_process);
+	char *error = NULL;
+
+	if (process == NULL)
+		return EXIT_FAILED;
+	process->file = file;
+	process->settings = jt_director_settings_load(process, file, &error);
+	if (process->settings == NULL) {
+		fprintf(stderr, "jaspertrackd: %s\n", error);
+		return EXIT_USAGE;
+	}
+	if (check) {
+		printf("%s: settings are right\n", file);
+		return EXIT_DONE;
+	}
+	return run(process);
+}
--- /dev/null
+++ b/src/director/jt_director_node.c
@@ -0,0 +1,452 @@
+#include "jt_director_node.h"
+#include "jaspertrack/director.h"
+#include "jt_directory_sync.h"
+#include "jt_director_pages.h"
+#include "jt_net.h"
+#include "jt_prober.h"
+#include "jt_timer.h"
+
+#include <errno.h>
+#include <sodium.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+	TICK_MS = 100,
+	PACKET_BATCH = 64, /* datagrams before other events get a turn */
+	PROBE_TIMEOUT_MS = 400,
+	/* Once leaving, no packets for so long: the routers have noticed. */
+	LEAVE_QUIET_MS = 700,
+	/* Routers ask about twice a second and want two answers. */
+	LEAVE_LEAST_MS = 1500,
+	/* Ended by then, whatever the limit says. */
+	LEAVE_MARGIN_MS = 1000,
+	/* Part of the drain limit for which a lapsed endpoint may be used. */
+	LAPSED_PERCENT = 60,
+};
+
+struct jt_director_node {
+	struct tevent_context *loop;
+	const struct jt_log *log;
+	struct jt_director_settings *settings;
+	const struct jt_environment *environment;
+	struct jt_director *director;
+	struct jt_director_actions *actions;
+	struct jt_http_client *client;
+	struct jt_directory_sync *sync;
+	struct jt_director_pages *pages;
+	struct jt_timer *tick;
+	int data_fd;
+	uint8_t buffer[JT_HEADROOM_MAX + JT_DATAGRAM_MAX];
+	size_t packet_length; /* of the packet in hand */
+	uint64_t packet_ms;   /* when the last packet came */
+	uint64_t leaving_ms;  /* since when, 0: not leaving */
+	bool was_ready;
+	struct jt_director_traffic traffic;
+	void (*on_left)(void *private_data);
+	void *private_data;
+};
+
+static void node_event(struct jt_director_node *node,
+		       struct jt_director_event *event);
+
+/* Actions */
+
+static void datagram_send(struct jt_director_node *node,
+			  struct jt_address address, const uint8_t *data,
+			  size_t length)
+{
+	struct sockaddr_in name;
+
+	jt_address_to_socket(address, &name);
+	if (sendto(node->data_fd, data, length, MSG_DONTWAIT,
+		   (struct sockaddr *)&name, sizeof(name)) < 0)
+		node->traffic.send_failed++;
+}
+
+static void act_forward(struct jt_director_node *node,
+			const struct jt_director_action *action)
+{
+	uint8_t *packet = node->buffer + JT_HEADROOM_MAX;
+	size_t before = node->environment->codec->wrap(
+		packet, action->endpoint_id, action->label);
+
+	datagram_send(node, action->address, packet - before,
+		      node->packet_length + before);
+	node->traffic.forwarded++;
+}
+
+static void act_reset(struct jt_director_node *node,
+		      const struct jt_director_action *action)
+{
+	uint8_t reset[JT_RESET_MAX];
+	size_t length = node->environment->codec->reset(
+		&action->key, action->reset_sequence, reset);
+
+	datagram_send(node,
+		      node->environment->codec->caller(&action->key,
+						       node->settings->data),
+		      reset, length);
+	node->traffic.resets++;
+}
+
+struct probe_call {
+	struct jt_director_node *node;
+	uint64_t endpoint_id;
+};
+
+static void on_probed(struct tevent_req *req)
+{
+	struct probe_call *call =
+		tevent_req_callback_data(req, struct probe_call);
+	struct jt_director_event event = {.kind = JT_DIRECTOR_PROBED};
+	struct jt_director_node *node = call->node;
+
+	event.u.probed.id = call->endpoint_id;
+	event.u.probed.outcome = jt_probe_recv(req);
+	talloc_free(call);
+	node_event(node, &event);
+}
+
+static void act_probe(struct jt_director_node *node,
+		      const struct jt_director_action *action)
+{
+	struct probe_call *call = talloc_zero(node, struct probe_call);
+	struct tevent_req *req;
+
+	if (call == NULL)
+		return;
+	call->node = node;
+	call->endpoint_id = action->endpoint_id;
+	req = jt_probe_send(call, node->loop, action->address,
+			    PROBE_TIMEOUT_MS);
+	if (req == NULL) {
+		talloc_free(call);
+		return;
+	}
+	tevent_req_set_callback(req, on_probed, call);
+}
+
+static void log_endpoint(struct jt_director_node *node,
+			 const struct jt_director_action *action,
+			 const char *event)
+{
+	char address[JT_ADDRESS_TEXT];
+
+	jt_log_line(node->log, LOG_NOTICE,
+		    "event=%s endpoint=%llx address=%s state=%s cause=%s "
+		    "revision=%llu age_ms=%llu",
+		    event, (unsigned long long)action->endpoint_id,
+		    jt_address_format(action->address, address),
+		    jt_incarnation_state_name(action->state),
+		    jt_death_cause_name(action->cause),
+		    (unsigned long long)action->revision,
+		    (unsigned long long)action->age_ms);
+}
+
+static void node_act(struct jt_director_node *node,
+		     const struct jt_director_action *action)
+{
+	switch (action->kind) {
+	case JT_DIRECTOR_FORWARD:
+		act_forward(node, action);
+		break;
+	case JT_DIRECTOR_RESET:
+		act_reset(node, action);
+		break;
+	case JT_DIRECTOR_PROBE:
+		act_probe(node, action);
+		break;
+	case JT_DIRECTOR_VERDICT:
+		log_endpoint(node, action, "endpoint_dead");
+		break;
+	case JT_DIRECTOR_REVIVED:
+		log_endpoint(node, action, "endpoint_back");
+		break;
+	case JT_DIRECTOR_SEEN:
+		log_endpoint(node, action, "endpoint_state");
+		break;
+	case JT_DIRECTOR_DROP:
+		break;
+	}
+}
+
+static void node_event(struct jt_director_node *node,
+		       struct jt_director_event *event)
+{
+	event->now_ms = jt_clock_ms();
+	jt_director_handle(node->director, event, node->actions);
+	for (size_t i = 0; i < node->actions->count; i++)
+		node_act(node, &node->actions->items[i]);
+	jt_director_actions_clear(node->actions);
+}
+
+/* Packets */
+
+static void packet_take(struct jt_director_node *node, size_t length)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_PACKET};
+
+	if (!node->environment->codec->parse(node->buffer + JT_HEADROOM_MAX,
+					     length, &event.u.packet)) {
+		node->traffic.malformed++;
+		return;
+	}
+	node->packet_length = length;
+	node_event(node, &event);
+	node->packet_ms = event.now_ms;
+}
+
+static void on_packets(struct tevent_context *loop, struct tevent_fd *fd,
+		       uint16_t flags, void *private_data)
+{
+	struct jt_director_node *node = private_data;
+
+	(void)loop;
+	(void)fd;
+	(void)flags;
+	for (int i = 0; i < PACKET_BATCH; i++) {
+		ssize_t length =
+			recv(node->data_fd, node->buffer + JT_HEADROOM_MAX,
+			     JT_DATAGRAM_MAX, MSG_DONTWAIT);
+
+		if (length < 0)
+			return;
+		node->traffic.received++;
+		packet_take(node, (size_t)length);
+	}
+}
+
+/* The store */
+
+static void on_change(const struct jt_change *change, void *private_data)
+{
+	struct jt_director_node *node = private_data;
+	struct jt_director_event event = {.kind = JT_DIRECTOR_ENDPOINT};
+	const struct jt_routing *before = jt_director_routing(node->director);
+
+	switch (change->kind) {
+	case JT_CHANGE_ROUTING:
+		event.kind = JT_DIRECTOR_ROUTING;
+		event.u.routing = change->routing;
+		node_event(node, &event);
+		if (jt_director_routing(node->director) != before)
+			jt_log_line(
+				node->log, LOG_NOTICE,
+				"event=routing version=%llu routes=%zu",
+				(unsigned long long)change->routing->version,
+				change->routing->route_count);
+		break;
+	case JT_CHANGE_ENDPOINT:
+		event.u.endpoint = change->endpoint;
+		node_event(node, &event);
+		break;
+	case JT_CHANGE_GONE:
+		event.kind = JT_DIRECTOR_GONE;
+		event.u.gone.id = change->endpoint.id;
+		event.u.gone.revision = change->endpoint.revision;
+		node_event(node, &event);
+		break;
+	case JT_CHANGE_INVALID:
+		jt_log_line(node->log, LOG_ERR,
+			    "event=entry_refused key=%s field=%s reason=\"%s\"",
+			    change->key, change->field, change->reason);
+		break;
+	}
+}
+
+static void on_listing(void *private_data)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_LISTING};
+
+	node_event(private_data, &event);
+}
+
+static void on_listed(uint64_t revision, void *private_data)
+{
+	struct jt_director_node *node = private_data;
+	struct jt_director_event event = {.kind = JT_DIRECTOR_LISTED};
+
+	event.u.listed.revision = revision;
+	node_event(node, &event);
+	jt_log_line(node->log, LOG_NOTICE, "event=store_listed revision=%llu",
+		    (unsigned long long)revision);
+}
+
+static void on_reachable(bool reachable, enum jt_kv_status status,
+			 void *private_data)
+{
+	struct jt_director_node *node = private_data;
+
+	jt_log_line(node->log, reachable ? LOG_NOTICE : LOG_WARNING,
+		    "event=%s status=%s",
+		    reachable ? "store_regained" : "store_lost",
+		    jt_kv_status_name(status));
+}
+
+/* Readiness and the end */
+
+static bool node_ready(void *private_data)
+{
+	struct jt_director_node *node = private_data;
+
+	return node->leaving_ms == 0 &&
+	       jt_director_routing(node->director) != NULL &&
+	       jt_directory_sync_listed(node->sync);
+}
+
+static void watch_ready(struct jt_director_node *node)
+{
+	bool ready = node_ready(node);
+
+	if (ready == node->was_ready)
+		return;
+	node->was_ready = ready;
+	jt_log_line(node->log, LOG_NOTICE, "event=%s",
+		    ready ? "ready" : "not_ready");
+}
+
+static void watch_leave(struct jt_director_node *node, uint64_t now_ms)
+{
+	uint64_t limit_ms = node->settings->leave_limit_ms;
+	uint64_t since_ms = now_ms - node->leaving_ms;
+	bool quiet = since_ms >= LEAVE_LEAST_MS &&
+		     now_ms - node->packet_ms >= LEAVE_QUIET_MS;
+
+	if (node->leaving_ms == 0 || node->on_left == NULL)
+		return;
+	limit_ms = limit_ms > LEAVE_MARGIN_MS ? limit_ms - LEAVE_MARGIN_MS : 0;
+	if (!quiet && since_ms < limit_ms)
+		return;
+	jt_log_line(node->log, LOG_NOTICE, "event=left after_ms=%llu quiet=%d",
+		    (unsigned long long)since_ms, quiet);
+	node->on_left(node->private_data);
+	node->on_left = NULL;
+}
+
+static void on_tick(void *private_data)
+{
+	struct jt_director_node *node = private_data;
+	struct jt_director_event event = {.kind = JT_DIRECTOR_TICK};
+
+	node_event(node, &event);
+	watch_ready(node);
+	watch_leave(node, event.now_ms);
+	jt_timer_set(node->tick, TICK_MS);
+}
+
+void jt_director_node_leave(struct jt_director_node *node)
+{
+	if (node->leaving_ms != 0)
+		return;
+	node->leaving_ms = jt_clock_ms();
+	jt_log_line(node->log, LOG_NOTICE, "event=leaving limit_ms=%u",
+		    node->settings->leave_limit_ms);
+	watch_ready(node);
+}
+
+void jt_director_node_reload(struct jt_director_node *node,
+			     struct jt_director_settings *settings)
+{
+	struct jt_director_settings *old = node->settings;
+
+	node->settings = talloc_steal(node, settings);
+	jt_directory_sync_move(node->sync, settings->store);
+	talloc_free(old);
+}
+
+/* Start */
+
+static int node_destructor(struct jt_director_node *node)
+{
+	if (node->data_fd >= 0)
+		close(node->data_fd);
+	return 0;
+}
+
+static bool open_data(struct jt_director_node *node, char **error)
+{
+	char address[JT_ADDRESS_TEXT];
+
+	node->data_fd = jt_udp_open(node->settings->data, false);
+	if (node->data_fd >= 0 &&
+	    tevent_add_fd(node->loop, node, node->data_fd, TEVENT_FD_READ,
+			  on_packets, node) != NULL)
+		return true;
+	*error = talloc_asprintf(
+		talloc_parent(node), "listen.data: %s: %s",
+		jt_address_format(node->settings->data, address),
+		strerror(errno));
+	return false;
+}
+
+static bool start_parts(struct jt_director_node *node, uint64_t seed,
+			char **error)
+{
+	const struct jt_directory_watcher watcher = {
+		.changed = on_change,
+		.listing = on_listing,
+		.listed = on_listed,
+		.reachable = on_reachable,
+		.private_data = node,
+	};
+
+	node->client = jt_http_client_create(node, node->loop);
+	if (node->client == NULL)
+		return false;
+	node->sync = jt_directory_sync_create(
+		node, node->loop, node->client, node->environment->directory,
+		node->settings->store, &watcher, seed);
+	node->tick = jt_timer_create(node, node->loop, on_tick, node);
+	if (node->sync == NULL || node->tick == NULL)
+		return false;
+	node->pages = jt_director_pages_create(
+		node, node->loop, node->settings, node->director, node->sync,
+		&node->traffic, node_ready, node, error);
+	return node->pages != NULL;
+}
+
+struct jt_director_node *jt_director_node_create(
+	TALLOC_CTX *mem_ctx, struct tevent_context *loop,
+	const struct jt_log *log, struct jt_director_settings *settings,
+	void (*on_left)(void *private_data), void *private_data, char **error)
+{
+	struct jt_director_node *node;
+	struct jt_director_options options;
+
+	*error = talloc_strdup(mem_ctx, "memory or descriptors run out");
+	node = talloc_zero(mem_ctx, struct jt_director_node);
+	if (node == NULL)
+		return NULL;
+	node->data_fd = -1;
+	talloc_set_destructor(node, node_destructor);
+	node->loop = loop;
+	node->log = log;
+	node->settings = talloc_steal(node, settings);
+	node->on_left = on_left;
+	node->private_data = private_data;
+	node->environment = jt_environment_find(settings->environment);
+	if (node->environment == NULL) {
+		*error = talloc_asprintf(mem_ctx, "environment: no '%s' here",
+					 settings->environment);
+		goto fail;
+	}
+	jt_director_options_init(&options);
+	options.zone_id = jt_name_id(settings->zone);
+	options.flow_limit = settings->flow_limit;
+	options.flow_age_limit_ms = settings->flow_age_limit_ms;
+	options.lapsed_grace_ms =
+		settings->drain_limit_ms / 100 * LAPSED_PERCENT;
+	randombytes_buf(&options.seed, sizeof(options.seed));
+	node->director = jt_director_create(node, &options);
+	node->actions = jt_director_actions_create(node);
+	if (node->director == NULL || node->actions == NULL ||
+	    !open_data(node, error) || !start_parts(node, options.seed, error))
+		goto fail;
+	jt_timer_set(node->tick, 0);
+	return node;
+fail:
+	talloc_free(node);
+	return NULL;
+}
--- /dev/null
+++ b/src/director/jt_director_pages.c
@@ -0,0 +1,197 @@
+#include "jt_director_pages.h"
+#include "jaspertrack/director.h"
+#include "jt_http_server.h"
+#include "jt_net.h"
+
+#include <errno.h>
+#include <string.h>
+
+struct jt_director_pages {
+	const struct jt_director *director;
+	const struct jt_directory_sync *sync;
+	const struct jt_director_traffic *traffic;
+	struct jt_http_server *readiness;
+	struct jt_http_server *metrics;
+	bool (*ready)(void *private_data);
+	void *private_data;
+};
+
+static void on_readiness(struct jt_http_request *request, void *private_data)
+{
+	struct jt_director_pages *pages = private_data;
+
+	if (strcmp(jt_http_path(request), "/ready") != 0)
+		jt_http_reply(request, 404, "text/plain", "not found\n");
+	else if (pages->ready(pages->private_data))
+		jt_http_reply(request, 200, "text/plain", "ready\n");
+	else
+		jt_http_reply(request, 503, "text/plain", "not ready\n");
+}
+
+static void on_metrics(struct jt_http_request *request, void *private_data)
+{
+	struct jt_director_pages *pages = private_data;
+	char *text;
+
+	if (strcmp(jt_http_path(request), "/metrics") != 0) {
+		jt_http_reply(request, 404, "text/plain", "not found\n");
+		return;
+	}
+	text = jt_director_metrics(pages, pages->director, pages->sync,
+				   pages->traffic);
+	jt_http_reply(request, 200, "text/plain; version=0.0.4",
+		      text ? text : "");
+	talloc_free(text);
+}
+
+static char *add_metric(char *text, const char *name, const char *type,
+			uint64_t value)
+{
+	return talloc_asprintf_append_buffer(
+		text, "# TYPE jaspertrack_%s %s\njaspertrack_%s %llu\n", name,
+		type, name, (unsigned long long)value);
+}
+
+static char *add_type(char *text, const char *name, const char *type)
+{
+	return talloc_asprintf_append_buffer(text, "# TYPE jaspertrack_%s %s\n",
+					     name, type);
+}
+
+static char *add_label(char *text, const char *name, const char *label,
+		       const char *of, uint64_t value)
+{
+	return talloc_asprintf_append_buffer(
+		text, "jaspertrack_%s{%s=\"%s\"} %llu\n", name, label, of,
+		(unsigned long long)value);
+}
+
+static char *add_traffic(char *text, const struct jt_director_traffic *traffic)
+{
+	text = add_metric(text, "packets_received_total", "counter",
+			  traffic->received);
+	text = add_metric(text, "packets_malformed_total", "counter",
+			  traffic->malformed);
+	text = add_metric(text, "packets_forwarded_total", "counter",
+			  traffic->forwarded);
+	text = add_metric(text, "resets_sent_total", "counter",
+			  traffic->resets);
+	return add_metric(text, "send_failed_total", "counter",
+			  traffic->send_failed);
+}
+
+static char *add_decisions(char *text, const struct jt_director *director)
+{
+	const struct jt_director_counters *counters =
+		jt_director_counters(director);
+
+	text = add_type(text, "decisions_total", "counter");
+	for (int i = 0; i < JT_DIRECTOR_REASONS; i++)
+		text = add_label(text, "decisions_total", "reason",
+				 jt_director_reason_name(i),
+				 counters->by_reason[i]);
+	text = add_type(text, "endpoint_deaths_total", "counter");
+	for (int i = JT_DEATH_REFUSED; i < JT_DEATH_CAUSES; i++)
+		text = add_label(text, "endpoint_deaths_total", "cause",
+				 jt_death_cause_name(i), counters->deaths[i]);
+	text = add_metric(text, "endpoints_revived_total", "counter",
+			  counters->revived);
+	text = add_metric(text, "suspicions_total", "counter",
+			  counters->suspicions);
+	text = add_metric(text, "probes_total", "counter", counters->probes);
+	text = add_metric(text, "packets_resent_total", "counter",
+			  counters->resent);
+	text = add_metric(text, "entries_refused_total", "counter",
+			  counters->entries_refused);
+	return add_metric(text, "routing_refused_total", "counter",
+			  counters->routing_refused);
+}
+
+static char *add_beliefs(char *text, const struct jt_director *director,
+			 const struct jt_directory_sync *sync)
+{
+	const struct jt_routing *routing = jt_director_routing(director);
+
+	text = add_metric(text, "flows", "gauge",
+			  jt_director_flow_count(director));
+	text = add_metric(text, "routing_version", "gauge",
+			  routing ? routing->version : 0);
+	text = add_metric(text, "store_revision", "gauge",
+			  jt_directory_sync_revision(sync));
+	text = add_metric(text, "store_age_ms", "gauge",
+			  jt_directory_sync_age_ms(sync));
+	text = add_type(text, "endpoints", "gauge");
+	for (int i = JT_INCARNATION_READY; i <= JT_INCARNATION_DEAD; i++)
+		text = add_label(text, "endpoints", "state",
+				 jt_incarnation_state_name(i),
+				 jt_director_endpoint_count(director, i));
+	return text;
+}
+
+static char *add_store_calls(char *text, const struct jt_directory_sync *sync)
+{
+	const struct jt_directory_counters *counters =
+		jt_directory_sync_counters(sync);
+
+	text = add_type(text, "store_lists_total", "counter");
+	for (int i = 0; i < JT_KV_STATUSES; i++)
+		text = add_label(text, "store_lists_total", "status",
+				 jt_kv_status_name(i), counters->lists[i]);
+	text = add_type(text, "store_watches_total", "counter");
+	for (int i = 0; i < JT_KV_STATUSES; i++)
+		text = add_label(text, "store_watches_total", "status",
+				 jt_kv_status_name(i), counters->watches[i]);
+	return add_metric(text, "store_items_invalid_total", "counter",
+			  counters->invalid_items);
+}
+
+char *jt_director_metrics(TALLOC_CTX *mem_ctx,
+			  const struct jt_director *director,
+			  const struct jt_directory_sync *sync,
+			  const struct jt_director_traffic *traffic)
+{
+	char *text = talloc_strdup(mem_ctx, "");
+
+	text = add_traffic(text, traffic);
+	text = add_decisions(text, director);
+	text = add_beliefs(text, director, sync);
+	return add_store_calls(text, sync);
+}
+
+struct jt_director_pages *
+jt_director_pages_create(TALLOC_CTX *mem_ctx, struct tevent_context *loop,
+			 const struct jt_director_settings *settings,
+			 const struct jt_director *director,
+			 const struct jt_directory_sync *sync,
+			 const struct jt_director_traffic *traffic,
+			 bool (*ready)(void *private_data), void *private_data,
+			 char **error)
+{
+	struct jt_director_pages *pages =
+		talloc_zero(mem_ctx, struct jt_director_pages);
+	struct jt_http_options options = {.address = settings->readiness};
+	char address[JT_ADDRESS_TEXT];
+
+	if (pages == NULL)
+		return NULL;
+	pages->director = director;
+	pages->sync = sync;
+	pages->traffic = traffic;
+	pages->ready = ready;
+	pages->private_data = private_data;
+	pages->readiness = jt_http_server_create(pages, loop, &options,
+						 on_readiness, pages);
+	if (pages->readiness == NULL) {
+		*error = talloc_asprintf(
+			talloc_parent(mem_ctx), "listen.readiness: %s: %s",
+			jt_address_format(settings->readiness, address),
+			strerror(errno));
+		talloc_free(pages);
+		return NULL;
+	}
+	options.address = settings->metrics;
+	if (options.address.port != 0)
+		pages->metrics = jt_http_server_create(pages, loop, &options,
+						       on_metrics, pages);
+	return pages;
+}
--- /dev/null
+++ b/src/director/jt_directory_sync.c
@@ -0,0 +1,213 @@
+#include "jt_directory_sync.h"
+#include "jt_net.h"
+#include "jt_timer.h"
+
+enum {
+	LIST_TIMEOUT_MS = 2000,
+	/* How much later than asked for a watch may be answered. */
+	WATCH_SLACK_MS = 500,
+	/* Failures in a row before the store counts as lost. */
+	FAILURES_LOST = 2,
+};
+
+struct jt_directory_sync {
+	struct tevent_context *loop;
+	struct jt_http_client *client;
+	const struct jt_directory *directory;
+	struct jt_address store;
+	struct jt_directory_watcher watcher;
+	struct jt_follower follower;
+	struct jt_timer *timer;
+	struct tevent_req *call; /* the call under way */
+	char *page_key;		 /* last key of the page before */
+	bool lost;
+	struct jt_directory_counters counters;
+};
+
+static void sync_step(struct jt_directory_sync *sync);
+
+static void on_due(void *private_data)
+{
+	sync_step(private_data);
+}
+
+static void watch_store(struct jt_directory_sync *sync,
+			enum jt_kv_status status)
+{
+	bool lost = sync->follower.failures >= FAILURES_LOST;
+
+	if (lost == sync->lost)
+		return;
+	sync->lost = lost;
+	sync->watcher.reachable(!lost, status, sync->watcher.private_data);
+}
+
+static void hand_over(struct jt_directory_sync *sync,
+		      const struct jt_kv_answer *answer)
+{
+	for (size_t i = 0; i < answer->change_count; i++) {
+		if (answer->changes[i].kind == JT_CHANGE_INVALID)
+			sync->counters.invalid_items++;
+		sync->watcher.changed(&answer->changes[i],
+				      sync->watcher.private_data);
+	}
+}
+
+static struct jt_kv_answer *call_finish(struct jt_directory_sync *sync,
+					struct tevent_req *req)
+{
+	struct jt_kv_answer *answer = sync->directory->recv(req, sync);
+
+	TALLOC_FREE(sync->call);
+	return answer;
+}
+
+static void on_page(struct tevent_req *req)
+{
+	struct jt_directory_sync *sync =
+		tevent_req_callback_data(req, struct jt_directory_sync);
+	struct jt_kv_answer *answer = call_finish(sync, req);
+	bool complete;
+
+	if (answer == NULL)
+		return;
+	sync->counters.lists[answer->status]++;
+	hand_over(sync, answer);
+	complete =
+		jt_follower_page(&sync->follower, answer->status,
+				 answer->revision, answer->more, jt_clock_ms());
+	TALLOC_FREE(sync->page_key);
+	if (answer->status == JT_KV_OK && answer->more)
+		sync->page_key = talloc_strdup(sync, answer->last_key);
+	if (complete)
+		sync->watcher.listed(sync->follower.listing,
+				     sync->watcher.private_data);
+	watch_store(sync, answer->status);
+	talloc_free(answer);
+	sync_step(sync);
+}
+
+static void on_watched(struct tevent_req *req)
+{
+	struct jt_directory_sync *sync =
+		tevent_req_callback_data(req, struct jt_directory_sync);
+	struct jt_kv_answer *answer = call_finish(sync, req);
+
+	if (answer == NULL)
+		return;
+	sync->counters.watches[answer->status]++;
+	hand_over(sync, answer);
+	jt_follower_watched(&sync->follower, answer->status, answer->revision,
+			    answer->change_count > 0, jt_clock_ms());
+	watch_store(sync, answer->status);
+	talloc_free(answer);
+	sync_step(sync);
+}
+
+static void list_start(struct jt_directory_sync *sync)
+{
+	if (!sync->follower.paging)
+		sync->watcher.listing(sync->watcher.private_data);
+	sync->call =
+		sync->directory->list_send(sync, sync->client, sync->store,
+					   sync->page_key, LIST_TIMEOUT_MS);
+	if (sync->call != NULL)
+		tevent_req_set_callback(sync->call, on_page, sync);
+}
+
+static void watch_start(struct jt_directory_sync *sync)
+{
+	uint32_t wait_ms = sync->follower.wait_ms;
+
+	sync->call = sync->directory->watch_send(
+		sync, sync->client, sync->store, sync->follower.revision,
+		wait_ms, wait_ms + WATCH_SLACK_MS);
+	if (sync->call != NULL)
+		tevent_req_set_callback(sync->call, on_watched, sync);
+}
+
+static void sync_step(struct jt_directory_sync *sync)
+{
+	uint64_t now_ms = jt_clock_ms();
+
+	if (sync->call != NULL)
+		return;
+	switch (jt_follower_next(&sync->follower, now_ms)) {
+	case JT_FOLLOWER_LIST:
+		list_start(sync);
+		break;
+	case JT_FOLLOWER_WATCH:
+		watch_start(sync);
+		break;
+	case JT_FOLLOWER_WAIT:
+		jt_timer_set(sync->timer, sync->follower.due_ms - now_ms);
+		break;
+	}
+}
+
+struct jt_directory_sync *jt_directory_sync_create(
+	TALLOC_CTX *mem_ctx, struct tevent_context *loop,
+	struct jt_http_client *client, const struct jt_directory *directory,
+	struct jt_address store, const struct jt_directory_watcher *watcher,
+	uint64_t seed)
+{
+	struct jt_directory_sync *sync =
+		talloc_zero(mem_ctx, struct jt_directory_sync);
+
+	if (sync == NULL)
+		return NULL;
+	sync->loop = loop;
+	sync->client = client;
+	sync->directory = directory;
+	sync->store = store;
+	sync->watcher = *watcher;
+	jt_follower_init(&sync->follower, seed);
+	sync->timer = jt_timer_create(sync, loop, on_due, sync);
+	if (sync->timer == NULL) {
+		talloc_free(sync);
+		return NULL;
+	}
+	jt_timer_set(sync->timer, 0);
+	return sync;
+}
+
+void jt_directory_sync_move(struct jt_directory_sync *sync,
+			    struct jt_address store)
+{
+	if (sync->store.ip == store.ip && sync->store.port == store.port)
+		return;
+	sync->store = store;
+	TALLOC_FREE(sync->call);
+	sync_step(sync);
+}
+
+void jt_directory_sync_hurry(struct jt_directory_sync *sync, uint64_t revision)
+{
+	if (revision <= sync->follower.revision)
+		return;
+	/* A call that hangs is given up. */
+	TALLOC_FREE(sync->call);
+	jt_follower_hurry(&sync->follower, jt_clock_ms());
+	sync_step(sync);
+}
+
+bool jt_directory_sync_listed(const struct jt_directory_sync *sync)
+{
+	return sync->follower.answered_ms != 0 && sync->follower.revision != 0;
+}
+
+uint64_t jt_directory_sync_revision(const struct jt_directory_sync *sync)
+{
+	return sync->follower.revision;
+}
+
+uint64_t jt_directory_sync_age_ms(const struct jt_directory_sync *sync)
+{
+	return jt_clock_ms() - sync->follower.answered_ms;
+}
+
+const struct jt_directory_counters *
+jt_directory_sync_counters(const struct jt_directory_sync *sync)
+{
+	return &sync->counters;
+}
--- /dev/null
+++ b/src/director/jt_directory_sync.h
@@ -0,0 +1,51 @@
+/*
+ * Follows the store: drives the pure follower with an environment's calls and
+ * hands every change on.
+ */
+#ifndef JT_DIRECTORY_SYNC_H
+#define JT_DIRECTORY_SYNC_H
+
+#include "jt_environment.h"
+#include "jt_log.h"
+
+/* What the owner of a directory sync is told. */
+struct jt_directory_watcher {
+	/* One change, in the order of the store. */
+	void (*changed)(const struct jt_change *change, void *private_data);
+	/* A list begins. */
+	void (*listing)(void *private_data);
+	/* A list is complete: what it did not hold is gone as of @revision. */
+	void (*listed)(uint64_t revision, void *private_data);
+	/* The store was lost, or regained. */
+	void (*reachable)(bool reachable, enum jt_kv_status status,
+			  void *private_data);
+	void *private_data;
+};
+
+struct jt_directory_counters {
+	uint64_t lists[JT_KV_STATUSES];
+	uint64_t watches[JT_KV_STATUSES];
+	uint64_t invalid_items;
+};
+
+struct jt_directory_sync;
+
+struct jt_directory_sync *jt_directory_sync_create(
+	TALLOC_CTX *mem_ctx, struct tevent_context *loop,
+	struct jt_http_client *client, const struct jt_directory *directory,
+	struct jt_address store, const struct jt_directory_watcher *watcher,
+	uint64_t seed);
+/* The store's address has changed. */
+void jt_directory_sync_move(struct jt_directory_sync *sync,
+			    struct jt_address store);
+/* A peer knows @revision: catch up if that is later than what is known. */
+void jt_directory_sync_hurry(struct jt_directory_sync *sync, uint64_t revision);
+
+bool jt_directory_sync_listed(const struct jt_directory_sync *sync);
+uint64_t jt_directory_sync_revision(const struct jt_directory_sync *sync);
+/* Milliseconds since the store's last answer that made sense. */
+uint64_t jt_directory_sync_age_ms(const struct jt_directory_sync *sync);
+const struct jt_directory_counters *
+jt_directory_sync_counters(const struct jt_directory_sync *sync);
+
+#endif
--- /dev/null
+++ b/src/director/jt_prober.h
@@ -0,0 +1,18 @@
+/*
+ * Opens a connection to see whether something answers at an address, and
+ * closes it again.
+ */
+#ifndef JT_PROBER_H
+#define JT_PROBER_H
+
+#include "jaspertrack/director-t.h"
+
+#include <tevent.h>
+
+struct tevent_req *jt_probe_send(TALLOC_CTX *mem_ctx,
+				 struct tevent_context *loop,
+				 struct jt_address address,
+				 uint32_t timeout_ms);
+enum jt_probe_outcome jt_probe_recv(struct tevent_req *req);
+
+#endif
--- /dev/null
+++ b/src/label/jt_choose.c
@@ -0,0 +1,304 @@
+#include "jt_choose.h"
+#include "jt_routing.h"
+
+#include <math.h>
+#include <string.h>
+
+enum {
+	/* Counts are halved there, so that old ones weigh less. */
+	SPLIT_MEMORY = 4096,
+	/* Load of an endpoint of another zone must be this much lower, in
+	 * thousandths of the load of one of the own zone. */
+	REMOTE_PERMILLE = 1500,
+	/* A cold endpoint counts as this much slower, in thousandths. */
+	COLD_PERMILLE = 2000,
+	/* Slower than the fastest by less than this counts as equal. */
+	SLOW_PERMILLE = 1700,
+	SLOW_PERMILLE_MOST = 20000,
+	/* Answers before an endpoint's speed counts for less than this are
+	 * noise of the callers' own pace. */
+	LATENCY_LEAST_US = 5000,
+};
+
+struct jt_chooser *jt_chooser_create(TALLOC_CTX *mem_ctx,
+				     const struct jt_director_options *opts)
+{
+	struct jt_chooser *chooser = talloc_zero(mem_ctx, struct jt_chooser);
+
+	if (chooser == NULL)
+		return NULL;
+	chooser->zone_id = opts->zone_id;
+	chooser->lapsed_grace_ms = opts->lapsed_grace_ms;
+	chooser->random = opts->seed | 1;
+	chooser->break_mechanism = opts->break_mechanism;
+	return chooser;
+}
+
+/* xorshift64 (Marsaglia 2003): good enough to break ties. */
+static uint64_t next_random(struct jt_chooser *chooser)
+{
+	uint64_t x = chooser->random;
+
+	x ^= x << 13;
+	x ^= x >> 7;
+	x ^= x << 17;
+	chooser->random = x;
+	return x;
+}
+
+static struct jt_split *split_find(struct jt_chooser *chooser,
+				   const struct jt_route *route)
+{
+	struct jt_split *split;
+	struct jt_address address;
+
+	memset(&address, 0, sizeof(address));
+	address.ip = route->address.ip;
+	address.port = route->address.port;
+	HASH_FIND(hh, chooser->splits, &address, sizeof(address), split);
+	if (split == NULL) {
+		split = talloc_zero(chooser, struct jt_split);
+		if (split == NULL)
+			return NULL;
+		split->address = address;
+		split->route = *route;
+		HASH_ADD(hh, chooser->splits, address, sizeof(address), split);
+	}
+	if (!jt_route_same_parts(&split->route, route)) {
+		split->route = *route;
+		memset(split->given, 0, sizeof(split->given));
+	}
+	return split;
+}
+
+static void split_give(struct jt_split *split, size_t part)
+{
+	uint64_t sum = 0;
+
+	split->given[part]++;
+	for (size_t i = 0; i < split->route.part_count; i++)
+		sum += split->given[i];
+	if (sum < SPLIT_MEMORY)
+		return;
+	for (size_t i = 0; i < split->route.part_count; i++)
+		split->given[i] /= 2;
+}
+
+void jt_chooser_count(struct jt_chooser *chooser, const struct jt_route *route,
+		      uint32_t service_id)
+{
+	struct jt_split *split;
+
+	if (route->part_count < 2)
+		return;
+	split = split_find(chooser, route);
+	if (split == NULL)
+		return;
+	for (size_t i = 0; i < route->part_count; i++) {
+		if (route->parts[i].service_id == service_id)
+			split_give(split, i);
+	}
+}
+
+void jt_chooser_prune(struct jt_chooser *chooser,
+		      const struct jt_routing *routing)
+{
+	struct jt_split *split, *next;
+
+	HASH_ITER(hh, chooser->splits, split, next)
+	{
+		struct jt_flow_key key = {
+			.destination = split->address.ip,
+			.destination_port = split->address.port,
+		};
+
+		if (jt_routing_route(routing, &key) != NULL)
+			continue;
+		HASH_DEL(chooser->splits, split);
+		talloc_free(split);
+	}
+}
+
+/* How willing an incarnation is to take a new flow; lower is better. */
+enum willingness { WILLING, SUSPECTED, LAST_RESORT, UNWILLING };
+
+static enum willingness incarnation_willing(const struct jt_chooser *chooser,
+					    const struct jt_incarnation *in,
+					    uint32_t connection_limit,
+					    uint64_t now_ms)
+{
+	if (connection_limit > 0 && in->flows >= connection_limit)
+		return UNWILLING;
+	switch (in->state) {
+	case JT_INCARNATION_READY:
+		return in->suspected_ms != 0 ? SUSPECTED : WILLING;
+	case JT_INCARNATION_LAPSED:
+		if (in->entry.draining)
+			return UNWILLING;
+		if (now_ms - in->state_ms < chooser->lapsed_grace_ms)
+			return LAST_RESORT;
+		return UNWILLING;
+	case JT_INCARNATION_DRAINING:
+		if (chooser->break_mechanism & JT_DIRECTOR_BREAK_DRAINING)
+			return WILLING;
+		return UNWILLING;
+	default:
+		return UNWILLING;
+	}
+}
+
+/* The lowest smoothed latency in the pool, 0 when none is known. */
+static uint32_t pool_latency(const struct jt_service_pool *pool)
+{
+	const struct jt_incarnation *in;
+	uint32_t lowest = 0;
+
+	for (in = pool->members; in != NULL; in = in->pool_next) {
+		if (in->state != JT_INCARNATION_READY || in->latency_us == 0)
+			continue;
+		if (lowest == 0 || in->latency_us < lowest)
+			lowest = in->latency_us;
+	}
+	return lowest;
+}
+
+/* Time that a request takes there, in thousandths of the fastest. */
+static uint64_t slowness_permille(const struct jt_incarnation *in,
+				  uint32_t fastest_us, uint64_t now_ms)
+{
+	uint64_t permille = 1000;
+
+	if (fastest_us < LATENCY_LEAST_US)
+		fastest_us = LATENCY_LEAST_US;
+	if (in->latency_us > fastest_us)
+		permille = (uint64_t)in->latency_us * 1000 / fastest_us;
+	if (permille < SLOW_PERMILLE)
+		permille = 1000;
+	if (permille > SLOW_PERMILLE_MOST)
+		permille = SLOW_PERMILLE_MOST;
+	if (now_ms < in->cold_until_ms && permille < COLD_PERMILLE)
+		permille = COLD_PERMILLE;
+	return permille;
+}
+
+/* Load after one more flow, for capacity and speed. */
+static double incarnation_load(const struct jt_incarnation *in,
+			       uint32_t fastest_us, uint64_t now_ms)
+{
+	uint32_t capacity = in->entry.capacity ? in->entry.capacity : 1;
+	double work = (double)in->flows + (double)in->waiting + 1.0;
+
+	return work * (double)slowness_permille(in, fastest_us, now_ms) /
+	       capacity;
+}
+
+struct candidate {
+	struct jt_incarnation *incarnation;
+	double load;
+	uint32_t equals; /* candidates with the same load so far */
+};
+
+static void candidate_offer(struct jt_chooser *chooser, struct candidate *best,
+			    struct jt_incarnation *in, double load)
+{
+	if (best->incarnation != NULL && load > best->load)
+		return;
+	if (best->incarnation == NULL || load < best->load) {
+		*best = (struct candidate){in, load, 1};
+		return;
+	}
+	best->equals++;
+	if (next_random(chooser) % best->equals == 0)
+		best->incarnation = in;
+}
+
+static struct jt_incarnation *pool_choose(struct jt_chooser *chooser,
+					  const struct jt_service_pool *pool,
+					  uint32_t connection_limit,
+					  uint64_t now_ms)
+{
+	struct candidate local = {0}, remote = {0};
+	enum willingness lowest = UNWILLING;
+	uint32_t fastest_us = pool_latency(pool);
+	struct jt_incarnation *in;
+
+	for (in = pool->members; in != NULL; in = in->pool_next) {
+		enum willingness willing = incarnation_willing(
+			chooser, in, connection_limit, now_ms);
+
+		if (willing == UNWILLING || willing > lowest)
+			continue;
+		if (willing < lowest) {
+			memset(&local, 0, sizeof(local));
+			memset(&remote, 0, sizeof(remote));
+			lowest = willing;
+		}
+		candidate_offer(chooser,
+				in->entry.zone_id == chooser->zone_id ? &local
+								      : &remote,
+				in, incarnation_load(in, fastest_us, now_ms));
+	}
+	if (local.incarnation == NULL)
+		return remote.incarnation;
+	if (remote.incarnation == NULL)
+		return local.incarnation;
+	if (remote.load * REMOTE_PERMILLE / 1000 < local.load)
+		return remote.incarnation;
+	return local.incarnation;
+}
+
+/* The part furthest behind its weight of those not @tried, or -1. */
+static int split_next(const struct jt_split *split, unsigned tried)
+{
+	const struct jt_route *route = &split->route;
+	double least = INFINITY;
+	int next = -1;
+
+	for (size_t i = 0; i < route->part_count; i++) {
+		double behind;
+
+		if (route->parts[i].weight == 0 || tried >> i & 1)
+			continue;
+		behind = ((double)split->given[i] + 0.5) /
+			 route->parts[i].weight;
+		if (behind < least) {
+			least = behind;
+			next = (int)i;
+		}
+	}
+	return next;
+}
+
+struct jt_incarnation *jt_chooser_choose(struct jt_chooser *chooser,
+					 const struct jt_endpoint_table *table,
+					 const struct jt_routing *routing,
+					 const struct jt_route *route,
+					 uint64_t now_ms)
+{
+	struct jt_split *split = split_find(chooser, route);
+	unsigned tried = 0;
+	int part;
+
+	if (split == NULL)
+		return NULL;
+	while ((part = split_next(split, tried)) >= 0) {
+		uint32_t service_id = route->parts[part].service_id;
+		const struct jt_routed_service *service =
+			jt_routing_service(routing, service_id);
+		struct jt_service_pool *pool =
+			jt_endpoint_table_pool(table, service_id);
+		struct jt_incarnation *chosen = NULL;
+
+		if (pool != NULL)
+			chosen = pool_choose(chooser, pool,
+					     service ? service->connection_limit
+						     : 0,
+					     now_ms);
+		if (chosen != NULL) {
+			split_give(split, (size_t)part);
+			return chosen;
+		}
+		tried |= 1u << part;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/label/jt_choose.h
@@ -0,0 +1,47 @@
+/*
+ * Which service and which endpoint of it a new flow gets.
+ *
+ * Parts of a route are kept exact: each new flow goes to the part that is
+ * furthest behind its weight. In a service, the endpoint with the least load
+ * for its capacity and measured speed is chosen, one of this node's zone as
+ * long as its load is not clearly higher than elsewhere.
+ */
+#ifndef JT_CHOOSE_H
+#define JT_CHOOSE_H
+
+#include "jt_endpoint_table.h"
+
+#include <uthash.h>
+
+/* Flows and requests that a route's parts got so far. */
+struct jt_split {
+	struct jt_address address; /* of the route */
+	struct jt_route route;	   /* as it was when counting began */
+	uint64_t given[JT_ROUTE_PART_LIMIT];
+	UT_hash_handle hh;
+};
+
+struct jt_chooser {
+	struct jt_split *splits;
+	uint32_t zone_id;
+	uint32_t lapsed_grace_ms;
+	uint64_t random; /* state of the generator that breaks ties */
+	unsigned break_mechanism;
+};
+
+struct jt_chooser *jt_chooser_create(TALLOC_CTX *mem_ctx,
+				     const struct jt_director_options *opts);
+/* NULL when no endpoint of any part may take a new flow. */
+struct jt_incarnation *jt_chooser_choose(struct jt_chooser *chooser,
+					 const struct jt_endpoint_table *table,
+					 const struct jt_routing *routing,
+					 const struct jt_route *route,
+					 uint64_t now_ms);
+/* A request of the route went to @service_id on a flow that is open. */
+void jt_chooser_count(struct jt_chooser *chooser, const struct jt_route *route,
+		      uint32_t service_id);
+/* Forget the splits of routes that @routing has no more. */
+void jt_chooser_prune(struct jt_chooser *chooser,
+		      const struct jt_routing *routing);
+
+#endif
--- /dev/null
+++ b/src/label/jt_detector.h
@@ -0,0 +1,52 @@
+/*
+ * The failure detector of endpoints.
+ *
+ * Suspicion comes from the data path (a caller sends again and gets nothing),
+ * from discovery (an entry goes without a word) or from a peer. It leads to a
+ * probe. An endpoint is dead only when its address refuses connections, when
+ * flows and connections get no answer while other endpoints answer this node,
+ * or when a later incarnation has its address. Anything less changes nothing.
+ */
+#ifndef JT_DETECTOR_H
+#define JT_DETECTOR_H
+
+#include "jt_endpoint_table.h"
+
+struct jt_detector {
+	uint64_t contact_ms; /* last sign of life of any endpoint */
+	uint32_t probe_pause_ms;
+	uint32_t dead_probe_pause_ms;
+	unsigned break_mechanism;
+};
+
+void jt_detector_init(struct jt_detector *detector,
+		      const struct jt_director_options *options);
+/* A flow of the incarnation got an answer. */
+void jt_detector_progress(struct jt_detector *detector,
+			  struct jt_incarnation *incarnation, uint64_t now_ms);
+/* Something speaks against the incarnation. True: probe it now. */
+bool jt_detector_suspect(struct jt_detector *detector,
+			 struct jt_incarnation *incarnation, uint64_t now_ms);
+/* True when a dead incarnation is due for another probe. */
+bool jt_detector_probe_due(const struct jt_detector *detector,
+			   const struct jt_incarnation *incarnation,
+			   uint64_t now_ms);
+void jt_detector_probe_sent(struct jt_detector *detector,
+			    struct jt_incarnation *incarnation,
+			    uint64_t now_ms);
+
+enum jt_detector_verdict {
+	JT_VERDICT_NONE,
+	JT_VERDICT_DEAD, /* with *cause */
+	JT_VERDICT_ALIVE,
+	JT_VERDICT_AGAIN, /* the probe told nothing: probe again */
+};
+
+/* What the outcome of the probe under way means. */
+enum jt_detector_verdict jt_detector_probed(struct jt_detector *detector,
+					    struct jt_incarnation *incarnation,
+					    enum jt_probe_outcome outcome,
+					    uint64_t now_ms,
+					    enum jt_death_cause *cause);
+
+#endif
--- /dev/null
+++ b/src/label/jt_director.c
@@ -0,0 +1,523 @@
+#include "jt_director_private.h"
+
+#include <string.h>
+
+enum {
+	DEFAULT_FLOW_LIMIT = 1 << 16,
+	DEFAULT_FLOW_AGE_LIMIT_MS = 3600 * 1000,
+	DEFAULT_LAPSED_GRACE_MS = 2000,
+	DEFAULT_PROBE_PAUSE_MS = 500,
+	DEFAULT_DEAD_PROBE_PAUSE_MS = 1000,
+	DEFAULT_FLOW_IDLE_MS = 60 * 1000,
+	/* A flow with a FIN is remembered so long for what follows it. */
+	CLOSING_MS = 2000,
+};
+
+void jt_director_options_init(struct jt_director_options *options)
+{
+	*options = (struct jt_director_options){
+		.flow_limit = DEFAULT_FLOW_LIMIT,
+		.flow_age_limit_ms = DEFAULT_FLOW_AGE_LIMIT_MS,
+		.lapsed_grace_ms = DEFAULT_LAPSED_GRACE_MS,
+		.probe_pause_ms = DEFAULT_PROBE_PAUSE_MS,
+		.dead_probe_pause_ms = DEFAULT_DEAD_PROBE_PAUSE_MS,
+		.seed = 1,
+	};
+}
+
+struct jt_director *jt_director_create(TALLOC_CTX *mem_ctx,
+				       const struct jt_director_options *opts)
+{
+	struct jt_director *director = talloc_zero(mem_ctx, struct jt_director);
+
+	if (director == NULL)
+		return NULL;
+	director->options = *opts;
+	jt_detector_init(&director->detector, opts);
+	director->endpoints = jt_endpoint_table_create(director);
+	director->flows = jt_flow_cache_create(director, opts->flow_limit);
+	director->chooser = jt_chooser_create(director, opts);
+	if (director->endpoints == NULL || director->flows == NULL ||
+	    director->chooser == NULL)
+		TALLOC_FREE(director);
+	return director;
+}
+
+/* Actions */
+
+struct jt_director_actions *jt_director_actions_create(TALLOC_CTX *mem_ctx)
+{
+	return talloc_zero(mem_ctx, struct jt_director_actions);
+}
+
+void jt_director_actions_clear(struct jt_director_actions *actions)
+{
+	actions->count = 0;
+}
+
+struct jt_director_action *
+jt_director_action_add(struct jt_director_actions *actions,
+		       enum jt_director_action_kind kind,
+		       enum jt_director_reason reason)
+{
+	struct jt_director_action *action;
+
+	if (actions->count == actions->capacity) {
+		size_t capacity = actions->capacity ? actions->capacity * 2 : 8;
+		struct jt_director_action *items =
+			talloc_realloc(actions, actions->items,
+				       struct jt_director_action, capacity);
+
+		if (items == NULL)
+			return NULL;
+		actions->items = items;
+		actions->capacity = capacity;
+	}
+	action = &actions->items[actions->count++];
+	memset(action, 0, sizeof(*action));
+	action->kind = kind;
+	action->reason = reason;
+	return action;
+}
+
+struct jt_director_action *jt_director_action_about(
+	struct jt_director_actions *actions, enum jt_director_action_kind kind,
+	enum jt_director_reason reason,
+	const struct jt_incarnation *incarnation, uint64_t now_ms)
+{
+	struct jt_director_action *action =
+		jt_director_action_add(actions, kind, reason);
+
+	if (action == NULL)
+		return NULL;
+	action->endpoint_id = incarnation->entry.id;
+	action->label = incarnation->label;
+	action->address = incarnation->entry.address;
+	action->state = incarnation->state;
+	action->cause = incarnation->cause;
+	action->revision = incarnation->entry.revision;
+	action->age_ms = now_ms - incarnation->learned_ms;
+	return action;
+}
+
+/* Incarnations */
+
+static void state_enter(struct jt_incarnation *incarnation,
+			enum jt_incarnation_state state, uint64_t now_ms,
+			struct jt_director_actions *actions)
+{
+	if (incarnation->state == state)
+		return;
+	incarnation->state = state;
+	incarnation->state_ms = now_ms;
+	jt_director_action_about(actions, JT_DIRECTOR_SEEN, 0, incarnation,
+				 now_ms);
+}
+
+/* The state that discovery's entry alone gives. */
+static enum jt_incarnation_state
+listed_state(const struct jt_incarnation *incarnation)
+{
+	if (!incarnation->listed)
+		return JT_INCARNATION_LAPSED;
+	if (incarnation->entry.draining)
+		return JT_INCARNATION_DRAINING;
+	return JT_INCARNATION_READY;
+}
+
+static void flows_reset(struct jt_director *director,
+			const struct jt_incarnation *incarnation,
+			uint64_t now_ms, struct jt_director_actions *actions)
+{
+	struct jt_cached_flow *flow = director->flows->rested;
+
+	while (flow != NULL) {
+		struct jt_cached_flow *newer = flow->newer;
+
+		/* A caller that has not opened its flow asks again; one that
+		 * has closed it needs no reset. */
+		if (flow->label == incarnation->label && !flow->closing)
+			jt_director_flow_reset(director, flow, incarnation,
+					       now_ms, actions);
+		flow = newer;
+	}
+}
+
+static void incarnation_dies(struct jt_director *director,
+			     struct jt_incarnation *incarnation,
+			     enum jt_death_cause cause, uint64_t now_ms,
+			     struct jt_director_actions *actions)
+{
+	if (incarnation->state == JT_INCARNATION_DEAD) {
+		if (cause == JT_DEATH_REPLACED)
+			incarnation->cause = cause;
+		return;
+	}
+	incarnation->state = JT_INCARNATION_DEAD;
+	incarnation->state_ms = now_ms;
+	incarnation->cause = cause;
+	director->counters.deaths[cause]++;
+	jt_director_action_about(actions, JT_DIRECTOR_VERDICT, 0, incarnation,
+				 now_ms);
+	flows_reset(director, incarnation, now_ms, actions);
+}
+
+static void incarnation_revives(struct jt_director *director,
+				struct jt_incarnation *incarnation,
+				uint64_t now_ms,
+				struct jt_director_actions *actions)
+{
+	incarnation->state = listed_state(incarnation);
+	incarnation->state_ms = now_ms;
+	incarnation->cause = JT_DEATH_NONE;
+	director->counters.revived++;
+	jt_director_action_about(actions, JT_DIRECTOR_REVIVED, 0, incarnation,
+				 now_ms);
+}
+
+static void probe_send(struct jt_director *director,
+		       struct jt_incarnation *incarnation, uint64_t now_ms,
+		       struct jt_director_actions *actions)
+{
+	jt_detector_probe_sent(&director->detector, incarnation, now_ms);
+	director->counters.probes++;
+	jt_director_action_about(actions, JT_DIRECTOR_PROBE, 0, incarnation,
+				 now_ms);
+}
+
+void jt_director_suspect(struct jt_director *director,
+			 struct jt_incarnation *incarnation, uint64_t now_ms,
+			 struct jt_director_actions *actions)
+{
+	director->counters.suspicions++;
+	if (director->options.break_mechanism & JT_DIRECTOR_BREAK_GUESS_DEATH) {
+		incarnation_dies(director, incarnation, JT_DEATH_SILENT, now_ms,
+				 actions);
+		return;
+	}
+	if (jt_detector_suspect(&director->detector, incarnation, now_ms))
+		probe_send(director, incarnation, now_ms, actions);
+}
+
+/* Whoever else had this incarnation's address before it is gone. */
+static void address_settle(struct jt_director *director,
+			   const struct jt_incarnation *taken, uint64_t now_ms,
+			   struct jt_director_actions *actions)
+{
+	struct jt_incarnation *other, *next;
+
+	HASH_ITER(by_id, director->endpoints->ids, other, next)
+	{
+		if (other == taken ||
+		    other->entry.address.ip != taken->entry.address.ip ||
+		    other->entry.address.port != taken->entry.address.port)
+			continue;
+		if (other->entry.revision < taken->entry.revision)
+			incarnation_dies(director, other, JT_DEATH_REPLACED,
+					 now_ms, actions);
+	}
+}
+
+static void event_endpoint(struct jt_director *director,
+			   const struct jt_endpoint_entry *entry,
+			   uint64_t now_ms, struct jt_director_actions *actions)
+{
+	struct jt_incarnation *incarnation = NULL;
+	enum jt_entry_result result;
+
+	result = jt_endpoint_table_take(director->endpoints, entry, now_ms,
+					&incarnation);
+	if (incarnation == NULL) {
+		if (result != JT_ENTRY_OLD)
+			director->counters.entries_refused++;
+		return;
+	}
+	if (incarnation->state == JT_INCARNATION_DEAD) {
+		/* What it wrote since then shows that it lives. */
+		if (incarnation->cause != JT_DEATH_REPLACED)
+			incarnation_revives(director, incarnation, now_ms,
+					    actions);
+	} else if (result == JT_ENTRY_NEW) {
+		incarnation->state = listed_state(incarnation);
+		jt_director_action_about(actions, JT_DIRECTOR_SEEN, 0,
+					 incarnation, now_ms);
+	} else {
+		state_enter(incarnation, listed_state(incarnation), now_ms,
+			    actions);
+	}
+	address_settle(director, incarnation, now_ms, actions);
+}
+
+static void event_gone(struct jt_director *director, uint64_t id,
+		       uint64_t revision, uint64_t now_ms,
+		       struct jt_director_actions *actions)
+{
+	struct jt_incarnation *incarnation =
+		jt_endpoint_table_by_id(director->endpoints, id);
+
+	if (incarnation == NULL || !incarnation->listed ||
+	    revision <= incarnation->entry.revision)
+		return;
+	incarnation->listed = false;
+	incarnation->entry.revision = revision;
+	incarnation->learned_ms = now_ms;
+	if (director->options.break_mechanism & JT_DIRECTOR_BREAK_FORGET_GONE) {
+		jt_endpoint_table_remove(director->endpoints, incarnation);
+		return;
+	}
+	if (incarnation->state == JT_INCARNATION_DEAD)
+		return;
+	state_enter(incarnation, JT_INCARNATION_LAPSED, now_ms, actions);
+	/* It may have ended: flows that rest there are better off knowing. */
+	if (incarnation->flows > 0)
+		jt_director_suspect(director, incarnation, now_ms, actions);
+}
+
+static void event_listing(struct jt_director *director)
+{
+	struct jt_incarnation *incarnation, *next;
+
+	HASH_ITER(by_id, director->endpoints->ids, incarnation, next)
+	{
+		incarnation->told = false;
+	}
+}
+
+/* Whatever a complete list did not tell is gone. */
+static void event_listed(struct jt_director *director, uint64_t revision,
+			 uint64_t now_ms, struct jt_director_actions *actions)
+{
+	struct jt_incarnation *incarnation, *next;
+
+	HASH_ITER(by_id, director->endpoints->ids, incarnation, next)
+	{
+		if (!incarnation->told)
+			event_gone(director, incarnation->entry.id, revision,
+				   now_ms, actions);
+	}
+}
+
+static void event_suspicion(struct jt_director *director, uint64_t id,
+			    uint64_t now_ms,
+			    struct jt_director_actions *actions)
+{
+	struct jt_incarnation *incarnation =
+		jt_endpoint_table_by_id(director->endpoints, id);
+
+	if (incarnation != NULL && incarnation->state != JT_INCARNATION_DEAD)
+		jt_director_suspect(director, incarnation, now_ms, actions);
+}
+
+static void event_probed(struct jt_director *director, uint64_t id,
+			 enum jt_probe_outcome outcome, uint64_t now_ms,
+			 struct jt_director_actions *actions)
+{
+	struct jt_incarnation *incarnation =
+		jt_endpoint_table_by_id(director->endpoints, id);
+	enum jt_death_cause cause;
+
+	if (incarnation == NULL || !incarnation->probing)
+		return;
+	switch (jt_detector_probed(&director->detector, incarnation, outcome,
+				   now_ms, &cause)) {
+	case JT_VERDICT_DEAD:
+		incarnation_dies(director, incarnation, cause, now_ms, actions);
+		break;
+	case JT_VERDICT_ALIVE:
+		incarnation_revives(director, incarnation, now_ms, actions);
+		break;
+	case JT_VERDICT_AGAIN:
+		if (incarnation->suspected_ms != 0)
+			probe_send(director, incarnation, now_ms, actions);
+		break;
+	default:
+		break;
+	}
+}
+
+static void event_routing(struct jt_director *director,
+			  const struct jt_routing *routing, uint64_t now_ms)
+{
+	const struct jt_routing *old = director->routing;
+
+	if (old != NULL && routing->version <= old->version &&
+	    !(director->options.break_mechanism & JT_DIRECTOR_BREAK_VERSION)) {
+		director->counters.routing_refused++;
+		return;
+	}
+	director->routing = talloc_steal(director, routing);
+	director->routing_ms = now_ms;
+	jt_chooser_prune(director->chooser, routing);
+	talloc_free((void *)old);
+}
+
+/* Forget flows at rest, a few at a time. */
+static void flows_expire(struct jt_director *director, uint64_t now_ms)
+{
+	uint64_t idle_ms = DEFAULT_FLOW_IDLE_MS;
+
+	if (director->routing != NULL && director->routing->flow_idle_ms > 0)
+		idle_ms = director->routing->flow_idle_ms;
+	while (director->flows->rested != NULL) {
+		struct jt_cached_flow *flow = director->flows->rested;
+		uint64_t limit_ms = flow->closing && idle_ms > CLOSING_MS
+					    ? CLOSING_MS
+					    : idle_ms;
+
+		if (now_ms - flow->seen_ms < limit_ms)
+			break;
+		jt_director_flow_forget(director, flow);
+	}
+}
+
+static void endpoints_tick(struct jt_director *director, uint64_t now_ms,
+			   struct jt_director_actions *actions)
+{
+	struct jt_incarnation *incarnation, *next;
+
+	HASH_ITER(by_id, director->endpoints->ids, incarnation, next)
+	{
+		if (jt_detector_probe_due(&director->detector, incarnation,
+					  now_ms))
+			probe_send(director, incarnation, now_ms, actions);
+		if (!incarnation->listed &&
+		    now_ms - incarnation->learned_ms >
+			    director->options.flow_age_limit_ms)
+			jt_endpoint_table_remove(director->endpoints,
+						 incarnation);
+	}
+}
+
+void jt_director_handle(struct jt_director *director,
+			struct jt_director_event *event,
+			struct jt_director_actions *actions)
+{
+	uint64_t now_ms = event->now_ms;
+
+	switch (event->kind) {
+	case JT_DIRECTOR_PACKET:
+		jt_director_packet(director, &event->u.packet, now_ms, actions);
+		break;
+	case JT_DIRECTOR_ROUTING:
+		event_routing(director, event->u.routing, now_ms);
+		break;
+	case JT_DIRECTOR_ENDPOINT:
+		event_endpoint(director, &event->u.endpoint, now_ms, actions);
+		break;
+	case JT_DIRECTOR_GONE:
+		event_gone(director, event->u.gone.id, event->u.gone.revision,
+			   now_ms, actions);
+		break;
+	case JT_DIRECTOR_LISTING:
+		event_listing(director);
+		break;
+	case JT_DIRECTOR_LISTED:
+		event_listed(director, event->u.listed.revision, now_ms,
+			     actions);
+		break;
+	case JT_DIRECTOR_SUSPICION:
+		event_suspicion(director, event->u.suspicion.id, now_ms,
+				actions);
+		break;
+	case JT_DIRECTOR_PROBED:
+		event_probed(director, event->u.probed.id,
+			     event->u.probed.outcome, now_ms, actions);
+		break;
+	case JT_DIRECTOR_TICK:
+		flows_expire(director, now_ms);
+		endpoints_tick(director, now_ms, actions);
+		break;
+	}
+}
+
+/* Views */
+
+const struct jt_routing *jt_director_routing(const struct jt_director *director)
+{
+	return director->routing;
+}
+
+const struct jt_director_counters *
+jt_director_counters(const struct jt_director *director)
+{
+	return &director->counters;
+}
+
+size_t jt_director_flow_count(const struct jt_director *director)
+{
+	return director->flows->count;
+}
+
+size_t jt_director_endpoint_count(const struct jt_director *director,
+				  enum jt_incarnation_state state)
+{
+	struct jt_incarnation *incarnation, *next;
+	size_t count = 0;
+
+	HASH_ITER(by_id, director->endpoints->ids, incarnation, next)
+	{
+		if (incarnation->state == state)
+			count++;
+	}
+	return count;
+}
+
+bool jt_director_endpoint_at(const struct jt_director *director, size_t index,
+			     struct jt_endpoint_entry *entry,
+			     enum jt_incarnation_state *state)
+{
+	struct jt_incarnation *incarnation, *next;
+
+	HASH_ITER(by_id, director->endpoints->ids, incarnation, next)
+	{
+		if (index-- > 0)
+			continue;
+		*entry = incarnation->entry;
+		*state = incarnation->state;
+		return true;
+	}
+	return false;
+}
+
+const char *jt_director_reason_name(enum jt_director_reason reason)
+{
+	static const char *const names[] = {
+		[JT_DIRECTOR_PLACED] = "placed",
+		[JT_DIRECTOR_PLACED_AGAIN] = "placed_again",
+		[JT_DIRECTOR_LABELLED] = "labelled",
+		[JT_DIRECTOR_REMEMBERED] = "remembered",
+		[JT_DIRECTOR_NO_ROUTE] = "no_route",
+		[JT_DIRECTOR_NO_ENDPOINT] = "no_endpoint",
+		[JT_DIRECTOR_ENDPOINT_DEAD] = "endpoint_dead",
+		[JT_DIRECTOR_UNKNOWN_LABEL] = "unknown_label",
+		[JT_DIRECTOR_NO_LABEL] = "no_label",
+		[JT_DIRECTOR_FORGED] = "forged",
+		[JT_DIRECTOR_OVER_SHARE] = "over_share",
+	};
+
+	return names[reason];
+}
+
+const char *jt_incarnation_state_name(enum jt_incarnation_state state)
+{
+	static const char *const names[] = {
+		[JT_INCARNATION_READY] = "ready",
+		[JT_INCARNATION_DRAINING] = "draining",
+		[JT_INCARNATION_LAPSED] = "lapsed",
+		[JT_INCARNATION_DEAD] = "dead",
+	};
+
+	return names[state];
+}
+
+const char *jt_death_cause_name(enum jt_death_cause cause)
+{
+	static const char *const names[] = {
+		[JT_DEATH_NONE] = "none",
+		[JT_DEATH_REFUSED] = "refused",
+		[JT_DEATH_SILENT] = "silent",
+		[JT_DEATH_REPLACED] = "replaced",
+	};
+
+	return names[cause];
+}
--- /dev/null
+++ b/src/label/jt_director_packet.c
@@ -0,0 +1,329 @@
+/* What becomes of one packet of a caller. */
+#include "jt_director_private.h"
+
+enum {
+	/* New part of the smoothed latency, in eighths. */
+	LATENCY_EIGHTHS = 1,
+};
+
+/* True when @a comes after @b (RFC 1982 for 32 bits). */
+static bool sequence_after(uint32_t a, uint32_t b)
+{
+	return a != b && (uint32_t)(a - b) < 1u << 31;
+}
+
+static void add_reset(struct jt_director *director,
+		      const struct jt_flow_key *key, uint32_t sequence,
+		      enum jt_director_reason reason,
+		      struct jt_director_actions *actions)
+{
+	struct jt_director_action *action =
+		jt_director_action_add(actions, JT_DIRECTOR_RESET, reason);
+
+	director->counters.by_reason[reason]++;
+	if (action == NULL)
+		return;
+	action->key = *key;
+	action->reset_sequence = sequence;
+	if (director->routing != NULL)
+		action->version = director->routing->version;
+}
+
+static void add_drop(struct jt_director *director,
+		     const struct jt_label_packet *packet,
+		     enum jt_director_reason reason,
+		     struct jt_director_actions *actions)
+{
+	struct jt_director_action *action =
+		jt_director_action_add(actions, JT_DIRECTOR_DROP, reason);
+
+	director->counters.by_reason[reason]++;
+	if (action == NULL)
+		return;
+	action->key = packet->key;
+	action->label = packet->label;
+}
+
+static void add_forward(struct jt_director *director,
+			const struct jt_label_packet *packet,
+			const struct jt_incarnation *incarnation,
+			enum jt_director_reason reason, uint64_t now_ms,
+			struct jt_director_actions *actions)
+{
+	struct jt_director_action *action = jt_director_action_about(
+		actions, JT_DIRECTOR_FORWARD, reason, incarnation, now_ms);
+
+	director->counters.by_reason[reason]++;
+	if (action == NULL)
+		return;
+	action->key = packet->key;
+	if (director->routing != NULL)
+		action->version = director->routing->version;
+}
+
+static void flow_answered(struct jt_cached_flow *flow,
+			  struct jt_incarnation *incarnation, uint64_t now_ms)
+{
+	uint64_t took_us;
+
+	if (flow->waiting_ms == 0)
+		return;
+	took_us = (now_ms - flow->waiting_ms) * 1000;
+	flow->waiting_ms = 0;
+	if (incarnation->waiting > 0)
+		incarnation->waiting--;
+	if (took_us > UINT32_MAX / 8)
+		took_us = UINT32_MAX / 8;
+	if (incarnation->latency_us == 0)
+		incarnation->latency_us = (uint32_t)took_us;
+	else
+		incarnation->latency_us =
+			(uint32_t)((incarnation->latency_us *
+					    (uint64_t)(8 - LATENCY_EIGHTHS) +
+				    took_us * LATENCY_EIGHTHS) /
+				   8);
+}
+
+static void flow_waits(struct jt_cached_flow *flow,
+		       struct jt_incarnation *incarnation, uint64_t now_ms)
+{
+	if (flow->waiting_ms != 0)
+		return;
+	flow->waiting_ms = now_ms;
+	incarnation->waiting++;
+}
+
+void jt_director_flow_forget(struct jt_director *director,
+			     struct jt_cached_flow *flow)
+{
+	struct jt_incarnation *incarnation =
+		jt_endpoint_table_by_label(director->endpoints, flow->label);
+
+	if (incarnation != NULL) {
+		if (!flow->closing && incarnation->flows > 0)
+			incarnation->flows--;
+		if (flow->waiting_ms != 0 && incarnation->waiting > 0)
+			incarnation->waiting--;
+	}
+	jt_flow_cache_remove(director->flows, flow);
+}
+
+void jt_director_flow_reset(struct jt_director *director,
+			    struct jt_cached_flow *flow,
+			    const struct jt_incarnation *incarnation,
+			    uint64_t now_ms,
+			    struct jt_director_actions *actions)
+{
+	struct jt_director_action *action = jt_director_action_about(
+		actions, JT_DIRECTOR_RESET, JT_DIRECTOR_ENDPOINT_DEAD,
+		incarnation, now_ms);
+
+	director->counters.by_reason[JT_DIRECTOR_ENDPOINT_DEAD]++;
+	if (action != NULL) {
+		action->key = flow->key;
+		action->reset_sequence = flow->acknowledged;
+	}
+	jt_director_flow_forget(director, flow);
+}
+
+/* A flow of @incarnation that this node has not seen before. */
+static struct jt_cached_flow *flow_add(struct jt_director *director,
+				       const struct jt_label_packet *packet,
+				       struct jt_incarnation *incarnation,
+				       uint64_t now_ms)
+{
+	struct jt_cached_flow *flow;
+
+	if (jt_flow_cache_full(director->flows))
+		jt_director_flow_forget(director, director->flows->rested);
+	flow = jt_flow_cache_add(director->flows, &packet->key, now_ms);
+	if (flow == NULL)
+		return NULL;
+	flow->label = incarnation->label;
+	flow->sequence_end = packet->sequence + packet->length;
+	flow->acknowledged = packet->acknowledged;
+	incarnation->flows++;
+	return flow;
+}
+
+static void place(struct jt_director *director,
+		  const struct jt_label_packet *packet,
+		  const struct jt_route *route, enum jt_director_reason reason,
+		  uint64_t now_ms, struct jt_director_actions *actions)
+{
+	struct jt_incarnation *chosen;
+	struct jt_cached_flow *flow;
+
+	chosen = jt_chooser_choose(director->chooser, director->endpoints,
+				   director->routing, route, now_ms);
+	if (chosen == NULL) {
+		add_reset(director, &packet->key, 0, JT_DIRECTOR_NO_ENDPOINT,
+			  actions);
+		return;
+	}
+	flow = flow_add(director, packet, chosen, now_ms);
+	if (flow != NULL)
+		flow->opening = true;
+	add_forward(director, packet, chosen, reason, now_ms, actions);
+}
+
+/* The first packet of a flow, or a copy of it. */
+static void packet_first(struct jt_director *director,
+			 const struct jt_label_packet *packet, uint64_t now_ms,
+			 struct jt_director_actions *actions)
+{
+	const struct jt_route *route =
+		jt_routing_route(director->routing, &packet->key);
+	struct jt_cached_flow *flow =
+		jt_flow_cache_find(director->flows, &packet->key);
+	enum jt_director_reason reason = JT_DIRECTOR_PLACED;
+	struct jt_incarnation *incarnation;
+
+	if (route == NULL) {
+		add_reset(director, &packet->key, 0, JT_DIRECTOR_NO_ROUTE,
+			  actions);
+		return;
+	}
+	if (flow != NULL && flow->sequence_end != packet->sequence) {
+		/* The caller uses the port of an earlier flow again. */
+		jt_director_flow_forget(director, flow);
+		flow = NULL;
+	}
+	if (flow != NULL) {
+		incarnation = jt_endpoint_table_by_label(director->endpoints,
+							 flow->label);
+		if (director->options.break_mechanism &
+		    JT_DIRECTOR_BREAK_PLACE_COPIES)
+			incarnation = NULL;
+		if (incarnation != NULL &&
+		    incarnation->state != JT_INCARNATION_DEAD) {
+			jt_flow_cache_touch(director->flows, flow, now_ms);
+			director->counters.resent++;
+			jt_director_suspect(director, incarnation, now_ms,
+					    actions);
+			add_forward(director, packet, incarnation,
+				    JT_DIRECTOR_REMEMBERED, now_ms, actions);
+			return;
+		}
+		jt_director_flow_forget(director, flow);
+		reason = JT_DIRECTOR_PLACED_AGAIN;
+	}
+	place(director, packet, route, reason, now_ms, actions);
+}
+
+/* Learn from a packet what the flow's endpoint has done. */
+static void flow_observe(struct jt_director *director,
+			 struct jt_cached_flow *flow,
+			 struct jt_incarnation *incarnation,
+			 const struct jt_label_packet *packet, uint64_t now_ms,
+			 struct jt_director_actions *actions)
+{
+	uint32_t end = packet->sequence + packet->length;
+	bool answered = flow->opening || sequence_after(packet->acknowledged,
+							flow->acknowledged);
+	const struct jt_route *route;
+
+	if (answered) {
+		jt_detector_progress(&director->detector, incarnation, now_ms);
+		if (!flow->opening)
+			flow_answered(flow, incarnation, now_ms);
+		flow->acknowledged = packet->acknowledged;
+		flow->opening = false;
+	}
+	if (packet->length == 0)
+		return;
+	if (sequence_after(end, flow->sequence_end)) {
+		flow->sequence_end = end;
+		if (flow->waiting_ms == 0) {
+			route = jt_routing_route(director->routing,
+						 &packet->key);
+			if (route != NULL)
+				jt_chooser_count(director->chooser, route,
+						 incarnation->entry.service_id);
+		}
+		flow_waits(flow, incarnation, now_ms);
+	} else if (!answered) {
+		director->counters.resent++;
+		jt_director_suspect(director, incarnation, now_ms, actions);
+	}
+}
+
+static void flow_close(struct jt_director *director,
+		       struct jt_cached_flow *flow,
+		       struct jt_incarnation *incarnation,
+		       const struct jt_label_packet *packet)
+{
+	if (packet->flags & JT_PACKET_RST) {
+		jt_director_flow_forget(director, flow);
+		return;
+	}
+	if (flow->closing || !(packet->flags & JT_PACKET_FIN))
+		return;
+	flow->closing = true;
+	if (incarnation->flows > 0)
+		incarnation->flows--;
+}
+
+/* A packet of a flow that is open, or half open. */
+static void packet_later(struct jt_director *director,
+			 const struct jt_label_packet *packet, uint64_t now_ms,
+			 struct jt_director_actions *actions)
+{
+	struct jt_cached_flow *flow =
+		jt_flow_cache_find(director->flows, &packet->key);
+	enum jt_director_reason reason = JT_DIRECTOR_LABELLED;
+	struct jt_incarnation *incarnation;
+	uint32_t label = packet->label;
+
+	if (label == 0 && flow != NULL) {
+		label = flow->label;
+		reason = JT_DIRECTOR_REMEMBERED;
+	}
+	if (label == 0) {
+		add_drop(director, packet, JT_DIRECTOR_NO_LABEL, actions);
+		return;
+	}
+	incarnation = jt_endpoint_table_by_label(director->endpoints, label);
+	if (incarnation == NULL) {
+		add_drop(director, packet, JT_DIRECTOR_UNKNOWN_LABEL, actions);
+		return;
+	}
+	if (flow != NULL && flow->label != label) {
+		/* Another node has placed a copy of the first packet. */
+		jt_director_flow_forget(director, flow);
+		flow = NULL;
+	}
+	if (incarnation->state == JT_INCARNATION_DEAD) {
+		if (flow != NULL)
+			jt_director_flow_forget(director, flow);
+		if (!(packet->flags & JT_PACKET_RST))
+			add_reset(director, &packet->key, packet->acknowledged,
+				  JT_DIRECTOR_ENDPOINT_DEAD, actions);
+		return;
+	}
+	if (flow == NULL) {
+		if (!(packet->flags & JT_PACKET_RST))
+			flow = flow_add(director, packet, incarnation, now_ms);
+	} else {
+		jt_flow_cache_touch(director->flows, flow, now_ms);
+		flow_observe(director, flow, incarnation, packet, now_ms,
+			     actions);
+	}
+	if (flow != NULL)
+		flow_close(director, flow, incarnation, packet);
+	add_forward(director, packet, incarnation, reason, now_ms, actions);
+}
+
+void jt_director_packet(struct jt_director *director,
+			const struct jt_label_packet *packet, uint64_t now_ms,
+			struct jt_director_actions *actions)
+{
+	bool first = packet->flags & JT_PACKET_SYN;
+
+	if (first && packet->flags & JT_PACKET_ACK)
+		add_drop(director, packet, JT_DIRECTOR_FORGED, actions);
+	else if (first)
+		packet_first(director, packet, now_ms, actions);
+	else
+		packet_later(director, packet, now_ms, actions);
+}
--- /dev/null
+++ b/src/label/jt_director_private.h
@@ -0,0 +1,52 @@
+/* The state of a director and what its files share. */
+#ifndef JT_DIRECTOR_PRIVATE_H
+#define JT_DIRECTOR_PRIVATE_H
+
+#include "jaspertrack/director.h"
+#include "jt_choose.h"
+#include "jt_detector.h"
+#include "jt_endpoint_table.h"
+#include "jt_flow_cache.h"
+#include "jt_routing.h"
+
+struct jt_director {
+	struct jt_director_options options;
+	const struct jt_routing *routing; /* talloc child, NULL at first */
+	uint64_t routing_ms;		  /* when it was taken */
+	struct jt_endpoint_table *endpoints;
+	struct jt_flow_cache *flows;
+	struct jt_chooser *chooser;
+	struct jt_detector detector;
+	struct jt_director_counters counters;
+};
+
+/* A zeroed action at the end of the list, NULL when memory runs out. */
+struct jt_director_action *
+jt_director_action_add(struct jt_director_actions *actions,
+		       enum jt_director_action_kind kind,
+		       enum jt_director_reason reason);
+/* The same, about an incarnation. */
+struct jt_director_action *jt_director_action_about(
+	struct jt_director_actions *actions, enum jt_director_action_kind kind,
+	enum jt_director_reason reason,
+	const struct jt_incarnation *incarnation, uint64_t now_ms);
+
+/* One packet of a caller (jt_director_packet.c). */
+void jt_director_packet(struct jt_director *director,
+			const struct jt_label_packet *packet, uint64_t now_ms,
+			struct jt_director_actions *actions);
+/* Tell the caller that @flow is over; the flow is forgotten. */
+void jt_director_flow_reset(struct jt_director *director,
+			    struct jt_cached_flow *flow,
+			    const struct jt_incarnation *incarnation,
+			    uint64_t now_ms,
+			    struct jt_director_actions *actions);
+/* Forget @flow and take it out of its endpoint's load. */
+void jt_director_flow_forget(struct jt_director *director,
+			     struct jt_cached_flow *flow);
+/* Something speaks against the incarnation: probe it if that is due. */
+void jt_director_suspect(struct jt_director *director,
+			 struct jt_incarnation *incarnation, uint64_t now_ms,
+			 struct jt_director_actions *actions);
+
+#endif
--- /dev/null
+++ b/src/label/jt_endpoint_table.c
@@ -0,0 +1,167 @@
+#include "jt_endpoint_table.h"
+#include "jaspertrack/director.h"
+
+#include <utlist.h>
+
+uint32_t jt_flow_label(uint64_t endpoint_id)
+{
+	uint32_t label = (uint32_t)(endpoint_id >> 32) ^ (uint32_t)endpoint_id;
+
+	return label ? label : 1;
+}
+
+static int table_destructor(struct jt_endpoint_table *table)
+{
+	struct jt_service_pool *pool, *next;
+
+	HASH_CLEAR(by_id, table->ids);
+	HASH_CLEAR(by_label, table->labels);
+	HASH_ITER(hh, table->pools, pool, next)
+	{
+		HASH_DEL(table->pools, pool);
+	}
+	return 0;
+}
+
+struct jt_endpoint_table *jt_endpoint_table_create(TALLOC_CTX *mem_ctx)
+{
+	struct jt_endpoint_table *table =
+		talloc_zero(mem_ctx, struct jt_endpoint_table);
+
+	if (table != NULL)
+		talloc_set_destructor(table, table_destructor);
+	return table;
+}
+
+struct jt_incarnation *
+jt_endpoint_table_by_id(const struct jt_endpoint_table *table, uint64_t id)
+{
+	struct jt_incarnation *found;
+
+	HASH_FIND(by_id, table->ids, &id, sizeof(id), found);
+	return found;
+}
+
+struct jt_incarnation *
+jt_endpoint_table_by_label(const struct jt_endpoint_table *table,
+			   uint32_t label)
+{
+	struct jt_incarnation *found;
+
+	HASH_FIND(by_label, table->labels, &label, sizeof(label), found);
+	return found;
+}
+
+struct jt_service_pool *
+jt_endpoint_table_pool(const struct jt_endpoint_table *table,
+		       uint32_t service_id)
+{
+	struct jt_service_pool *found;
+
+	HASH_FIND(hh, table->pools, &service_id, sizeof(service_id), found);
+	return found;
+}
+
+static void pool_join(struct jt_endpoint_table *table,
+		      struct jt_incarnation *incarnation)
+{
+	uint32_t service_id = incarnation->entry.service_id;
+	struct jt_service_pool *pool =
+		jt_endpoint_table_pool(table, service_id);
+
+	if (pool == NULL) {
+		pool = talloc_zero(table, struct jt_service_pool);
+		if (pool == NULL)
+			return;
+		pool->service_id = service_id;
+		HASH_ADD(hh, table->pools, service_id, sizeof(service_id),
+			 pool);
+	}
+	incarnation->pool = pool;
+	DL_APPEND2(pool->members, incarnation, pool_prev, pool_next);
+}
+
+static void pool_leave(struct jt_endpoint_table *table,
+		       struct jt_incarnation *incarnation)
+{
+	struct jt_service_pool *pool = incarnation->pool;
+
+	if (pool == NULL)
+		return;
+	DL_DELETE2(pool->members, incarnation, pool_prev, pool_next);
+	incarnation->pool = NULL;
+	if (pool->members != NULL)
+		return;
+	HASH_DEL(table->pools, pool);
+	talloc_free(pool);
+}
+
+static void entry_copy(struct jt_incarnation *incarnation,
+		       const struct jt_endpoint_entry *entry, uint64_t now_ms)
+{
+	incarnation->entry = *entry;
+	incarnation->learned_ms = now_ms;
+	incarnation->listed = true;
+	incarnation->cold_until_ms = now_ms + entry->cold_left_ms;
+}
+
+static enum jt_entry_result entry_add(struct jt_endpoint_table *table,
+				      const struct jt_endpoint_entry *entry,
+				      uint64_t now_ms,
+				      struct jt_incarnation **incarnation)
+{
+	uint32_t label = jt_flow_label(entry->id);
+	struct jt_incarnation *added;
+
+	if (table->count >= JT_ENDPOINT_TABLE_LIMIT)
+		return JT_ENTRY_NO_ROOM;
+	if (jt_endpoint_table_by_label(table, label) != NULL)
+		return JT_ENTRY_CLASH;
+	added = talloc_zero(table, struct jt_incarnation);
+	if (added == NULL)
+		return JT_ENTRY_NO_ROOM;
+	added->label = label;
+	added->told = true;
+	added->state_ms = now_ms;
+	entry_copy(added, entry, now_ms);
+	HASH_ADD(by_id, table->ids, entry.id, sizeof(entry->id), added);
+	HASH_ADD(by_label, table->labels, label, sizeof(label), added);
+	pool_join(table, added);
+	table->count++;
+	*incarnation = added;
+	return JT_ENTRY_NEW;
+}
+
+enum jt_entry_result
+jt_endpoint_table_take(struct jt_endpoint_table *table,
+		       const struct jt_endpoint_entry *entry, uint64_t now_ms,
+		       struct jt_incarnation **incarnation)
+{
+	struct jt_incarnation *known =
+		jt_endpoint_table_by_id(table, entry->id);
+
+	if (known == NULL)
+		return entry_add(table, entry, now_ms, incarnation);
+	known->told = true;
+	if (entry->revision <= known->entry.revision)
+		return JT_ENTRY_OLD;
+	if (entry->service_id != known->entry.service_id) {
+		pool_leave(table, known);
+		entry_copy(known, entry, now_ms);
+		pool_join(table, known);
+	} else {
+		entry_copy(known, entry, now_ms);
+	}
+	*incarnation = known;
+	return JT_ENTRY_CHANGED;
+}
+
+void jt_endpoint_table_remove(struct jt_endpoint_table *table,
+			      struct jt_incarnation *incarnation)
+{
+	HASH_DELETE(by_id, table->ids, incarnation);
+	HASH_DELETE(by_label, table->labels, incarnation);
+	pool_leave(table, incarnation);
+	table->count--;
+	talloc_free(incarnation);
+}
--- /dev/null
+++ b/src/label/jt_endpoint_table.h
@@ -0,0 +1,89 @@
+/*
+ * The incarnations of endpoints that a node knows, each with what discovery
+ * told, what the data path showed, and how old that is.
+ *
+ * An incarnation whose entry has gone is kept as long as one of its flows may
+ * live: its flows still need its address.
+ */
+#ifndef JT_ENDPOINT_TABLE_H
+#define JT_ENDPOINT_TABLE_H
+
+#include "jaspertrack/director-t.h"
+
+#include <uthash.h>
+
+struct jt_service_pool;
+
+struct jt_incarnation {
+	struct jt_endpoint_entry entry;
+	enum jt_incarnation_state state;
+	enum jt_death_cause cause; /* of JT_INCARNATION_DEAD */
+	uint32_t label;
+	uint64_t learned_ms; /* when the entry was last taken */
+	uint64_t state_ms;   /* when the state was entered */
+	uint64_t cold_until_ms;
+	bool listed; /* discovery has the entry */
+	bool told;   /* since the last complete list */
+
+	/* Load, by this node's own flows. */
+	uint32_t flows;
+	uint32_t waiting;    /* flows with a request not yet answered */
+	uint32_t latency_us; /* smoothed time to the answer; 0: unknown */
+
+	/* The failure detector's view. */
+	uint64_t progress_ms;	/* last sign of life on a flow */
+	uint64_t suspected_ms;	/* since when, 0: not suspected */
+	uint64_t probe_sent_ms; /* of the probe under way */
+	uint64_t probe_next_ms; /* not before */
+	bool probing;
+
+	struct jt_service_pool *pool;
+	struct jt_incarnation *pool_next, *pool_prev; /* in the pool */
+	UT_hash_handle by_id;
+	UT_hash_handle by_label;
+};
+
+/* The incarnations of one service. */
+struct jt_service_pool {
+	uint32_t service_id;
+	struct jt_incarnation *members;
+	UT_hash_handle hh;
+};
+
+struct jt_endpoint_table {
+	struct jt_incarnation *ids;
+	struct jt_incarnation *labels;
+	struct jt_service_pool *pools;
+	size_t count;
+};
+
+enum jt_entry_result {
+	JT_ENTRY_NEW,
+	JT_ENTRY_CHANGED,
+	JT_ENTRY_OLD, /* not newer than what is known */
+	JT_ENTRY_NO_ROOM,
+	JT_ENTRY_CLASH, /* another incarnation has the same label */
+};
+
+struct jt_endpoint_table *jt_endpoint_table_create(TALLOC_CTX *mem_ctx);
+/*
+ * Take discovery's @entry over. @incarnation is set on JT_ENTRY_NEW and
+ * JT_ENTRY_CHANGED. State changes are the caller's.
+ */
+enum jt_entry_result
+jt_endpoint_table_take(struct jt_endpoint_table *table,
+		       const struct jt_endpoint_entry *entry, uint64_t now_ms,
+		       struct jt_incarnation **incarnation);
+void jt_endpoint_table_remove(struct jt_endpoint_table *table,
+			      struct jt_incarnation *incarnation);
+struct jt_incarnation *
+jt_endpoint_table_by_id(const struct jt_endpoint_table *table, uint64_t id);
+struct jt_incarnation *
+jt_endpoint_table_by_label(const struct jt_endpoint_table *table,
+			   uint32_t label);
+/* NULL when no incarnation of the service is known. */
+struct jt_service_pool *
+jt_endpoint_table_pool(const struct jt_endpoint_table *table,
+		       uint32_t service_id);
+
+#endif
--- /dev/null
+++ b/src/label/jt_flow_cache.c
@@ -0,0 +1,84 @@
+#include "jt_flow_cache.h"
+
+#include <string.h>
+#include <utlist.h>
+
+static int cache_destructor(struct jt_flow_cache *cache)
+{
+	HASH_CLEAR(hh, cache->flows);
+	return 0;
+}
+
+struct jt_flow_cache *jt_flow_cache_create(TALLOC_CTX *mem_ctx, size_t limit)
+{
+	struct jt_flow_cache *cache =
+		talloc_zero(mem_ctx, struct jt_flow_cache);
+
+	if (cache == NULL)
+		return NULL;
+	cache->limit = limit;
+	talloc_set_destructor(cache, cache_destructor);
+	return cache;
+}
+
+/* The key without padding bytes, which a hash must not read. */
+static void key_copy(struct jt_flow_key *to, const struct jt_flow_key *from)
+{
+	memset(to, 0, sizeof(*to));
+	to->source = from->source;
+	to->destination = from->destination;
+	to->source_port = from->source_port;
+	to->destination_port = from->destination_port;
+	to->protocol = from->protocol;
+}
+
+struct jt_cached_flow *jt_flow_cache_find(const struct jt_flow_cache *cache,
+					  const struct jt_flow_key *key)
+{
+	struct jt_cached_flow *found;
+	struct jt_flow_key plain;
+
+	key_copy(&plain, key);
+	HASH_FIND(hh, cache->flows, &plain, sizeof(plain), found);
+	return found;
+}
+
+struct jt_cached_flow *jt_flow_cache_add(struct jt_flow_cache *cache,
+					 const struct jt_flow_key *key,
+					 uint64_t now_ms)
+{
+	struct jt_cached_flow *flow = talloc_zero(cache, struct jt_cached_flow);
+
+	if (flow == NULL)
+		return NULL;
+	key_copy(&flow->key, key);
+	flow->seen_ms = now_ms;
+	HASH_ADD(hh, cache->flows, key, sizeof(flow->key), flow);
+	DL_APPEND2(cache->rested, flow, older, newer);
+	cache->count++;
+	return flow;
+}
+
+void jt_flow_cache_touch(struct jt_flow_cache *cache,
+			 struct jt_cached_flow *flow, uint64_t now_ms)
+{
+	flow->seen_ms = now_ms;
+	if (flow->newer == NULL)
+		return;
+	DL_DELETE2(cache->rested, flow, older, newer);
+	DL_APPEND2(cache->rested, flow, older, newer);
+}
+
+void jt_flow_cache_remove(struct jt_flow_cache *cache,
+			  struct jt_cached_flow *flow)
+{
+	HASH_DEL(cache->flows, flow);
+	DL_DELETE2(cache->rested, flow, older, newer);
+	cache->count--;
+	talloc_free(flow);
+}
+
+bool jt_flow_cache_full(const struct jt_flow_cache *cache)
+{
+	return cache->count >= cache->limit;
+}
--- /dev/null
+++ b/src/label/jt_flow_cache.h
@@ -0,0 +1,49 @@
+/*
+ * What a node remembers of the flows whose packets pass: soft state only. A
+ * flow that is forgotten, or never seen here, is forwarded by its label.
+ *
+ * Bounded: the flow that rested longest gives way.
+ */
+#ifndef JT_FLOW_CACHE_H
+#define JT_FLOW_CACHE_H
+
+#include "jaspertrack/director-t.h"
+
+#include <uthash.h>
+
+struct jt_cached_flow {
+	struct jt_flow_key key;
+	uint32_t label;	       /* of its endpoint */
+	uint32_t sequence_end; /* first byte the caller has not sent yet */
+	uint32_t acknowledged; /* highest that the caller acknowledged */
+	uint64_t seen_ms;
+	uint64_t waiting_ms; /* since when a request waits, 0: none */
+	bool opening;	     /* only SYNs were seen */
+	bool closing;	     /* the caller has sent FIN */
+	struct jt_cached_flow *newer, *older;
+	UT_hash_handle hh;
+};
+
+struct jt_flow_cache {
+	struct jt_cached_flow *flows;  /* hash by key */
+	struct jt_cached_flow *rested; /* list, longest at rest first */
+	size_t count;
+	size_t limit;
+};
+
+struct jt_flow_cache *jt_flow_cache_create(TALLOC_CTX *mem_ctx, size_t limit);
+struct jt_cached_flow *jt_flow_cache_find(const struct jt_flow_cache *cache,
+					  const struct jt_flow_key *key);
+/* A new flow, seen now. The key must be absent and the cache not full. NULL
+ * when memory runs out. */
+struct jt_cached_flow *jt_flow_cache_add(struct jt_flow_cache *cache,
+					 const struct jt_flow_key *key,
+					 uint64_t now_ms);
+/* The flow's packet was seen now. */
+void jt_flow_cache_touch(struct jt_flow_cache *cache,
+			 struct jt_cached_flow *flow, uint64_t now_ms);
+void jt_flow_cache_remove(struct jt_flow_cache *cache,
+			  struct jt_cached_flow *flow);
+bool jt_flow_cache_full(const struct jt_flow_cache *cache);
+
+#endif
--- /dev/null
+++ b/src/label/jt_follower.c
@@ -0,0 +1,123 @@
+#include "jt_follower.h"
+
+enum {
+	DEFAULT_WAIT_MS = 2500,
+	DEFAULT_PAUSE_MS = 100,
+	DEFAULT_RETRY_LEAST_MS = 100,
+	DEFAULT_RETRY_MOST_MS = 1600,
+	DOUBLINGS_MOST = 16,
+};
+
+void jt_follower_init(struct jt_follower *follower, uint64_t seed)
+{
+	*follower = (struct jt_follower){
+		.wait_ms = DEFAULT_WAIT_MS,
+		.pause_ms = DEFAULT_PAUSE_MS,
+		.retry_least_ms = DEFAULT_RETRY_LEAST_MS,
+		.retry_most_ms = DEFAULT_RETRY_MOST_MS,
+		.random = seed | 1,
+	};
+}
+
+enum jt_follower_step jt_follower_next(const struct jt_follower *follower,
+				       uint64_t now_ms)
+{
+	if (now_ms < follower->due_ms)
+		return JT_FOLLOWER_WAIT;
+	return follower->listed ? JT_FOLLOWER_WATCH : JT_FOLLOWER_LIST;
+}
+
+static uint64_t next_random(struct jt_follower *follower)
+{
+	uint64_t x = follower->random;
+
+	x ^= x << 13;
+	x ^= x >> 7;
+	x ^= x << 17;
+	follower->random = x;
+	return x;
+}
+
+/* Wait twice as long after each failure, between a half and the whole. */
+static void back_off(struct jt_follower *follower, uint64_t now_ms)
+{
+	uint32_t doublings = follower->failures;
+	uint64_t wait_ms;
+
+	if (doublings > DOUBLINGS_MOST)
+		doublings = DOUBLINGS_MOST;
+	wait_ms = (uint64_t)follower->retry_least_ms << doublings;
+	if (wait_ms > follower->retry_most_ms)
+		wait_ms = follower->retry_most_ms;
+	wait_ms = wait_ms / 2 + next_random(follower) % (wait_ms / 2 + 1);
+	follower->failures++;
+	follower->due_ms = now_ms + wait_ms;
+}
+
+static void list_anew(struct jt_follower *follower)
+{
+	follower->listed = false;
+	follower->paging = false;
+}
+
+bool jt_follower_page(struct jt_follower *follower, enum jt_kv_status status,
+		      uint64_t at, bool more, uint64_t now_ms)
+{
+	if (status != JT_KV_OK) {
+		back_off(follower, now_ms);
+		return false;
+	}
+	follower->failures = 0;
+	follower->answered_ms = now_ms;
+	/* Pages form no snapshot: watch from the first one's revision. */
+	if (!follower->paging)
+		follower->listing = at;
+	follower->paging = more;
+	follower->due_ms = now_ms;
+	if (more)
+		return false;
+	follower->listed = true;
+	follower->revision = follower->listing;
+	return true;
+}
+
+void jt_follower_watched(struct jt_follower *follower, enum jt_kv_status status,
+			 uint64_t at, bool changes, uint64_t now_ms)
+{
+	switch (status) {
+	case JT_KV_OK:
+		follower->failures = 0;
+		follower->answered_ms = now_ms;
+		if (at > follower->revision)
+			follower->revision = at;
+		follower->due_ms = now_ms + (changes ? follower->pause_ms : 0);
+		break;
+	case JT_KV_COMPACTED:
+		list_anew(follower);
+		follower->due_ms = now_ms;
+		break;
+	default:
+		back_off(follower, now_ms);
+		break;
+	}
+}
+
+void jt_follower_hurry(struct jt_follower *follower, uint64_t now_ms)
+{
+	if (follower->due_ms > now_ms)
+		follower->due_ms = now_ms;
+}
+
+const char *jt_kv_status_name(enum jt_kv_status status)
+{
+	static const char *const names[] = {
+		[JT_KV_OK] = "ok",
+		[JT_KV_COMPACTED] = "compacted",
+		[JT_KV_THROTTLED] = "throttled",
+		[JT_KV_UNAVAILABLE] = "unavailable",
+		[JT_KV_LOST] = "lost",
+		[JT_KV_INVALID] = "invalid",
+	};
+
+	return names[status];
+}
--- /dev/null
+++ b/src/label/jt_follower.h
@@ -0,0 +1,64 @@
+/*
+ * How a node follows a key-value store: list once, then watch from that
+ * revision on. Pure: the driver asks what to do next and tells what came of
+ * it.
+ *
+ * Every kind of failure has its own way back: an answer that is lost or late
+ * is asked for again from the same revision, a refusal waits longer each time
+ * (with jitter, so that nodes do not return together), and history that is
+ * gone leads to a new list.
+ */
+#ifndef JT_FOLLOWER_H
+#define JT_FOLLOWER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* What a store call came to. */
+enum jt_kv_status {
+	JT_KV_OK,
+	JT_KV_COMPACTED,   /* the history asked for is gone */
+	JT_KV_THROTTLED,   /* too many calls */
+	JT_KV_UNAVAILABLE, /* the store did nothing */
+	JT_KV_LOST,	   /* no answer */
+	JT_KV_INVALID,	   /* an answer that makes no sense */
+	JT_KV_STATUSES,
+};
+
+enum jt_follower_step {
+	JT_FOLLOWER_WAIT, /* until due_ms */
+	JT_FOLLOWER_LIST,
+	JT_FOLLOWER_WATCH,
+};
+
+struct jt_follower {
+	uint32_t wait_ms;  /* how long the store may hold a watch */
+	uint32_t pause_ms; /* between a watch's answer and the next watch, so
+			    * that changes come together */
+	uint32_t retry_least_ms;
+	uint32_t retry_most_ms;
+	uint64_t revision; /* all changes up to here are known */
+	uint64_t listing;  /* the revision of a list's first page */
+	bool listed;	   /* a list is complete */
+	bool paging;	   /* a list has begun */
+	uint32_t failures; /* in a row */
+	uint64_t due_ms;
+	uint64_t answered_ms; /* last answer that made sense */
+	uint64_t random;
+};
+
+void jt_follower_init(struct jt_follower *follower, uint64_t seed);
+enum jt_follower_step jt_follower_next(const struct jt_follower *follower,
+				       uint64_t now_ms);
+/* A page of a list; true when it was the last of a complete list. */
+bool jt_follower_page(struct jt_follower *follower, enum jt_kv_status status,
+		      uint64_t at, bool more, uint64_t now_ms);
+/* A watch's answer. */
+void jt_follower_watched(struct jt_follower *follower, enum jt_kv_status status,
+			 uint64_t at, bool changes, uint64_t now_ms);
+/* A peer knows a later revision: go on at once instead of waiting. */
+void jt_follower_hurry(struct jt_follower *follower, uint64_t now_ms);
+
+const char *jt_kv_status_name(enum jt_kv_status status);
+
+#endif
--- /dev/null
+++ b/src/settings/jt_director_settings.c
@@ -0,0 +1,172 @@
+#include "jt_director_settings.h"
+#include "jt_log.h"
+#include "jt_settings_reader.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	MOST_S = 24 * 3600,
+	DEFAULT_DRAIN_MS = 3000,
+	DEFAULT_LEAVE_S = 5,
+	DEFAULT_FLOW_AGE_S = 3600,
+	DEFAULT_FLOW_LIMIT = 1 << 16,
+};
+
+static int read_node(struct jt_settings_reader *r, const config_setting_t *root,
+		     struct jt_director_settings *s)
+{
+	static const char *const known[] = {"name", "zone", NULL};
+	const config_setting_t *node = jt_settings_need_group(r, root, "node");
+
+	if (node == NULL || jt_settings_check_keys(r, node, known) != 0 ||
+	    jt_settings_read_text(r, node, "name", true, &s->name) != 0)
+		return -1;
+	return jt_settings_read_text(r, node, "zone", true, &s->zone);
+}
+
+static int read_listen(struct jt_settings_reader *r,
+		       const config_setting_t *root,
+		       struct jt_director_settings *s)
+{
+	static const char *const known[] = {"data", "readiness", "peer",
+					    "metrics", NULL};
+	const config_setting_t *listen =
+		jt_settings_need_group(r, root, "listen");
+
+	if (listen == NULL || jt_settings_check_keys(r, listen, known) != 0 ||
+	    jt_settings_read_address(r, listen, "data", &s->data) != 0 ||
+	    jt_settings_read_address(r, listen, "readiness", &s->readiness) !=
+		    0)
+		return -1;
+	if (config_setting_get_member(listen, "metrics") != NULL &&
+	    jt_settings_read_address(r, listen, "metrics", &s->metrics) != 0)
+		return -1;
+	return jt_settings_read_address(r, listen, "peer", &s->peer);
+}
+
+static int read_limits(struct jt_settings_reader *r,
+		       const config_setting_t *root,
+		       struct jt_director_settings *s)
+{
+	static const char *const known[] = {"drain_ms", "leave_s", "flow_age_s",
+					    "flows", NULL};
+	const config_setting_t *limits =
+		jt_settings_need_group(r, root, "limits");
+	double drain_ms = 0, leave_s = 0, flow_age_s = 0;
+
+	if (limits == NULL || jt_settings_check_keys(r, limits, known) != 0 ||
+	    jt_settings_read_real(r, limits, "drain_ms", 0, MOST_S * 1000.0,
+				  DEFAULT_DRAIN_MS, &drain_ms) != 0 ||
+	    jt_settings_read_real(r, limits, "leave_s", 0, MOST_S,
+				  DEFAULT_LEAVE_S, &leave_s) != 0 ||
+	    jt_settings_read_real(r, limits, "flow_age_s", 0, MOST_S,
+				  DEFAULT_FLOW_AGE_S, &flow_age_s) != 0 ||
+	    jt_settings_read_number(r, limits, "flows", 16, 100000000,
+				    DEFAULT_FLOW_LIMIT, &s->flow_limit) != 0)
+		return -1;
+	s->drain_limit_ms = (uint32_t)drain_ms;
+	s->leave_limit_ms = (uint32_t)(leave_s * 1000);
+	s->flow_age_limit_ms = (uint32_t)(flow_age_s * 1000);
+	return 0;
+}
+
+static int read_log_level(struct jt_settings_reader *r,
+			  const config_setting_t *root,
+			  struct jt_director_settings *s)
+{
+	const char *level = "info";
+
+	if (jt_settings_read_text(r, root, "log_level", false, &level) != 0)
+		return -1;
+	s->log_threshold = jt_log_severity(level);
+	if (s->log_threshold < 0)
+		return jt_settings_wrong(
+			r, config_setting_get_member(root, "log_level"),
+			"log_level",
+			"must be a syslog severity such as \"info\"");
+	return 0;
+}
+
+static int read_root(struct jt_settings_reader *r, const config_setting_t *root,
+		     struct jt_director_settings *s)
+{
+	static const char *const known[] = {"placement", "environment", "node",
+					    "listen",	 "store",	"seeds",
+					    "limits",	 "log_level",	NULL};
+
+	if (jt_settings_check_keys(r, root, known) != 0 ||
+	    jt_settings_read_text(r, root, "environment", true,
+				  &s->environment) != 0 ||
+	    read_node(r, root, s) != 0 || read_listen(r, root, s) != 0 ||
+	    jt_settings_read_address(r, root, "store", &s->store) != 0 ||
+	    jt_settings_read_addresses(r, root, "seeds", s->seeds,
+				       JT_SEED_LIMIT, &s->seed_count) != 0 ||
+	    read_limits(r, root, s) != 0)
+		return -1;
+	return read_log_level(r, root, s);
+}
+
+struct jt_director_settings *
+jt_director_settings_load(TALLOC_CTX *mem_ctx, const char *file, char **error)
+{
+	struct jt_settings_reader reader = {
+		.file = file, .error = error, .error_ctx = mem_ctx};
+	struct jt_director_settings *settings;
+	const config_setting_t *root;
+	config_t config;
+
+	*error = NULL;
+	settings = talloc_zero(mem_ctx, struct jt_director_settings);
+	if (settings == NULL)
+		return NULL;
+	reader.values_ctx = settings;
+	root = jt_settings_parse(&reader, &config);
+	if (root == NULL || read_root(&reader, root, settings) != 0)
+		TALLOC_FREE(settings);
+	config_destroy(&config);
+	return settings;
+}
+
+static bool same_address(struct jt_address a, struct jt_address b)
+{
+	return a.ip == b.ip && a.port == b.port;
+}
+
+const char *
+jt_director_settings_fixed_difference(const struct jt_director_settings *a,
+				      const struct jt_director_settings *b)
+{
+	if (strcmp(a->name, b->name) != 0)
+		return "node.name";
+	if (strcmp(a->zone, b->zone) != 0)
+		return "node.zone";
+	if (strcmp(a->environment, b->environment) != 0)
+		return "environment";
+	if (!same_address(a->data, b->data))
+		return "listen.data";
+	if (!same_address(a->readiness, b->readiness))
+		return "listen.readiness";
+	if (!same_address(a->peer, b->peer))
+		return "listen.peer";
+	if (!same_address(a->metrics, b->metrics))
+		return "listen.metrics";
+	if (a->flow_limit != b->flow_limit)
+		return "limits.flows";
+	return NULL;
+}
+
+bool jt_director_settings_wanted(const char *file)
+{
+	const char *placement = NULL;
+	bool wanted = false;
+	config_t config;
+
+	config_init(&config);
+	if (config_read_file(&config, file) == CONFIG_TRUE &&
+	    config_lookup_string(&config, "placement", &placement) ==
+		    CONFIG_TRUE)
+		wanted = strcmp(placement, "label") == 0;
+	config_destroy(&config);
+	return wanted;
+}
--- /dev/null
+++ b/src/settings/jt_director_settings.h
@@ -0,0 +1,40 @@
+/*
+ * Settings of a node that places flows by label (`placement = "label"`).
+ *
+ * Errors name file, line, key and what is allowed, as for the other nodes.
+ */
+#ifndef JT_DIRECTOR_SETTINGS_H
+#define JT_DIRECTOR_SETTINGS_H
+
+#include "jaspertrack/types-t.h"
+#include "jt_settings.h"
+
+struct jt_director_settings {
+	const char *name;
+	const char *zone;
+	const char *environment;
+	struct jt_address data;	     /* callers' packets */
+	struct jt_address readiness; /* GET /ready */
+	struct jt_address metrics;   /* GET /metrics; port 0: not served */
+	struct jt_address peer;	     /* other nodes */
+	struct jt_address store;
+	struct jt_address seeds[JT_SEED_LIMIT]; /* other nodes, may be stale */
+	size_t seed_count;
+	uint32_t drain_limit_ms;    /* a leaving endpoint gets none after */
+	uint32_t leave_limit_ms;    /* from SIGTERM to the end */
+	uint32_t flow_age_limit_ms; /* no flow lives longer */
+	uint32_t flow_limit;	    /* flows remembered */
+	int log_threshold;
+};
+
+/* NULL with a line for people in @error, a talloc child of @mem_ctx. */
+struct jt_director_settings *
+jt_director_settings_load(TALLOC_CTX *mem_ctx, const char *file, char **error);
+/* The first setting that can't change while a node runs, NULL if none. */
+const char *
+jt_director_settings_fixed_difference(const struct jt_director_settings *a,
+				      const struct jt_director_settings *b);
+/* Whether @file asks for placement by label; unreadable ones do not. */
+bool jt_director_settings_wanted(const char *file);
+
+#endif
--- a/src/settings/jt_settings.c
+++ b/src/settings/jt_settings.c
@@ -20,62 +20,11 @@
 	struct jt_settings *settings;
 };
 
-static int read_number(struct reader *r, const config_setting_t *group,
-		       const char *key, int least, int most, uint32_t fallback,
-		       uint32_t *number)
-{
-	const config_setting_t *at = config_setting_get_member(group, key);
-	int found;
-
-	*number = fallback;
-	if (at == NULL)
-		return 0;
-	if (config_setting_type(at) != CONFIG_TYPE_INT)
-		return jt_settings_wrong(&r->input, at, key,
-					 "must be a whole number");
-	found = config_setting_get_int(at);
-	if (found < least || found > most)
-		return jt_settings_wrong(
-			&r->input, at, key,
-			talloc_asprintf(r->input.error_ctx,
-					"is %d, allowed are %d to %d", found,
-					least, most));
-	*number = (uint32_t)found;
-	return 0;
-}
-
-static int read_address(struct reader *r, const config_setting_t *group,
-			const char *key, struct jt_address *address)
-{
-	const config_setting_t *at = config_setting_get_member(group, key);
-	const char *text;
-
-	if (at == NULL)
-		return jt_settings_wrong(&r->input, group, key, "is missing");
-	text = config_setting_get_string(at);
-	if (text == NULL || jt_address_parse(text, address) != 0)
-		return jt_settings_wrong(&r->input, at, key,
-					 "must be \"IPV4:PORT\"");
-	return 0;
-}
-
-static const config_setting_t *
-need_group(struct reader *r, const config_setting_t *root, const char *key)
-{
-	const config_setting_t *at = config_setting_get_member(root, key);
-
-	if (at == NULL || !config_setting_is_group(at)) {
-		jt_settings_wrong(&r->input, at ? at : root, key,
-				  "must be a group { ... }");
-		return NULL;
-	}
-	return at;
-}
-
 static int read_node(struct reader *r, const config_setting_t *root)
 {
 	static const char *const known[] = {"name", "zone", "cell", NULL};
-	const config_setting_t *node = need_group(r, root, "node");
+	const config_setting_t *node =
+		jt_settings_need_group(&r->input, root, "node");
 	struct jt_settings *s = r->settings;
 
 	s->cell = "main";
@@ -94,15 +43,18 @@
 static int read_listen(struct reader *r, const config_setting_t *root)
 {
 	static const char *const known[] = {"data", "peer", "api", NULL};
-	const config_setting_t *listen = need_group(r, root, "listen");
+	const config_setting_t *listen =
+		jt_settings_need_group(&r->input, root, "listen");
 	struct jt_settings *s = r->settings;
 
 	if (listen == NULL ||
 	    jt_settings_check_keys(&r->input, listen, known) != 0)
 		return -1;
-	if (read_address(r, listen, "data", &s->data) != 0 ||
-	    read_address(r, listen, "peer", &s->peer) != 0 ||
-	    read_address(r, listen, "api", &s->api) != 0)
+	if (jt_settings_read_address(&r->input, listen, "data", &s->data) !=
+		    0 ||
+	    jt_settings_read_address(&r->input, listen, "peer", &s->peer) !=
+		    0 ||
+	    jt_settings_read_address(&r->input, listen, "api", &s->api) != 0)
 		return -1;
 	return 0;
 }
@@ -110,7 +62,8 @@
 static int read_store(struct reader *r, const config_setting_t *root)
 {
 	static const char *const known[] = {"url", "operations_per_s", NULL};
-	const config_setting_t *store = need_group(r, root, "store");
+	const config_setting_t *store =
+		jt_settings_need_group(&r->input, root, "store");
 	struct jt_settings *s = r->settings;
 
 	if (store == NULL ||
@@ -119,36 +72,9 @@
 	if (jt_settings_read_text(&r->input, store, "url", true,
 				  &s->store_url) != 0)
 		return -1;
-	return read_number(r, store, "operations_per_s", 1, 1000000,
-			   DEFAULT_STORE_OPERATIONS,
-			   &s->store_operations_per_s);
-}
-
-static int read_seeds(struct reader *r, const config_setting_t *root)
-{
-	const config_setting_t *seeds =
-		config_setting_get_member(root, "seeds");
-	int count;
-
-	if (seeds == NULL)
-		return 0;
-	if (!config_setting_is_list(seeds) && !config_setting_is_array(seeds))
-		return jt_settings_wrong(&r->input, seeds, "seeds",
-					 "must be a list of addresses");
-	count = config_setting_length(seeds);
-	if (count > JT_SEED_LIMIT)
-		return jt_settings_wrong(&r->input, seeds, "seeds",
-					 "has more than 64 entries");
-	for (int i = 0; i < count; i++) {
-		const char *text = config_setting_get_string_elem(seeds, i);
-
-		if (text == NULL ||
-		    jt_address_parse(text, &r->settings->seeds[i]) != 0)
-			return jt_settings_wrong(&r->input, seeds, "seeds",
-						 "each must be \"IPV4:PORT\"");
-		r->settings->seed_count++;
-	}
-	return 0;
+	return jt_settings_read_number(&r->input, store, "operations_per_s", 1,
+				       1000000, DEFAULT_STORE_OPERATIONS,
+				       &s->store_operations_per_s);
 }
 
 static int read_key(struct reader *r, const config_setting_t *entry,
@@ -163,7 +89,8 @@
 		return jt_settings_wrong(&r->input, entry, "keys",
 					 "each must be a group");
 	if (jt_settings_check_keys(&r->input, entry, known) != 0 ||
-	    read_number(r, entry, "id", 1, 255, 0, &id) != 0 ||
+	    jt_settings_read_number(&r->input, entry, "id", 1, 255, 0, &id) !=
+		    0 ||
 	    jt_settings_read_text(&r->input, entry, "secret", true, &secret) !=
 		    0)
 		return -1;
@@ -277,7 +204,8 @@
 {
 	static const char *const known[] = {"tokens", "certificate",
 					    "certificate_key", NULL};
-	const config_setting_t *api = need_group(r, root, "api");
+	const config_setting_t *api =
+		jt_settings_need_group(&r->input, root, "api");
 	struct jt_settings *s = r->settings;
 	const config_setting_t *tokens;
 
@@ -310,12 +238,16 @@
 	struct jt_settings *s = r->settings;
 	const char *level = "info";
 
-	if (read_number(r, root, "traffic_threads", 1, JT_TRAFFIC_THREAD_LIMIT,
-			DEFAULT_TRAFFIC_THREADS, &s->traffic_threads) != 0 ||
-	    read_number(r, root, "leave_delay_ms", 0, 600000,
-			DEFAULT_LEAVE_DELAY_MS, &s->leave_delay_ms) != 0 ||
-	    read_number(r, root, "flow_limit", 1000, 100000000,
-			DEFAULT_FLOW_LIMIT, &s->flow_limit) != 0 ||
+	if (jt_settings_read_number(&r->input, root, "traffic_threads", 1,
+				    JT_TRAFFIC_THREAD_LIMIT,
+				    DEFAULT_TRAFFIC_THREADS,
+				    &s->traffic_threads) != 0 ||
+	    jt_settings_read_number(&r->input, root, "leave_delay_ms", 0,
+				    600000, DEFAULT_LEAVE_DELAY_MS,
+				    &s->leave_delay_ms) != 0 ||
+	    jt_settings_read_number(&r->input, root, "flow_limit", 1000,
+				    100000000, DEFAULT_FLOW_LIMIT,
+				    &s->flow_limit) != 0 ||
 	    jt_settings_read_text(&r->input, root, "log_level", false,
 				  &level) != 0)
 		return -1;
@@ -347,14 +279,17 @@
 
 	if (jt_settings_check_keys(&r->input, root, known) != 0 ||
 	    read_node(r, root) != 0 || read_listen(r, root) != 0 ||
-	    read_store(r, root) != 0 || read_seeds(r, root) != 0 ||
+	    read_store(r, root) != 0 ||
+	    jt_settings_read_addresses(&r->input, root, "seeds", s->seeds,
+				       JT_SEED_LIMIT, &s->seed_count) != 0 ||
 	    read_keys(r, root) != 0 || read_api(r, root) != 0 ||
 	    read_limits(r, root) != 0)
 		return -1;
 	if (jt_settings_read_text(&r->input, root, "machines", false,
 				  &s->machines_url) != 0)
 		return -1;
-	return read_address(r, root, "caller_gateway", &s->caller_gateway);
+	return jt_settings_read_address(&r->input, root, "caller_gateway",
+					&s->caller_gateway);
 }
 
 struct jt_settings *jt_settings_load(TALLOC_CTX *mem_ctx, const char *file,
--- a/src/settings/jt_settings_reader.h
+++ b/src/settings/jt_settings_reader.h
@@ -5,6 +5,8 @@
 #ifndef JT_SETTINGS_READER_H
 #define JT_SETTINGS_READER_H
 
+#include "jaspertrack/types-t.h"
+
 #include <libconfig.h>
 #include <stdbool.h>
 #include <talloc.h>
@@ -41,4 +43,32 @@
 			  const config_setting_t *group, const char *key,
 			  bool needed, const char **text);
 
+/* A whole number from @least to @most; @fallback when it is missing. */
+int jt_settings_read_number(const struct jt_settings_reader *r,
+			    const config_setting_t *group, const char *key,
+			    int least, int most, uint32_t fallback,
+			    uint32_t *number);
+
+/* A number, whole or not, from @least to @most. */
+int jt_settings_read_real(const struct jt_settings_reader *r,
+			  const config_setting_t *group, const char *key,
+			  double least, double most, double fallback,
+			  double *number);
+
+/* An address "IPV4:PORT" that must be there. */
+int jt_settings_read_address(const struct jt_settings_reader *r,
+			     const config_setting_t *group, const char *key,
+			     struct jt_address *address);
+
+/* A list of addresses, which may be missing. */
+int jt_settings_read_addresses(const struct jt_settings_reader *r,
+			       const config_setting_t *group, const char *key,
+			       struct jt_address *addresses, size_t limit,
+			       size_t *count);
+
+/* A group { ... } that must be there, or NULL with an error. */
+const config_setting_t *
+jt_settings_need_group(const struct jt_settings_reader *r,
+		       const config_setting_t *root, const char *key);
+
 #endif
