Hold packets until a node has started; suspect endpoints that refuse

Ruled out: verdicts by the store (down at that moment). Change: packets are held until routing and endpoints are known; a caller that opens another flow while an earlier one is unanswered, or 60 ms without an answer, makes the endpoint suspect; a probe settles it.

--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -147,6 +147,7 @@
 	JT_DIRECTOR_FORWARD, /* the packet in hand, to an endpoint */
 	JT_DIRECTOR_RESET,   /* tell the caller that its flow is over */
 	JT_DIRECTOR_DROP,    /* the packet in hand */
+	JT_DIRECTOR_HOLD,    /* offer the packet again once started */
 	JT_DIRECTOR_PROBE,   /* open a connection to an endpoint */
 	JT_DIRECTOR_VERDICT, /* an endpoint is dead: tell peers */
 	JT_DIRECTOR_REVIVED, /* a dead endpoint lives */
@@ -165,6 +166,7 @@
 	JT_DIRECTOR_NO_LABEL,	   /* not a first packet, and no label */
 	JT_DIRECTOR_FORGED,	   /* only endpoints send such packets */
 	JT_DIRECTOR_OVER_SHARE,	   /* the route's share is used up */
+	JT_DIRECTOR_NOT_STARTED,   /* routing or endpoints not yet known */
 	JT_DIRECTOR_REASONS,
 };
 
--- a/include/jaspertrack/director.h
+++ b/include/jaspertrack/director.h
@@ -23,6 +23,10 @@
 struct jt_director_actions *jt_director_actions_create(TALLOC_CTX *mem_ctx);
 void jt_director_actions_clear(struct jt_director_actions *actions);
 
+/* True once routing and endpoints are known: held packets may be offered
+ * again, and the node may be ready. */
+bool jt_director_started(const struct jt_director *director);
+
 /* Views for drivers; pointers are good until the next event. */
 const struct jt_routing *
 jt_director_routing(const struct jt_director *director);
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -9,12 +9,14 @@
 #include <errno.h>
 #include <sodium.h>
 #include <string.h>
+#include <sys/queue.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 enum {
 	TICK_MS = 100,
 	PACKET_BATCH = 64, /* datagrams before other events get a turn */
+	HELD_LIMIT = 1024, /* packets that wait for the node's start */
 	PROBE_TIMEOUT_MS = 400,
 	/* Once leaving, no packets for so long: the routers have noticed. */
 	LEAVE_QUIET_MS = 700,
@@ -26,6 +28,13 @@
 	LAPSED_PERCENT = 60,
 };
 
+/* A packet that came before the node had started. */
+struct held_packet {
+	STAILQ_ENTRY(held_packet) next;
+	size_t length;
+	uint8_t data[];
+};
+
 struct jt_director_node {
 	struct tevent_context *loop;
 	const struct jt_log *log;
@@ -43,6 +52,8 @@
 	uint64_t packet_ms;   /* when the last packet came */
 	uint64_t leaving_ms;  /* since when, 0: not leaving */
 	bool was_ready;
+	STAILQ_HEAD(, held_packet) held;
+	size_t held_count;
 	struct jt_director_traffic traffic;
 	void (*on_left)(void *private_data);
 	void *private_data;
@@ -50,6 +61,7 @@
 
 static void node_event(struct jt_director_node *node,
 		       struct jt_director_event *event);
+static void watch_ready(struct jt_director_node *node);
 
 /* Actions */
 
@@ -145,6 +157,23 @@
 		    (unsigned long long)action->age_ms);
 }
 
+static void act_hold(struct jt_director_node *node)
+{
+	struct held_packet *held;
+
+	if (node->held_count >= HELD_LIMIT) {
+		node->traffic.held_overflow++;
+		return;
+	}
+	held = talloc_size(node, sizeof(*held) + node->packet_length);
+	if (held == NULL)
+		return;
+	held->length = node->packet_length;
+	memcpy(held->data, node->buffer + JT_HEADROOM_MAX, held->length);
+	STAILQ_INSERT_TAIL(&node->held, held, next);
+	node->held_count++;
+}
+
 static void node_act(struct jt_director_node *node,
 		     const struct jt_director_action *action)
 {
@@ -167,6 +196,9 @@
 	case JT_DIRECTOR_SEEN:
 		log_endpoint(node, action, "endpoint_state");
 		break;
+	case JT_DIRECTOR_HOLD:
+		act_hold(node);
+		break;
 	case JT_DIRECTOR_DROP:
 		break;
 	}
@@ -198,6 +230,22 @@
 	node->packet_ms = event.now_ms;
 }
 
+/* Offer held packets again once the node has started. */
+static void held_release(struct jt_director_node *node)
+{
+	while (jt_director_started(node->director) &&
+	       !STAILQ_EMPTY(&node->held)) {
+		struct held_packet *held = STAILQ_FIRST(&node->held);
+
+		STAILQ_REMOVE_HEAD(&node->held, next);
+		node->held_count--;
+		memcpy(node->buffer + JT_HEADROOM_MAX, held->data,
+		       held->length);
+		packet_take(node, held->length);
+		talloc_free(held);
+	}
+}
+
 static void on_packets(struct tevent_context *loop, struct tevent_fd *fd,
 		       uint16_t flags, void *private_data)
 {
@@ -272,6 +320,8 @@
 	node_event(node, &event);
 	jt_log_line(node->log, LOG_NOTICE, "event=store_listed revision=%llu",
 		    (unsigned long long)revision);
+	watch_ready(node);
+	held_release(node);
 }
 
 static void on_reachable(bool reachable, enum jt_kv_status status,
@@ -291,9 +341,7 @@
 {
 	struct jt_director_node *node = private_data;
 
-	return node->leaving_ms == 0 &&
-	       jt_director_routing(node->director) != NULL &&
-	       jt_directory_sync_listed(node->sync);
+	return node->leaving_ms == 0 && jt_director_started(node->director);
 }
 
 static void watch_ready(struct jt_director_node *node)
@@ -420,6 +468,7 @@
 	if (node == NULL)
 		return NULL;
 	node->data_fd = -1;
+	STAILQ_INIT(&node->held);
 	talloc_set_destructor(node, node_destructor);
 	node->loop = loop;
 	node->log = log;
--- a/src/director/jt_director_pages.c
+++ b/src/director/jt_director_pages.c
@@ -76,6 +76,8 @@
 			  traffic->forwarded);
 	text = add_metric(text, "resets_sent_total", "counter",
 			  traffic->resets);
+	text = add_metric(text, "held_overflow_total", "counter",
+			  traffic->held_overflow);
 	return add_metric(text, "send_failed_total", "counter",
 			  traffic->send_failed);
 }
--- a/src/director/jt_director_pages.h
+++ b/src/director/jt_director_pages.h
@@ -15,6 +15,7 @@
 	uint64_t forwarded;
 	uint64_t resets;
 	uint64_t send_failed;
+	uint64_t held_overflow;
 };
 
 /* NULL with a line in @error when the readiness address can't be used. A
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -11,6 +11,10 @@
 	DEFAULT_FLOW_IDLE_MS = 60 * 1000,
 	/* A flow with a FIN is remembered so long for what follows it. */
 	CLOSING_MS = 2000,
+	/* A first packet without an answer speaks against its endpoint. */
+	OPENING_MS = 60,
+	/* Its caller has given up by then: the flow never opened. */
+	OPENING_LIMIT_MS = 3000,
 };
 
 void jt_director_options_init(struct jt_director_options *options)
@@ -199,6 +203,18 @@
 		probe_send(director, incarnation, now_ms, actions);
 }
 
+void jt_director_doubt(struct jt_director *director,
+		       struct jt_cached_flow *flow, uint64_t now_ms,
+		       struct jt_director_actions *actions)
+{
+	struct jt_incarnation *incarnation =
+		jt_endpoint_table_by_label(director->endpoints, flow->label);
+
+	flow->doubted = true;
+	if (incarnation != NULL)
+		jt_director_suspect(director, incarnation, now_ms, actions);
+}
+
 /* Whoever else had this incarnation's address before it is gone. */
 static void address_settle(struct jt_director *director,
 			   const struct jt_incarnation *taken, uint64_t now_ms,
@@ -289,6 +305,7 @@
 {
 	struct jt_incarnation *incarnation, *next;
 
+	director->listed = true;
 	HASH_ITER(by_id, director->endpoints->ids, incarnation, next)
 	{
 		if (!incarnation->told)
@@ -370,6 +387,23 @@
 	}
 }
 
+/* Flows whose first packet has had no answer for long. */
+static void openings_tick(struct jt_director *director, uint64_t now_ms,
+			  struct jt_director_actions *actions)
+{
+	struct jt_cached_flow *flow = director->flows->opening;
+
+	while (flow != NULL && now_ms - flow->opening_ms >= OPENING_MS) {
+		struct jt_cached_flow *next = flow->opening_next;
+
+		if (now_ms - flow->opening_ms >= OPENING_LIMIT_MS)
+			jt_director_flow_forget(director, flow);
+		else if (!flow->doubted)
+			jt_director_doubt(director, flow, now_ms, actions);
+		flow = next;
+	}
+}
+
 static void endpoints_tick(struct jt_director *director, uint64_t now_ms,
 			   struct jt_director_actions *actions)
 {
@@ -425,6 +459,7 @@
 		break;
 	case JT_DIRECTOR_TICK:
 		flows_expire(director, now_ms);
+		openings_tick(director, now_ms, actions);
 		endpoints_tick(director, now_ms, actions);
 		break;
 	}
@@ -432,6 +467,11 @@
 
 /* Views */
 
+bool jt_director_started(const struct jt_director *director)
+{
+	return director->routing != NULL && director->listed;
+}
+
 const struct jt_routing *jt_director_routing(const struct jt_director *director)
 {
 	return director->routing;
@@ -493,6 +533,7 @@
 		[JT_DIRECTOR_NO_LABEL] = "no_label",
 		[JT_DIRECTOR_FORGED] = "forged",
 		[JT_DIRECTOR_OVER_SHARE] = "over_share",
+		[JT_DIRECTOR_NOT_STARTED] = "not_started",
 	};
 
 	return names[reason];
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -3,7 +3,9 @@
 
 enum {
 	/* New part of the smoothed latency, in eighths. */
-	LATENCY_EIGHTHS = 1,
+	LATENCY_EIGHTHS = 2,
+	/* Flows without an answer that are looked at for each new one. */
+	OPENING_LOOK = 256,
 };
 
 /* True when @a comes after @b (RFC 1982 for 32 bits). */
@@ -44,6 +46,19 @@
 	action->label = packet->label;
 }
 
+/* The driver offers the packet again once the node has started. */
+static void add_hold(struct jt_director *director,
+		     const struct jt_label_packet *packet,
+		     struct jt_director_actions *actions)
+{
+	struct jt_director_action *action = jt_director_action_add(
+		actions, JT_DIRECTOR_HOLD, JT_DIRECTOR_NOT_STARTED);
+
+	director->counters.by_reason[JT_DIRECTOR_NOT_STARTED]++;
+	if (action != NULL)
+		action->key = packet->key;
+}
+
 static void add_forward(struct jt_director *director,
 			const struct jt_label_packet *packet,
 			const struct jt_incarnation *incarnation,
@@ -163,10 +178,33 @@
 	}
 	flow = flow_add(director, packet, chosen, now_ms);
 	if (flow != NULL)
-		flow->opening = true;
+		jt_flow_cache_opening(director->flows, flow, now_ms);
 	add_forward(director, packet, chosen, reason, now_ms, actions);
 }
 
+/*
+ * A caller that opens another flow while an earlier one of the route has got
+ * no answer was most likely refused: an endpoint that has crashed answers to
+ * the caller directly, and nothing of that passes here.
+ */
+static void suspect_refusal(struct jt_director *director,
+			    const struct jt_flow_key *key, uint64_t now_ms,
+			    struct jt_director_actions *actions)
+{
+	struct jt_cached_flow *flow = director->flows->opening;
+	unsigned looked_at = 0;
+
+	for (; flow != NULL && looked_at < OPENING_LOOK; looked_at++) {
+		struct jt_cached_flow *next = flow->opening_next;
+
+		if (!flow->doubted && flow->key.source == key->source &&
+		    flow->key.destination == key->destination &&
+		    flow->key.destination_port == key->destination_port)
+			jt_director_doubt(director, flow, now_ms, actions);
+		flow = next;
+	}
+}
+
 /* The first packet of a flow, or a copy of it. */
 static void packet_first(struct jt_director *director,
 			 const struct jt_label_packet *packet, uint64_t now_ms,
@@ -179,6 +217,10 @@
 	enum jt_director_reason reason = JT_DIRECTOR_PLACED;
 	struct jt_incarnation *incarnation;
 
+	if (!jt_director_started(director)) {
+		add_hold(director, packet, actions);
+		return;
+	}
 	if (route == NULL) {
 		add_reset(director, &packet->key, 0, JT_DIRECTOR_NO_ROUTE,
 			  actions);
@@ -208,6 +250,7 @@
 		jt_director_flow_forget(director, flow);
 		reason = JT_DIRECTOR_PLACED_AGAIN;
 	}
+	suspect_refusal(director, &packet->key, now_ms, actions);
 	place(director, packet, route, reason, now_ms, actions);
 }
 
@@ -219,16 +262,17 @@
 			 struct jt_director_actions *actions)
 {
 	uint32_t end = packet->sequence + packet->length;
-	bool answered = flow->opening || sequence_after(packet->acknowledged,
-							flow->acknowledged);
+	bool answered =
+		flow->opening_ms != 0 ||
+		sequence_after(packet->acknowledged, flow->acknowledged);
 	const struct jt_route *route;
 
 	if (answered) {
 		jt_detector_progress(&director->detector, incarnation, now_ms);
-		if (!flow->opening)
+		if (flow->opening_ms == 0)
 			flow_answered(flow, incarnation, now_ms);
 		flow->acknowledged = packet->acknowledged;
-		flow->opening = false;
+		jt_flow_cache_opened(director->flows, flow);
 	}
 	if (packet->length == 0)
 		return;
@@ -284,6 +328,10 @@
 		return;
 	}
 	incarnation = jt_endpoint_table_by_label(director->endpoints, label);
+	if (incarnation == NULL && !jt_director_started(director)) {
+		add_hold(director, packet, actions);
+		return;
+	}
 	if (incarnation == NULL) {
 		add_drop(director, packet, JT_DIRECTOR_UNKNOWN_LABEL, actions);
 		return;
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -13,6 +13,7 @@
 	struct jt_director_options options;
 	const struct jt_routing *routing; /* talloc child, NULL at first */
 	uint64_t routing_ms;		  /* when it was taken */
+	bool listed; /* discovery was told whole at least once */
 	struct jt_endpoint_table *endpoints;
 	struct jt_flow_cache *flows;
 	struct jt_chooser *chooser;
@@ -44,6 +45,10 @@
 /* Forget @flow and take it out of its endpoint's load. */
 void jt_director_flow_forget(struct jt_director *director,
 			     struct jt_cached_flow *flow);
+/* The flow's first packet got no answer: suspect its endpoint, once. */
+void jt_director_doubt(struct jt_director *director,
+		       struct jt_cached_flow *flow, uint64_t now_ms,
+		       struct jt_director_actions *actions);
 /* Something speaks against the incarnation: probe it if that is due. */
 void jt_director_suspect(struct jt_director *director,
 			 struct jt_incarnation *incarnation, uint64_t now_ms,
--- a/src/label/jt_flow_cache.c
+++ b/src/label/jt_flow_cache.c
@@ -69,9 +69,26 @@
 	DL_APPEND2(cache->rested, flow, older, newer);
 }
 
+void jt_flow_cache_opening(struct jt_flow_cache *cache,
+			   struct jt_cached_flow *flow, uint64_t now_ms)
+{
+	flow->opening_ms = now_ms;
+	DL_APPEND2(cache->opening, flow, opening_prev, opening_next);
+}
+
+void jt_flow_cache_opened(struct jt_flow_cache *cache,
+			  struct jt_cached_flow *flow)
+{
+	if (flow->opening_ms == 0)
+		return;
+	flow->opening_ms = 0;
+	DL_DELETE2(cache->opening, flow, opening_prev, opening_next);
+}
+
 void jt_flow_cache_remove(struct jt_flow_cache *cache,
 			  struct jt_cached_flow *flow)
 {
+	jt_flow_cache_opened(cache, flow);
 	HASH_DEL(cache->flows, flow);
 	DL_DELETE2(cache->rested, flow, older, newer);
 	cache->count--;
--- a/src/label/jt_flow_cache.h
+++ b/src/label/jt_flow_cache.h
@@ -18,15 +18,18 @@
 	uint32_t acknowledged; /* highest that the caller acknowledged */
 	uint64_t seen_ms;
 	uint64_t waiting_ms; /* since when a request waits, 0: none */
-	bool opening;	     /* only SYNs were seen */
+	uint64_t opening_ms; /* when its first SYN came, 0: it is open */
+	bool doubted;	     /* the endpoint was suspected for its silence */
 	bool closing;	     /* the caller has sent FIN */
 	struct jt_cached_flow *newer, *older;
+	struct jt_cached_flow *opening_next, *opening_prev;
 	UT_hash_handle hh;
 };
 
 struct jt_flow_cache {
-	struct jt_cached_flow *flows;  /* hash by key */
-	struct jt_cached_flow *rested; /* list, longest at rest first */
+	struct jt_cached_flow *flows;	/* hash by key */
+	struct jt_cached_flow *rested;	/* list, longest at rest first */
+	struct jt_cached_flow *opening; /* list, oldest first */
 	size_t count;
 	size_t limit;
 };
@@ -42,6 +45,12 @@
 /* The flow's packet was seen now. */
 void jt_flow_cache_touch(struct jt_flow_cache *cache,
 			 struct jt_cached_flow *flow, uint64_t now_ms);
+/* Only a SYN of the flow was seen so far. */
+void jt_flow_cache_opening(struct jt_flow_cache *cache,
+			   struct jt_cached_flow *flow, uint64_t now_ms);
+/* The flow's endpoint has answered. */
+void jt_flow_cache_opened(struct jt_flow_cache *cache,
+			  struct jt_cached_flow *flow);
 void jt_flow_cache_remove(struct jt_flow_cache *cache,
 			  struct jt_cached_flow *flow);
 bool jt_flow_cache_full(const struct jt_flow_cache *cache);
