--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -18,12 +18,8 @@
 	PACKET_BATCH = 64, /* datagrams before other events get a turn */
 	HELD_LIMIT = 1024, /* packets that wait for the node's start */
 	PROBE_TIMEOUT_MS = 400,
-	/* Once leaving, no packets for so long: the routers have noticed. */
-	LEAVE_QUIET_MS = 700,
-	/* Routers ask about twice a second and want two answers. */
-	LEAVE_LEAST_MS = 1500,
-	/* Ended by then, whatever the limit says. */
-	LEAVE_MARGIN_MS = 1000,
+	/* A leaving node ends so long before its limit. */
+	LEAVE_MARGIN_MS = 400,
 	/* Part of the drain limit for which a lapsed endpoint may be used. */
 	LAPSED_PERCENT = 60,
 };
@@ -49,7 +45,6 @@
 	int data_fd;
 	uint8_t buffer[JT_HEADROOM_MAX + JT_DATAGRAM_MAX];
 	size_t packet_length; /* of the packet in hand */
-	uint64_t packet_ms;   /* when the last packet came */
 	uint64_t leaving_ms;  /* since when, 0: not leaving */
 	bool was_ready;
 	STAILQ_HEAD(, held_packet) held;
@@ -227,7 +222,6 @@
 	}
 	node->packet_length = length;
 	node_event(node, &event);
-	node->packet_ms = event.now_ms;
 }
 
 /* Offer held packets again once the node has started. */
@@ -355,20 +349,22 @@
 		    ready ? "ready" : "not_ready");
 }
 
+/*
+ * A leaving node forwards on to the end of its time, also when no packets
+ * come any more: routers turn back to it when other nodes of its zone leave
+ * after it.
+ */
 static void watch_leave(struct jt_director_node *node, uint64_t now_ms)
 {
 	uint64_t limit_ms = node->settings->leave_limit_ms;
-	uint64_t since_ms = now_ms - node->leaving_ms;
-	bool quiet = since_ms >= LEAVE_LEAST_MS &&
-		     now_ms - node->packet_ms >= LEAVE_QUIET_MS;
 
 	if (node->leaving_ms == 0 || node->on_left == NULL)
 		return;
 	limit_ms = limit_ms > LEAVE_MARGIN_MS ? limit_ms - LEAVE_MARGIN_MS : 0;
-	if (!quiet && since_ms < limit_ms)
+	if (now_ms - node->leaving_ms < limit_ms)
 		return;
-	jt_log_line(node->log, LOG_NOTICE, "event=left after_ms=%llu quiet=%d",
-		    (unsigned long long)since_ms, quiet);
+	jt_log_line(node->log, LOG_NOTICE, "event=left after_ms=%llu",
+		    (unsigned long long)(now_ms - node->leaving_ms));
 	node->on_left(node->private_data);
 	node->on_left = NULL;
 }
