--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -44,6 +44,7 @@
 /* A whole routing configuration; immutable once built. */
 struct jt_routing {
 	uint64_t version;
+	uint64_t revision;	 /* of its entry in the store */
 	struct jt_route *routes; /* sorted by address */
 	size_t route_count;
 	struct jt_routed_service *services; /* sorted by id */
@@ -113,6 +114,7 @@
 	JT_DIRECTOR_GONE,     /* discovery has no such entry any more */
 	JT_DIRECTOR_LISTING,  /* all that discovery has will be told */
 	JT_DIRECTOR_LISTED,   /* all that discovery had at a revision is told */
+	JT_DIRECTOR_INFORMED, /* a peer told all it knows at a revision */
 	JT_DIRECTOR_SUSPICION, /* a peer takes the endpoint for dead */
 	JT_DIRECTOR_PROBED,    /* the outcome of a probe */
 	JT_DIRECTOR_TICK,
@@ -132,7 +134,7 @@
 		} gone;
 		struct {
 			uint64_t revision;
-		} listed;
+		} listed; /* and informed */
 		struct {
 			uint64_t id;
 		} suspicion;
--- a/include/jaspertrack/director.h
+++ b/include/jaspertrack/director.h
@@ -33,13 +33,15 @@
 const struct jt_director_counters *
 jt_director_counters(const struct jt_director *director);
 size_t jt_director_flow_count(const struct jt_director *director);
+/* Of the newest change that is known, from wherever it came. */
+uint64_t jt_director_revision(const struct jt_director *director);
 /* How many incarnations are known in @state. */
 size_t jt_director_endpoint_count(const struct jt_director *director,
 				  enum jt_incarnation_state state);
 /* The @index-th known incarnation, with its state; false past the last. */
 bool jt_director_endpoint_at(const struct jt_director *director, size_t index,
 			     struct jt_endpoint_entry *entry,
-			     enum jt_incarnation_state *state);
+			     enum jt_incarnation_state *state, bool *listed);
 
 /* The label that names an incarnation in a flow's packets; never 0. */
 uint32_t jt_flow_label(uint64_t endpoint_id);
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,7 +4,8 @@
 set -u
 cd "$(dirname "$0")/.."
 mapfile -t files < <(git ls-files 'src/*.[ch]' 'include/*.h' 'tests/*.[ch]' \
-  'fuzz/*.[ch]' 'bench/*.[ch]' | grep -v jt_proto)
+  'fuzz/*.[ch]' 'bench/*.[ch]' 'platform/*.[ch]' |
+  grep -vE 'jt_(director_)?proto')
 mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep '\.c$')
 failed=0
 clang-format --dry-run -Werror "${files[@]}" || failed=1
--- a/src/common/jt_http_client.c
+++ b/src/common/jt_http_client.c
@@ -284,3 +284,12 @@
 	tevent_req_received(req);
 	return 0;
 }
+
+int jt_http_recv_bytes(struct tevent_req *req, TALLOC_CTX *mem_ctx,
+		       long *status, char **body, size_t *length)
+{
+	struct http_state *state = tevent_req_data(req, struct http_state);
+
+	*length = state->length;
+	return jt_http_recv(req, mem_ctx, status, body, NULL);
+}
--- a/src/common/jt_http_client.h
+++ b/src/common/jt_http_client.h
@@ -39,5 +39,8 @@
  */
 int jt_http_recv(struct tevent_req *req, TALLOC_CTX *mem_ctx, long *status,
 		 char **body, size_t *bytes);
+/* The same for a body of any bytes, @length of them. */
+int jt_http_recv_bytes(struct tevent_req *req, TALLOC_CTX *mem_ctx,
+		       long *status, char **body, size_t *length);
 
 #endif
--- a/src/common/jt_http_server.c
+++ b/src/common/jt_http_server.c
@@ -251,9 +251,15 @@
 
 void jt_http_reply(struct jt_http_request *request, unsigned status,
 		   const char *type, const char *body)
+{
+	jt_http_reply_bytes(request, status, type, body, strlen(body));
+}
+
+void jt_http_reply_bytes(struct jt_http_request *request, unsigned status,
+			 const char *type, const void *body, size_t length)
 {
 	request->response = MHD_create_response_from_buffer(
-		strlen(body), (void *)body, MHD_RESPMEM_MUST_COPY);
+		length, (void *)body, MHD_RESPMEM_MUST_COPY);
 	if (request->response == NULL)
 		return;
 	MHD_add_response_header(request->response, "Content-Type", type);
--- a/src/common/jt_http_server.h
+++ b/src/common/jt_http_server.h
@@ -48,6 +48,9 @@
 /* Answer and end the request. @body is copied. */
 void jt_http_reply(struct jt_http_request *request, unsigned status,
 		   const char *type, const char *body);
+/* The same for a body of any bytes. */
+void jt_http_reply_bytes(struct jt_http_request *request, unsigned status,
+			 const char *type, const void *body, size_t length);
 /* Start an endless answer; send parts with jt_http_stream(). */
 void jt_http_stream_start(struct jt_http_request *request, const char *type);
 void jt_http_stream(struct jt_http_request *request, const char *part);
--- a/src/daemon/main_director.c
+++ b/src/daemon/main_director.c
@@ -2,6 +2,7 @@
 #include "jt_director_node.h"
 #include "jt_net.h"
 #include "jt_timer.h"
+#include "jt_version.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -112,6 +113,22 @@
 	jt_timer_set(process->look, SETTINGS_LOOK_MS);
 }
 
+static void log_start(const struct director_process *process)
+{
+	const struct jt_director_settings *settings = process->settings;
+	char data[JT_ADDRESS_TEXT], peer[JT_ADDRESS_TEXT];
+	char store[JT_ADDRESS_TEXT];
+
+	jt_log_line(&process->log, LOG_NOTICE,
+		    "event=started version=" JT_VERSION " node=%s zone=%s "
+		    "data=%s peer=%s store=%s seeds=%zu",
+		    settings->name, settings->zone,
+		    jt_address_format(settings->data, data),
+		    jt_address_format(settings->peer, peer),
+		    jt_address_format(settings->store, store),
+		    settings->seed_count);
+}
+
 static int run(struct director_process *process)
 {
 	char *error = NULL;
@@ -137,8 +154,7 @@
 			  process);
 	tevent_add_signal(process->loop, process, SIGHUP, 0, on_reload,
 			  process);
-	jt_log_line(&process->log, LOG_NOTICE, "event=started node=%s zone=%s",
-		    process->settings->name, process->settings->zone);
+	log_start(process);
 	while (!process->finished)
 		tevent_loop_once(process->loop);
 	return EXIT_DONE;
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -2,7 +2,9 @@
 #include "jaspertrack/director.h"
 #include "jt_directory_sync.h"
 #include "jt_director_pages.h"
+#include "jt_knowledge.h"
 #include "jt_net.h"
+#include "jt_peer_exchange.h"
 #include "jt_prober.h"
 #include "jt_timer.h"
 
@@ -40,6 +42,7 @@
 	struct jt_director_actions *actions;
 	struct jt_http_client *client;
 	struct jt_directory_sync *sync;
+	struct jt_peer_exchange *peers;
 	struct jt_director_pages *pages;
 	struct jt_timer *tick;
 	int data_fd;
@@ -184,6 +187,7 @@
 		break;
 	case JT_DIRECTOR_VERDICT:
 		log_endpoint(node, action, "endpoint_dead");
+		jt_peer_exchange_suspect(node->peers, action->endpoint_id);
 		break;
 	case JT_DIRECTOR_REVIVED:
 		log_endpoint(node, action, "endpoint_back");
@@ -262,33 +266,54 @@
 
 /* The store */
 
+static void routing_take(struct jt_director_node *node,
+			 struct jt_routing *routing, const char *source)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_ROUTING};
+
+	event.u.routing = routing;
+	node_event(node, &event);
+	if (jt_director_routing(node->director) != routing)
+		return;
+	jt_log_line(node->log, LOG_NOTICE,
+		    "event=routing version=%llu routes=%zu source=%s",
+		    (unsigned long long)routing->version, routing->route_count,
+		    source);
+	jt_peer_exchange_hurry(node->peers);
+}
+
+static void endpoint_take(struct jt_director_node *node,
+			  const struct jt_endpoint_entry *entry)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_ENDPOINT};
+
+	event.u.endpoint = *entry;
+	node_event(node, &event);
+}
+
+static void gone_take(struct jt_director_node *node, uint64_t id,
+		      uint64_t revision)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_GONE};
+
+	event.u.gone.id = id;
+	event.u.gone.revision = revision;
+	node_event(node, &event);
+}
+
 static void on_change(const struct jt_change *change, void *private_data)
 {
 	struct jt_director_node *node = private_data;
-	struct jt_director_event event = {.kind = JT_DIRECTOR_ENDPOINT};
-	const struct jt_routing *before = jt_director_routing(node->director);
 
 	switch (change->kind) {
 	case JT_CHANGE_ROUTING:
-		event.kind = JT_DIRECTOR_ROUTING;
-		event.u.routing = change->routing;
-		node_event(node, &event);
-		if (jt_director_routing(node->director) != before)
-			jt_log_line(
-				node->log, LOG_NOTICE,
-				"event=routing version=%llu routes=%zu",
-				(unsigned long long)change->routing->version,
-				change->routing->route_count);
+		routing_take(node, change->routing, "store");
 		break;
 	case JT_CHANGE_ENDPOINT:
-		event.u.endpoint = change->endpoint;
-		node_event(node, &event);
+		endpoint_take(node, &change->endpoint);
 		break;
 	case JT_CHANGE_GONE:
-		event.kind = JT_DIRECTOR_GONE;
-		event.u.gone.id = change->endpoint.id;
-		event.u.gone.revision = change->endpoint.revision;
-		node_event(node, &event);
+		gone_take(node, change->endpoint.id, change->endpoint.revision);
 		break;
 	case JT_CHANGE_INVALID:
 		jt_log_line(node->log, LOG_ERR,
@@ -305,6 +330,13 @@
 	node_event(private_data, &event);
 }
 
+/* The node may have started just now. */
+static void started_look(struct jt_director_node *node)
+{
+	watch_ready(node);
+	held_release(node);
+}
+
 static void on_listed(uint64_t revision, void *private_data)
 {
 	struct jt_director_node *node = private_data;
@@ -312,10 +344,9 @@
 
 	event.u.listed.revision = revision;
 	node_event(node, &event);
+	started_look(node);
 	jt_log_line(node->log, LOG_NOTICE, "event=store_listed revision=%llu",
 		    (unsigned long long)revision);
-	watch_ready(node);
-	held_release(node);
 }
 
 static void on_reachable(bool reachable, enum jt_kv_status status,
@@ -329,6 +360,70 @@
 		    jt_kv_status_name(status));
 }
 
+/* Peers */
+
+static void on_own_state(struct jt_own_state *own, void *private_data)
+{
+	const struct jt_director_node *node = private_data;
+	const struct jt_routing *routing = jt_director_routing(node->director);
+
+	own->routing_version = routing ? routing->version : 0;
+	own->revision = jt_director_revision(node->director);
+	own->started = jt_director_started(node->director);
+	own->leaving = node->leaving_ms != 0;
+}
+
+static bool on_knowledge(TALLOC_CTX *mem_ctx, jt_wire_knowledge *knowledge,
+			 void *private_data)
+{
+	const struct jt_director_node *node = private_data;
+
+	return jt_knowledge_write(mem_ctx, node->director, knowledge);
+}
+
+/* A peer's knowledge is complete up to its revision, what is gone included. */
+static void on_learned(const jt_wire_knowledge *knowledge, void *private_data)
+{
+	struct jt_director_node *node = private_data;
+	struct jt_director_event event = {.kind = JT_DIRECTOR_INFORMED};
+	struct jt_routing *routing =
+		jt_knowledge_routing(node, &knowledge->routing);
+
+	if (routing != NULL)
+		routing_take(node, routing, "peer");
+	if (routing != NULL && jt_director_routing(node->director) != routing)
+		talloc_free(routing);
+	for (u_int i = 0; i < knowledge->entries.entries_len; i++) {
+		const jt_wire_entry *wire = &knowledge->entries.entries_val[i];
+		struct jt_endpoint_entry entry;
+
+		jt_knowledge_entry(wire, &entry);
+		if (wire->listed) {
+			endpoint_take(node, &entry);
+			continue;
+		}
+		/* Known as of just before it went, then gone. */
+		entry.revision--;
+		endpoint_take(node, &entry);
+		gone_take(node, entry.id, wire->revision);
+	}
+	jt_log_line(node->log, LOG_NOTICE,
+		    "event=knowledge_learned revision=%llu entries=%u",
+		    (unsigned long long)knowledge->revision,
+		    knowledge->entries.entries_len);
+	event.u.listed.revision = knowledge->revision;
+	node_event(node, &event);
+	started_look(node);
+}
+
+static void on_suspicion(uint64_t endpoint_id, void *private_data)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_SUSPICION};
+
+	event.u.suspicion.id = endpoint_id;
+	node_event(private_data, &event);
+}
+
 /* Readiness and the end */
 
 static bool node_ready(void *private_data)
@@ -397,6 +492,7 @@
 
 	node->settings = talloc_steal(node, settings);
 	jt_directory_sync_move(node->sync, settings->store);
+	jt_peer_exchange_reload(node->peers, settings);
 	talloc_free(old);
 }
 
@@ -436,9 +532,22 @@
 		.private_data = node,
 	};
 
+	const struct jt_peer_handler handler = {
+		.own_state = on_own_state,
+		.knowledge = on_knowledge,
+		.learned = on_learned,
+		.suspicion = on_suspicion,
+		.private_data = node,
+	};
+
 	node->client = jt_http_client_create(node, node->loop);
 	if (node->client == NULL)
 		return false;
+	node->peers = jt_peer_exchange_create(node, node->loop, node->client,
+					      node->log, node->settings,
+					      &handler, error);
+	if (node->peers == NULL)
+		return false;
 	node->sync = jt_directory_sync_create(
 		node, node->loop, node->client, node->environment->directory,
 		node->settings->store, &watcher, seed);
@@ -447,7 +556,7 @@
 		return false;
 	node->pages = jt_director_pages_create(
 		node, node->loop, node->settings, node->director, node->sync,
-		&node->traffic, node_ready, node, error);
+		node->peers, &node->traffic, node_ready, node, error);
 	return node->pages != NULL;
 }
 
--- a/src/director/jt_director_pages.c
+++ b/src/director/jt_director_pages.c
@@ -9,6 +9,7 @@
 struct jt_director_pages {
 	const struct jt_director *director;
 	const struct jt_directory_sync *sync;
+	const struct jt_peer_exchange *peers;
 	const struct jt_director_traffic *traffic;
 	struct jt_http_server *readiness;
 	struct jt_http_server *metrics;
@@ -38,7 +39,7 @@
 		return;
 	}
 	text = jt_director_metrics(pages, pages->director, pages->sync,
-				   pages->traffic);
+				   pages->peers, pages->traffic);
 	jt_http_reply(request, 200, "text/plain; version=0.0.4",
 		      text ? text : "");
 	talloc_free(text);
@@ -147,9 +148,35 @@
 			  counters->invalid_items);
 }
 
+static char *add_peers(char *text, const struct jt_peer_exchange *peers)
+{
+	const struct jt_peer_counters *counters =
+		jt_peer_exchange_counters(peers);
+
+	text = add_metric(text, "peers", "gauge", jt_peer_exchange_live(peers));
+	text = add_metric(text, "peer_digests_sent_total", "counter",
+			  counters->digests_sent);
+	text = add_metric(text, "peer_digests_received_total", "counter",
+			  counters->digests_received);
+	text = add_metric(text, "peer_bytes_sent_total", "counter",
+			  counters->bytes_sent);
+	text = add_metric(text, "knowledge_fetches_total", "counter",
+			  counters->fetches);
+	text = add_metric(text, "knowledge_fetches_failed_total", "counter",
+			  counters->fetches_failed);
+	text = add_metric(text, "knowledge_served_total", "counter",
+			  counters->fetches_served);
+	text = add_type(text, "peer_frames_rejected_total", "counter");
+	for (int i = JT_CODEC_SHORT; i <= JT_CODEC_SIZE; i++)
+		text = add_label(text, "peer_frames_rejected_total", "reason",
+				 jt_codec_error_name(i), counters->rejected[i]);
+	return text;
+}
+
 char *jt_director_metrics(TALLOC_CTX *mem_ctx,
 			  const struct jt_director *director,
 			  const struct jt_directory_sync *sync,
+			  const struct jt_peer_exchange *peers,
 			  const struct jt_director_traffic *traffic)
 {
 	char *text = talloc_strdup(mem_ctx, "");
@@ -157,7 +184,8 @@
 	text = add_traffic(text, traffic);
 	text = add_decisions(text, director);
 	text = add_beliefs(text, director, sync);
-	return add_store_calls(text, sync);
+	text = add_store_calls(text, sync);
+	return add_peers(text, peers);
 }
 
 struct jt_director_pages *
@@ -165,6 +193,7 @@
 			 const struct jt_director_settings *settings,
 			 const struct jt_director *director,
 			 const struct jt_directory_sync *sync,
+			 const struct jt_peer_exchange *peers,
 			 const struct jt_director_traffic *traffic,
 			 bool (*ready)(void *private_data), void *private_data,
 			 char **error)
@@ -178,6 +207,7 @@
 		return NULL;
 	pages->director = director;
 	pages->sync = sync;
+	pages->peers = peers;
 	pages->traffic = traffic;
 	pages->ready = ready;
 	pages->private_data = private_data;
--- a/src/director/jt_director_pages.h
+++ b/src/director/jt_director_pages.h
@@ -4,6 +4,7 @@
 
 #include "jt_director_settings.h"
 #include "jt_directory_sync.h"
+#include "jt_peer_exchange.h"
 
 struct jt_director;
 struct jt_director_pages;
@@ -25,6 +26,7 @@
 			 const struct jt_director_settings *settings,
 			 const struct jt_director *director,
 			 const struct jt_directory_sync *sync,
+			 const struct jt_peer_exchange *peers,
 			 const struct jt_director_traffic *traffic,
 			 bool (*ready)(void *private_data), void *private_data,
 			 char **error);
@@ -33,6 +35,7 @@
 char *jt_director_metrics(TALLOC_CTX *mem_ctx,
 			  const struct jt_director *director,
 			  const struct jt_directory_sync *sync,
+			  const struct jt_peer_exchange *peers,
 			  const struct jt_director_traffic *traffic);
 
 #endif
--- a/src/director/jt_directory_sync.c
+++ b/src/director/jt_directory_sync.c
@@ -181,21 +181,6 @@
 	sync_step(sync);
 }
 
-void jt_directory_sync_hurry(struct jt_directory_sync *sync, uint64_t revision)
-{
-	if (revision <= sync->follower.revision)
-		return;
-	/* A call that hangs is given up. */
-	TALLOC_FREE(sync->call);
-	jt_follower_hurry(&sync->follower, jt_clock_ms());
-	sync_step(sync);
-}
-
-bool jt_directory_sync_listed(const struct jt_directory_sync *sync)
-{
-	return sync->follower.answered_ms != 0 && sync->follower.revision != 0;
-}
-
 uint64_t jt_directory_sync_revision(const struct jt_directory_sync *sync)
 {
 	return sync->follower.revision;
--- a/src/director/jt_directory_sync.h
+++ b/src/director/jt_directory_sync.h
@@ -38,10 +38,6 @@
 /* The store's address has changed. */
 void jt_directory_sync_move(struct jt_directory_sync *sync,
 			    struct jt_address store);
-/* A peer knows @revision: catch up if that is later than what is known. */
-void jt_directory_sync_hurry(struct jt_directory_sync *sync, uint64_t revision);
-
-bool jt_directory_sync_listed(const struct jt_directory_sync *sync);
 uint64_t jt_directory_sync_revision(const struct jt_directory_sync *sync);
 /* Milliseconds since the store's last answer that made sense. */
 uint64_t jt_directory_sync_age_ms(const struct jt_directory_sync *sync);
--- /dev/null
+++ b/src/director/jt_peer_exchange.c
@@ -0,0 +1,425 @@
+#include "jt_peer_exchange.h"
+#include "jt_codec.h"
+#include "jt_http_server.h"
+#include "jt_net.h"
+#include "jt_timer.h"
+
+#include <errno.h>
+#include <sodium.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+	ROUND_MS = 500,
+	FETCH_TIMEOUT_MS = 1500,
+	DATAGRAM_MOST = 1400, /* a digest fits into one packet */
+	DATAGRAM_BATCH = 32,
+	KNOWLEDGE_MOST = 8 << 20,
+	HURRY_MS = 20, /* changes that come together are told together */
+};
+
+#define KNOWLEDGE_PATH "/knowledge"
+
+struct jt_peer_exchange {
+	struct tevent_context *loop;
+	struct jt_http_client *client;
+	const struct jt_log *log;
+	struct jt_keys keys;
+	struct jt_address address;
+	struct jt_peer_handler handler;
+	struct jt_membership *membership;
+	struct jt_http_server *server;
+	struct jt_timer *timer;
+	struct tevent_req *fetch;
+	int fd;
+	uint64_t sequence;
+	struct jt_peer_counters counters;
+};
+
+static void message_send(struct jt_peer_exchange *exchange,
+			 struct jt_address to,
+			 const jt_wire_director_message *message)
+{
+	uint8_t frame[DATAGRAM_MOST];
+	struct sockaddr_in name;
+	size_t length = jt_frame_seal(&exchange->keys, to, ++exchange->sequence,
+				      (xdrproc_t)xdr_jt_wire_director_message,
+				      message, frame, sizeof(frame));
+
+	if (length == 0) {
+		exchange->counters.rejected[JT_CODEC_SIZE]++;
+		return;
+	}
+	jt_address_to_socket(to, &name);
+	(void)sendto(exchange->fd, frame, length, MSG_DONTWAIT,
+		     (struct sockaddr *)&name, sizeof(name));
+	exchange->counters.bytes_sent += length;
+}
+
+static void digests_send(struct jt_peer_exchange *exchange, uint64_t now_ms)
+{
+	struct jt_address targets[JT_DIGEST_FANOUT];
+	size_t count = jt_membership_round(exchange->membership, targets);
+	jt_wire_director_message message = {
+		.from = exchange->membership->id,
+		.body.kind = JT_WIRE_DIGEST,
+	};
+	TALLOC_CTX *frame = talloc_new(exchange);
+	struct jt_own_state own = {0};
+
+	exchange->handler.own_state(&own, exchange->handler.private_data);
+	jt_membership_own_digest(exchange->membership, frame, &own, now_ms,
+				 &message.body.jt_wire_director_body_u.digest);
+	for (size_t i = 0; i < count; i++) {
+		message_send(exchange, targets[i], &message);
+		exchange->counters.digests_sent++;
+	}
+	talloc_free(frame);
+}
+
+void jt_peer_exchange_suspect(struct jt_peer_exchange *exchange,
+			      uint64_t endpoint_id)
+{
+	const struct jt_membership *membership = exchange->membership;
+	jt_wire_director_message message = {
+		.from = membership->id,
+		.body.kind = JT_WIRE_SUSPICION,
+	};
+
+	message.body.jt_wire_director_body_u.suspicion.endpoint_id =
+		endpoint_id;
+	for (size_t i = 0; i < membership->count; i++) {
+		if (membership->peers[i].heard && !membership->peers[i].lost)
+			message_send(exchange, membership->peers[i].address,
+				     &message);
+	}
+}
+
+/* Knowledge */
+
+static void fetch_end(struct jt_peer_exchange *exchange, bool worked)
+{
+	exchange->fetch = NULL;
+	if (!worked)
+		exchange->counters.fetches_failed++;
+	jt_membership_fetched(exchange->membership, worked, jt_clock_ms());
+}
+
+static bool knowledge_take(struct jt_peer_exchange *exchange, const char *body,
+			   size_t length)
+{
+	jt_wire_director_message message = {0};
+	xdrproc_t decode = (xdrproc_t)xdr_jt_wire_director_message;
+	enum jt_codec_error error;
+	uint64_t sequence;
+
+	error = jt_frame_open(&exchange->keys, exchange->address,
+			      (const uint8_t *)body, length, &sequence, decode,
+			      &message);
+	if (error != JT_CODEC_OK) {
+		exchange->counters.rejected[error]++;
+		return false;
+	}
+	if (message.body.kind == JT_WIRE_KNOWLEDGE)
+		exchange->handler.learned(
+			&message.body.jt_wire_director_body_u.knowledge,
+			exchange->handler.private_data);
+	xdr_free(decode, &message);
+	return true;
+}
+
+static void on_fetched(struct tevent_req *req)
+{
+	struct jt_peer_exchange *exchange =
+		tevent_req_callback_data(req, struct jt_peer_exchange);
+	size_t length = 0;
+	long status = 0;
+	char *body = NULL;
+	bool worked;
+
+	worked = jt_http_recv_bytes(req, exchange, &status, &body, &length) ==
+			 0 &&
+		 status == 200 && knowledge_take(exchange, body, length);
+	talloc_free(body);
+	talloc_free(req);
+	fetch_end(exchange, worked);
+}
+
+static void fetch_start(struct jt_peer_exchange *exchange,
+			const struct jt_peer *peer)
+{
+	char from[JT_ADDRESS_TEXT], to[JT_ADDRESS_TEXT];
+	struct jt_http_call call = {.method = "GET",
+				    .timeout_ms = FETCH_TIMEOUT_MS};
+	char *url;
+
+	exchange->counters.fetches++;
+	jt_log_line(exchange->log, LOG_NOTICE,
+		    "event=knowledge_fetch peer=%s revision=%llu version=%llu",
+		    jt_address_format(peer->address, to),
+		    (unsigned long long)peer->revision,
+		    (unsigned long long)peer->routing_version);
+	url = talloc_asprintf(exchange, "http://%s" KNOWLEDGE_PATH "?to=%s", to,
+			      jt_address_format(exchange->address, from));
+	if (url != NULL) {
+		call.url = url;
+		exchange->fetch =
+			jt_http_send(exchange, exchange->client, &call);
+		talloc_free(url);
+	}
+	if (exchange->fetch == NULL)
+		fetch_end(exchange, false);
+	else
+		tevent_req_set_callback(exchange->fetch, on_fetched, exchange);
+}
+
+static void knowledge_reply(struct jt_peer_exchange *exchange,
+			    struct jt_http_request *request,
+			    struct jt_address to)
+{
+	jt_wire_director_message message = {
+		.from = exchange->membership->id,
+		.body.kind = JT_WIRE_KNOWLEDGE,
+	};
+	xdrproc_t encode = (xdrproc_t)xdr_jt_wire_director_message;
+	TALLOC_CTX *frame = talloc_new(exchange);
+	uint8_t *body = NULL;
+	size_t room, length = 0;
+
+	if (exchange->handler.knowledge(
+		    frame, &message.body.jt_wire_director_body_u.knowledge,
+		    exchange->handler.private_data)) {
+		room = xdr_sizeof(encode, &message) + JT_FRAME_HEADER +
+		       JT_TAG_BYTES;
+		if (room <= KNOWLEDGE_MOST)
+			body = talloc_size(frame, room);
+		if (body != NULL)
+			length = jt_frame_seal(&exchange->keys, to,
+					       ++exchange->sequence, encode,
+					       &message, body, room);
+	}
+	if (length > 0) {
+		exchange->counters.fetches_served++;
+		jt_http_reply_bytes(request, 200, "application/octet-stream",
+				    body, length);
+	} else {
+		jt_http_reply(request, 503, "text/plain", "no room\n");
+	}
+	talloc_free(frame);
+}
+
+static void on_request(struct jt_http_request *request, void *private_data)
+{
+	const char *to_text = jt_http_query(request, "to");
+	struct jt_address to;
+
+	if (strcmp(jt_http_path(request), KNOWLEDGE_PATH) != 0)
+		jt_http_reply(request, 404, "text/plain", "not found\n");
+	else if (to_text == NULL || jt_address_parse(to_text, &to) != 0)
+		jt_http_reply(request, 400, "text/plain",
+			      "to: must be IPV4:PORT\n");
+	else
+		knowledge_reply(private_data, request, to);
+}
+
+static void fetch_look(struct jt_peer_exchange *exchange, uint64_t now_ms)
+{
+	struct jt_own_state own = {0};
+	const struct jt_peer *peer;
+
+	exchange->handler.own_state(&own, exchange->handler.private_data);
+	peer = jt_membership_fetch(exchange->membership, &own, now_ms);
+	if (peer != NULL)
+		fetch_start(exchange, peer);
+}
+
+/* Datagrams */
+
+static void message_take(struct jt_peer_exchange *exchange,
+			 struct jt_address from,
+			 const jt_wire_director_message *message)
+{
+	char text[JT_ADDRESS_TEXT];
+	uint64_t now_ms = jt_clock_ms();
+
+	switch (message->body.kind) {
+	case JT_WIRE_DIGEST:
+		exchange->counters.digests_received++;
+		if (jt_membership_digest(
+			    exchange->membership, message->from, from,
+			    &message->body.jt_wire_director_body_u.digest,
+			    now_ms))
+			jt_log_line(exchange->log, LOG_NOTICE,
+				    "event=peer_seen peer=%s",
+				    jt_address_format(from, text));
+		fetch_look(exchange, now_ms);
+		break;
+	case JT_WIRE_SUSPICION:
+		exchange->handler.suspicion(
+			message->body.jt_wire_director_body_u.suspicion
+				.endpoint_id,
+			exchange->handler.private_data);
+		break;
+	default:
+		break;
+	}
+}
+
+static void datagram_take(struct jt_peer_exchange *exchange,
+			  struct jt_address from, const uint8_t *data,
+			  size_t length)
+{
+	jt_wire_director_message message = {0};
+	xdrproc_t decode = (xdrproc_t)xdr_jt_wire_director_message;
+	enum jt_codec_error error;
+	uint64_t sequence;
+
+	error = jt_frame_open(&exchange->keys, exchange->address, data, length,
+			      &sequence, decode, &message);
+	if (error != JT_CODEC_OK) {
+		exchange->counters.rejected[error]++;
+		return;
+	}
+	message_take(exchange, from, &message);
+	xdr_free(decode, &message);
+}
+
+static void on_datagrams(struct tevent_context *loop, struct tevent_fd *fd,
+			 uint16_t flags, void *private_data)
+{
+	struct jt_peer_exchange *exchange = private_data;
+	uint8_t data[DATAGRAM_MOST];
+
+	(void)loop;
+	(void)fd;
+	(void)flags;
+	for (int i = 0; i < DATAGRAM_BATCH; i++) {
+		struct sockaddr_in name;
+		socklen_t size = sizeof(name);
+		ssize_t length =
+			recvfrom(exchange->fd, data, sizeof(data), MSG_DONTWAIT,
+				 (struct sockaddr *)&name, &size);
+
+		if (length < 0)
+			return;
+		datagram_take(exchange, jt_address_from_socket(&name), data,
+			      (size_t)length);
+	}
+}
+
+static void on_round(void *private_data)
+{
+	struct jt_peer_exchange *exchange = private_data;
+	uint64_t now_ms = jt_clock_ms();
+	const struct jt_peer *lost;
+	char text[JT_ADDRESS_TEXT];
+
+	while ((lost = jt_membership_next_lost(exchange->membership, now_ms)) !=
+	       NULL)
+		jt_log_line(exchange->log, LOG_WARNING,
+			    "event=peer_lost peer=%s silent_ms=%llu",
+			    jt_address_format(lost->address, text),
+			    (unsigned long long)(now_ms - lost->heard_ms));
+	digests_send(exchange, now_ms);
+	fetch_look(exchange, now_ms);
+	jt_timer_set(exchange->timer, ROUND_MS);
+}
+
+void jt_peer_exchange_hurry(struct jt_peer_exchange *exchange)
+{
+	jt_timer_set(exchange->timer, HURRY_MS);
+}
+
+/* Start */
+
+static int exchange_destructor(struct jt_peer_exchange *exchange)
+{
+	if (exchange->fd >= 0)
+		close(exchange->fd);
+	return 0;
+}
+
+static void seeds_take(struct jt_peer_exchange *exchange,
+		       const struct jt_director_settings *settings)
+{
+	for (size_t i = 0; i < settings->seed_count; i++) {
+		struct jt_address seed = {settings->seeds[i].ip,
+					  settings->peer.port};
+
+		jt_membership_seed(exchange->membership, seed);
+	}
+}
+
+void jt_peer_exchange_reload(struct jt_peer_exchange *exchange,
+			     const struct jt_director_settings *settings)
+{
+	exchange->keys = settings->keys;
+	seeds_take(exchange, settings);
+}
+
+static bool listen_start(struct jt_peer_exchange *exchange)
+{
+	struct jt_http_options options = {.address = exchange->address};
+
+	exchange->fd = jt_udp_open(exchange->address, false);
+	if (exchange->fd < 0)
+		return false;
+	exchange->server = jt_http_server_create(
+		exchange, exchange->loop, &options, on_request, exchange);
+	return exchange->server != NULL &&
+	       tevent_add_fd(exchange->loop, exchange, exchange->fd,
+			     TEVENT_FD_READ, on_datagrams, exchange) != NULL;
+}
+
+struct jt_peer_exchange *
+jt_peer_exchange_create(TALLOC_CTX *mem_ctx, struct tevent_context *loop,
+			struct jt_http_client *client, const struct jt_log *log,
+			const struct jt_director_settings *settings,
+			const struct jt_peer_handler *handler, char **error)
+{
+	struct jt_peer_exchange *exchange =
+		talloc_zero(mem_ctx, struct jt_peer_exchange);
+	char text[JT_ADDRESS_TEXT];
+	uint64_t id;
+
+	if (exchange == NULL)
+		return NULL;
+	exchange->fd = -1;
+	talloc_set_destructor(exchange, exchange_destructor);
+	exchange->loop = loop;
+	exchange->client = client;
+	exchange->log = log;
+	exchange->address = settings->peer;
+	exchange->handler = *handler;
+	randombytes_buf(&id, sizeof(id));
+	exchange->membership = jt_membership_create(
+		exchange, id, settings->peer, jt_name_id(settings->zone));
+	exchange->timer = jt_timer_create(exchange, loop, on_round, exchange);
+	if (exchange->membership == NULL || exchange->timer == NULL)
+		goto fail;
+	if (!listen_start(exchange)) {
+		*error = talloc_asprintf(
+			talloc_parent(mem_ctx), "listen.peer: %s: %s",
+			jt_address_format(settings->peer, text),
+			strerror(errno));
+		goto fail;
+	}
+	jt_peer_exchange_reload(exchange, settings);
+	jt_timer_set(exchange->timer, 0);
+	return exchange;
+fail:
+	talloc_free(exchange);
+	return NULL;
+}
+
+size_t jt_peer_exchange_live(const struct jt_peer_exchange *exchange)
+{
+	return jt_membership_live(exchange->membership);
+}
+
+const struct jt_peer_counters *
+jt_peer_exchange_counters(const struct jt_peer_exchange *exchange)
+{
+	return &exchange->counters;
+}
--- /dev/null
+++ b/src/director/jt_peer_exchange.h
@@ -0,0 +1,56 @@
+/*
+ * Talks with other director nodes: digests and suspicions in datagrams, all
+ * knowledge over HTTP, both at the peer address.
+ */
+#ifndef JT_PEER_EXCHANGE_H
+#define JT_PEER_EXCHANGE_H
+
+#include "jt_director_settings.h"
+#include "jt_http_client.h"
+#include "jt_log.h"
+#include "jt_membership.h"
+
+/* What the owner of a peer exchange provides and is told. */
+struct jt_peer_handler {
+	void (*own_state)(struct jt_own_state *own, void *private_data);
+	/* All that this node knows, below @mem_ctx. */
+	bool (*knowledge)(TALLOC_CTX *mem_ctx, jt_wire_knowledge *knowledge,
+			  void *private_data);
+	/* What a peer knows. */
+	void (*learned)(const jt_wire_knowledge *knowledge, void *private_data);
+	/* A peer has found an endpoint dead. */
+	void (*suspicion)(uint64_t endpoint_id, void *private_data);
+	void *private_data;
+};
+
+struct jt_peer_counters {
+	uint64_t digests_sent;
+	uint64_t digests_received;
+	uint64_t bytes_sent;
+	uint64_t rejected[JT_CODEC_SIZE + 1];
+	uint64_t fetches;
+	uint64_t fetches_failed;
+	uint64_t fetches_served;
+};
+
+struct jt_peer_exchange;
+
+/* NULL with a line in @error when the peer address can't be used. */
+struct jt_peer_exchange *
+jt_peer_exchange_create(TALLOC_CTX *mem_ctx, struct tevent_context *loop,
+			struct jt_http_client *client, const struct jt_log *log,
+			const struct jt_director_settings *settings,
+			const struct jt_peer_handler *handler, char **error);
+/* Tell every peer that is heard. */
+void jt_peer_exchange_suspect(struct jt_peer_exchange *exchange,
+			      uint64_t endpoint_id);
+/* Tell what has changed without waiting for the next round. */
+void jt_peer_exchange_hurry(struct jt_peer_exchange *exchange);
+/* Settings were read again: keys and seeds may have changed. */
+void jt_peer_exchange_reload(struct jt_peer_exchange *exchange,
+			     const struct jt_director_settings *settings);
+size_t jt_peer_exchange_live(const struct jt_peer_exchange *exchange);
+const struct jt_peer_counters *
+jt_peer_exchange_counters(const struct jt_peer_exchange *exchange);
+
+#endif
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -29,23 +29,11 @@
 		return NULL;
 	chooser->zone_id = opts->zone_id;
 	chooser->lapsed_grace_ms = opts->lapsed_grace_ms;
-	chooser->random = opts->seed | 1;
+	chooser->random.seed = opts->seed;
 	chooser->break_mechanism = opts->break_mechanism;
 	return chooser;
 }
 
-/* xorshift64 (Marsaglia 2003): good enough to break ties. */
-static uint64_t next_random(struct jt_chooser *chooser)
-{
-	uint64_t x = chooser->random;
-
-	x ^= x << 13;
-	x ^= x >> 7;
-	x ^= x << 17;
-	chooser->random = x;
-	return x;
-}
-
 static struct jt_split *split_find(struct jt_chooser *chooser,
 				   const struct jt_route *route)
 {
@@ -208,7 +196,7 @@
 		return;
 	}
 	best->equals++;
-	if (next_random(chooser) % best->equals == 0)
+	if (jt_random_next(&chooser->random) % best->equals == 0)
 		best->incarnation = in;
 }
 
--- a/src/label/jt_choose.h
+++ b/src/label/jt_choose.h
@@ -10,6 +10,7 @@
 #define JT_CHOOSE_H
 
 #include "jt_endpoint_table.h"
+#include "jt_random.h"
 
 #include <uthash.h>
 
@@ -25,7 +26,7 @@
 	struct jt_split *splits;
 	uint32_t zone_id;
 	uint32_t lapsed_grace_ms;
-	uint64_t random; /* state of the generator that breaks ties */
+	struct jt_random random;
 	unsigned break_mechanism;
 };
 
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -104,6 +104,12 @@
 	return action;
 }
 
+static void revision_note(struct jt_director *director, uint64_t revision)
+{
+	if (revision > director->revision)
+		director->revision = revision;
+}
+
 /* Incarnations */
 
 static void state_enter(struct jt_incarnation *incarnation,
@@ -241,6 +247,7 @@
 	struct jt_incarnation *incarnation = NULL;
 	enum jt_entry_result result;
 
+	revision_note(director, entry->revision);
 	result = jt_endpoint_table_take(director->endpoints, entry, now_ms,
 					&incarnation);
 	if (incarnation == NULL) {
@@ -271,6 +278,7 @@
 	struct jt_incarnation *incarnation =
 		jt_endpoint_table_by_id(director->endpoints, id);
 
+	revision_note(director, revision);
 	if (incarnation == NULL || !incarnation->listed ||
 	    revision <= incarnation->entry.revision)
 		return;
@@ -306,6 +314,7 @@
 	struct jt_incarnation *incarnation, *next;
 
 	director->listed = true;
+	revision_note(director, revision);
 	HASH_ITER(by_id, director->endpoints->ids, incarnation, next)
 	{
 		if (!incarnation->told)
@@ -357,6 +366,7 @@
 {
 	const struct jt_routing *old = director->routing;
 
+	revision_note(director, routing->revision);
 	if (old != NULL && routing->version <= old->version &&
 	    !(director->options.break_mechanism & JT_DIRECTOR_BREAK_VERSION)) {
 		director->counters.routing_refused++;
@@ -449,6 +459,10 @@
 		event_listed(director, event->u.listed.revision, now_ms,
 			     actions);
 		break;
+	case JT_DIRECTOR_INFORMED:
+		director->listed = true;
+		revision_note(director, event->u.listed.revision);
+		break;
 	case JT_DIRECTOR_SUSPICION:
 		event_suspicion(director, event->u.suspicion.id, now_ms,
 				actions);
@@ -483,6 +497,11 @@
 	return &director->counters;
 }
 
+uint64_t jt_director_revision(const struct jt_director *director)
+{
+	return director->revision;
+}
+
 size_t jt_director_flow_count(const struct jt_director *director)
 {
 	return director->flows->count;
@@ -504,7 +523,7 @@
 
 bool jt_director_endpoint_at(const struct jt_director *director, size_t index,
 			     struct jt_endpoint_entry *entry,
-			     enum jt_incarnation_state *state)
+			     enum jt_incarnation_state *state, bool *listed)
 {
 	struct jt_incarnation *incarnation, *next;
 
@@ -514,6 +533,7 @@
 			continue;
 		*entry = incarnation->entry;
 		*state = incarnation->state;
+		*listed = incarnation->listed;
 		return true;
 	}
 	return false;
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -13,6 +13,7 @@
 	struct jt_director_options options;
 	const struct jt_routing *routing; /* talloc child, NULL at first */
 	uint64_t routing_ms;		  /* when it was taken */
+	uint64_t revision;		  /* of the newest change known */
 	bool listed; /* discovery was told whole at least once */
 	struct jt_endpoint_table *endpoints;
 	struct jt_flow_cache *flows;
--- a/src/label/jt_follower.c
+++ b/src/label/jt_follower.c
@@ -2,7 +2,7 @@
 
 enum {
 	DEFAULT_WAIT_MS = 2500,
-	DEFAULT_PAUSE_MS = 100,
+	DEFAULT_PAUSE_MS = 400,
 	DEFAULT_RETRY_LEAST_MS = 100,
 	DEFAULT_RETRY_MOST_MS = 1600,
 	DOUBLINGS_MOST = 16,
@@ -15,7 +15,7 @@
 		.pause_ms = DEFAULT_PAUSE_MS,
 		.retry_least_ms = DEFAULT_RETRY_LEAST_MS,
 		.retry_most_ms = DEFAULT_RETRY_MOST_MS,
-		.random = seed | 1,
+		.random = {.seed = seed},
 	};
 }
 
@@ -27,17 +27,6 @@
 	return follower->listed ? JT_FOLLOWER_WATCH : JT_FOLLOWER_LIST;
 }
 
-static uint64_t next_random(struct jt_follower *follower)
-{
-	uint64_t x = follower->random;
-
-	x ^= x << 13;
-	x ^= x >> 7;
-	x ^= x << 17;
-	follower->random = x;
-	return x;
-}
-
 /* Wait twice as long after each failure, between a half and the whole. */
 static void back_off(struct jt_follower *follower, uint64_t now_ms)
 {
@@ -49,7 +38,8 @@
 	wait_ms = (uint64_t)follower->retry_least_ms << doublings;
 	if (wait_ms > follower->retry_most_ms)
 		wait_ms = follower->retry_most_ms;
-	wait_ms = wait_ms / 2 + next_random(follower) % (wait_ms / 2 + 1);
+	wait_ms = wait_ms / 2 +
+		  jt_random_next(&follower->random) % (wait_ms / 2 + 1);
 	follower->failures++;
 	follower->due_ms = now_ms + wait_ms;
 }
@@ -102,12 +92,6 @@
 	}
 }
 
-void jt_follower_hurry(struct jt_follower *follower, uint64_t now_ms)
-{
-	if (follower->due_ms > now_ms)
-		follower->due_ms = now_ms;
-}
-
 const char *jt_kv_status_name(enum jt_kv_status status)
 {
 	static const char *const names[] = {
--- a/src/label/jt_follower.h
+++ b/src/label/jt_follower.h
@@ -11,6 +11,8 @@
 #ifndef JT_FOLLOWER_H
 #define JT_FOLLOWER_H
 
+#include "jt_random.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -44,7 +46,7 @@
 	uint32_t failures; /* in a row */
 	uint64_t due_ms;
 	uint64_t answered_ms; /* last answer that made sense */
-	uint64_t random;
+	struct jt_random random;
 };
 
 void jt_follower_init(struct jt_follower *follower, uint64_t seed);
@@ -56,9 +58,6 @@
 /* A watch's answer. */
 void jt_follower_watched(struct jt_follower *follower, enum jt_kv_status status,
 			 uint64_t at, bool changes, uint64_t now_ms);
-/* A peer knows a later revision: go on at once instead of waiting. */
-void jt_follower_hurry(struct jt_follower *follower, uint64_t now_ms);
-
 const char *jt_kv_status_name(enum jt_kv_status status);
 
 #endif
--- /dev/null
+++ b/src/label/jt_knowledge.c
@@ -0,0 +1,177 @@
+#include "jt_knowledge.h"
+#include "jt_routing.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static bool parts_write(TALLOC_CTX *mem_ctx, const struct jt_route *route,
+			jt_wire_route *wire)
+{
+	jt_wire_part *parts =
+		talloc_array(mem_ctx, jt_wire_part, route->part_count + 1);
+
+	if (parts == NULL)
+		return false;
+	for (size_t i = 0; i < route->part_count; i++) {
+		parts[i].service_id = route->parts[i].service_id;
+		parts[i].weight = route->parts[i].weight;
+	}
+	wire->parts.parts_val = parts;
+	wire->parts.parts_len = (u_int)route->part_count;
+	return true;
+}
+
+static bool routing_write(TALLOC_CTX *mem_ctx, const struct jt_routing *routing,
+			  jt_wire_routing *wire)
+{
+	wire->number = routing->version;
+	wire->flow_idle_ms = routing->flow_idle_ms;
+	wire->routes.routes_val = talloc_zero_array(mem_ctx, jt_wire_route,
+						    routing->route_count + 1);
+	wire->services.services_val = talloc_zero_array(
+		mem_ctx, jt_wire_service, routing->service_count + 1);
+	if (wire->routes.routes_val == NULL ||
+	    wire->services.services_val == NULL)
+		return false;
+	for (size_t i = 0; i < routing->route_count; i++) {
+		const struct jt_route *route = &routing->routes[i];
+		jt_wire_route *to = &wire->routes.routes_val[i];
+
+		to->name = (char *)route->name;
+		to->address = route->address.ip;
+		to->port = route->address.port;
+		to->priority = route->priority;
+		if (!parts_write(mem_ctx, route, to))
+			return false;
+	}
+	for (size_t i = 0; i < routing->service_count; i++) {
+		wire->services.services_val[i].id = routing->services[i].id;
+		wire->services.services_val[i].connection_limit =
+			routing->services[i].connection_limit;
+	}
+	wire->routes.routes_len = (u_int)routing->route_count;
+	wire->services.services_len = (u_int)routing->service_count;
+	return true;
+}
+
+static bool entries_write(TALLOC_CTX *mem_ctx,
+			  const struct jt_director *director,
+			  jt_wire_knowledge *knowledge)
+{
+	struct jt_endpoint_entry entry;
+	enum jt_incarnation_state state;
+	jt_wire_entry *entries;
+	size_t count = 0;
+	bool listed;
+
+	entries = talloc_zero_array(mem_ctx, jt_wire_entry,
+				    JT_DIRECTOR_MAX_ENTRIES);
+	if (entries == NULL)
+		return false;
+	while (count < JT_DIRECTOR_MAX_ENTRIES &&
+	       jt_director_endpoint_at(director, count, &entry, &state,
+				       &listed)) {
+		entries[count++] = (jt_wire_entry){
+			.id = entry.id,
+			.service_id = entry.service_id,
+			.zone_id = entry.zone_id,
+			.address = entry.address.ip,
+			.port = entry.address.port,
+			.capacity = entry.capacity,
+			.cold_left_ms = entry.cold_left_ms,
+			.revision = entry.revision,
+			.draining = entry.draining,
+			.listed = listed,
+		};
+	}
+	knowledge->entries.entries_val = entries;
+	knowledge->entries.entries_len = (u_int)count;
+	return true;
+}
+
+bool jt_knowledge_write(TALLOC_CTX *mem_ctx, const struct jt_director *director,
+			jt_wire_knowledge *knowledge)
+{
+	const struct jt_routing *routing = jt_director_routing(director);
+
+	memset(knowledge, 0, sizeof(*knowledge));
+	knowledge->revision = jt_director_revision(director);
+	if (routing != NULL &&
+	    !routing_write(mem_ctx, routing, &knowledge->routing))
+		return false;
+	return entries_write(mem_ctx, director, knowledge);
+}
+
+static bool route_read(const jt_wire_route *wire, struct jt_route *route)
+{
+	if (wire->port == 0 || wire->port > UINT16_MAX ||
+	    wire->parts.parts_len == 0)
+		return false;
+	snprintf(route->name, sizeof(route->name), "%s", wire->name);
+	route->address.ip = wire->address;
+	route->address.port = (uint16_t)wire->port;
+	route->priority = wire->priority;
+	for (u_int i = 0; i < wire->parts.parts_len; i++) {
+		route->parts[i].service_id =
+			wire->parts.parts_val[i].service_id;
+		route->parts[i].weight = wire->parts.parts_val[i].weight;
+	}
+	route->part_count = wire->parts.parts_len;
+	return true;
+}
+
+static bool routing_fill(const jt_wire_routing *wire,
+			 struct jt_routing *routing)
+{
+	routing->routes = talloc_zero_array(routing, struct jt_route,
+					    wire->routes.routes_len + 1);
+	routing->services = talloc_zero_array(routing, struct jt_routed_service,
+					      wire->services.services_len + 1);
+	if (routing->routes == NULL || routing->services == NULL)
+		return false;
+	for (u_int i = 0; i < wire->routes.routes_len; i++) {
+		if (!route_read(&wire->routes.routes_val[i],
+				&routing->routes[i]))
+			return false;
+	}
+	for (u_int i = 0; i < wire->services.services_len; i++) {
+		routing->services[i].id = wire->services.services_val[i].id;
+		routing->services[i].connection_limit =
+			wire->services.services_val[i].connection_limit;
+	}
+	routing->route_count = wire->routes.routes_len;
+	routing->service_count = wire->services.services_len;
+	return jt_routing_sort(routing) == NULL;
+}
+
+struct jt_routing *jt_knowledge_routing(TALLOC_CTX *mem_ctx,
+					const jt_wire_routing *wire)
+{
+	struct jt_routing *routing;
+
+	if (wire->number == 0)
+		return NULL;
+	routing = talloc_zero(mem_ctx, struct jt_routing);
+	if (routing == NULL)
+		return NULL;
+	routing->version = wire->number;
+	routing->flow_idle_ms = wire->flow_idle_ms;
+	if (!routing_fill(wire, routing))
+		TALLOC_FREE(routing);
+	return routing;
+}
+
+void jt_knowledge_entry(const jt_wire_entry *wire,
+			struct jt_endpoint_entry *entry)
+{
+	*entry = (struct jt_endpoint_entry){
+		.id = wire->id,
+		.service_id = wire->service_id,
+		.zone_id = wire->zone_id,
+		.address = {wire->address, (uint16_t)wire->port},
+		.capacity = wire->capacity,
+		.draining = wire->draining,
+		.cold_left_ms = wire->cold_left_ms,
+		.revision = wire->revision,
+	};
+}
--- /dev/null
+++ b/src/label/jt_knowledge.h
@@ -0,0 +1,22 @@
+/* What a director knows as a message, and back. */
+#ifndef JT_KNOWLEDGE_H
+#define JT_KNOWLEDGE_H
+
+#include "jaspertrack/director.h"
+#include "jt_director_proto.h"
+
+/* All that @director knows; below @mem_ctx. False when memory runs out. */
+bool jt_knowledge_write(TALLOC_CTX *mem_ctx, const struct jt_director *director,
+			jt_wire_knowledge *knowledge);
+
+/* The routing of @wire as a talloc child of @mem_ctx; NULL when it has none
+ * or makes no sense. */
+struct jt_routing *jt_knowledge_routing(TALLOC_CTX *mem_ctx,
+					const jt_wire_routing *wire);
+
+/* The event that an entry amounts to: JT_DIRECTOR_ENDPOINT, and
+ * JT_DIRECTOR_GONE after it where the entry is not listed any more. */
+void jt_knowledge_entry(const jt_wire_entry *wire,
+			struct jt_endpoint_entry *entry);
+
+#endif
--- /dev/null
+++ b/src/label/jt_membership.c
@@ -0,0 +1,322 @@
+#include "jt_membership.h"
+
+#include <string.h>
+
+enum {
+	PEER_LOST_MS = 4000,	/* silent for so long */
+	PEER_FORGET_MS = 60000, /* and forgotten after so long */
+	/* How long the store may take to tell what a peer knows already. */
+	BEHIND_MS = 900,
+	FETCH_PAUSE_MS = 500,
+	/* One round in so many also tries a seed, or a peer that was lost. */
+	RETRY_ROUNDS = 4,
+};
+
+struct jt_membership *jt_membership_create(TALLOC_CTX *mem_ctx, uint64_t id,
+					   struct jt_address address,
+					   uint32_t zone_id)
+{
+	struct jt_membership *membership =
+		talloc_zero(mem_ctx, struct jt_membership);
+
+	if (membership == NULL)
+		return NULL;
+	membership->id = id;
+	membership->address = address;
+	membership->zone_id = zone_id;
+	membership->random.seed = id;
+	return membership;
+}
+
+static bool same_address(struct jt_address a, struct jt_address b)
+{
+	return a.ip == b.ip && a.port == b.port;
+}
+
+static struct jt_peer *peer_find(struct jt_membership *membership,
+				 struct jt_address address)
+{
+	for (size_t i = 0; i < membership->count; i++) {
+		if (same_address(membership->peers[i].address, address))
+			return &membership->peers[i];
+	}
+	return NULL;
+}
+
+/* Room for one more: the list grows up to its limit, then the peer that was
+ * silent longest gives way. */
+static struct jt_peer *peer_room(struct jt_membership *membership)
+{
+	size_t oldest = 0;
+
+	if (membership->count < membership->capacity)
+		return &membership->peers[membership->count++];
+	if (membership->capacity < JT_PEER_LIMIT) {
+		size_t capacity =
+			membership->capacity ? membership->capacity * 2 : 16;
+		struct jt_peer *peers =
+			talloc_realloc(membership, membership->peers,
+				       struct jt_peer, capacity);
+
+		if (peers == NULL)
+			return NULL;
+		membership->peers = peers;
+		membership->capacity = capacity;
+		return &membership->peers[membership->count++];
+	}
+	for (size_t i = 1; i < membership->count; i++) {
+		if (membership->peers[i].heard_ms <
+		    membership->peers[oldest].heard_ms)
+			oldest = i;
+	}
+	return &membership->peers[oldest];
+}
+
+static struct jt_peer *peer_add(struct jt_membership *membership,
+				struct jt_address address)
+{
+	struct jt_peer *peer = peer_room(membership);
+
+	if (peer == NULL)
+		return NULL;
+	memset(peer, 0, sizeof(*peer));
+	peer->address = address;
+	return peer;
+}
+
+void jt_membership_seed(struct jt_membership *membership,
+			struct jt_address address)
+{
+	if (!same_address(address, membership->address) &&
+	    peer_find(membership, address) == NULL)
+		peer_add(membership, address);
+}
+
+/* What another node has heard of a third one. */
+static void peer_hearsay(struct jt_membership *membership,
+			 const jt_wire_peer *told, uint64_t now_ms)
+{
+	struct jt_address address = {told->address, (uint16_t)told->port};
+	uint64_t heard_ms = now_ms > told->age_ms ? now_ms - told->age_ms : 0;
+	struct jt_peer *peer;
+
+	if (told->id == membership->id || told->port > UINT16_MAX ||
+	    same_address(address, membership->address) ||
+	    told->age_ms >= PEER_LOST_MS)
+		return;
+	peer = peer_find(membership, address);
+	if (peer == NULL) {
+		peer = peer_add(membership, address);
+		if (peer == NULL)
+			return;
+		peer->id = told->id;
+		peer->zone_id = told->zone;
+	}
+	if (heard_ms > peer->heard_ms)
+		peer->heard_ms = heard_ms;
+}
+
+bool jt_membership_digest(struct jt_membership *membership, uint64_t from,
+			  struct jt_address address,
+			  const jt_wire_digest *digest, uint64_t now_ms)
+{
+	struct jt_peer *peer;
+	bool news;
+
+	if (from == membership->id ||
+	    same_address(address, membership->address))
+		return false;
+	peer = peer_find(membership, address);
+	if (peer == NULL)
+		peer = peer_add(membership, address);
+	if (peer == NULL)
+		return false;
+	news = !peer->heard || peer->id != from;
+	peer->id = from;
+	peer->zone_id = digest->zone;
+	peer->heard_ms = now_ms;
+	peer->heard = true;
+	peer->lost = false;
+	peer->routing_version = digest->routing_version;
+	peer->revision = digest->revision;
+	peer->started = digest->started;
+	peer->leaving = digest->leaving;
+	for (u_int i = 0; i < digest->peers.peers_len; i++)
+		peer_hearsay(membership, &digest->peers.peers_val[i], now_ms);
+	return news;
+}
+
+/* A peer at random: one that lives, or any when @any. */
+static const struct jt_peer *peer_pick(struct jt_membership *membership,
+				       bool any)
+{
+	size_t start;
+
+	if (membership->count == 0)
+		return NULL;
+	start = jt_random_next(&membership->random) % membership->count;
+	for (size_t i = 0; i < membership->count; i++) {
+		const struct jt_peer *peer =
+			&membership->peers[(start + i) % membership->count];
+
+		if (any || (peer->heard && !peer->lost))
+			return peer;
+	}
+	return NULL;
+}
+
+static size_t target_add(struct jt_address *targets, size_t count,
+			 const struct jt_peer *peer)
+{
+	if (peer == NULL)
+		return count;
+	for (size_t i = 0; i < count; i++) {
+		if (same_address(targets[i], peer->address))
+			return count;
+	}
+	targets[count] = peer->address;
+	return count + 1;
+}
+
+size_t jt_membership_round(struct jt_membership *membership,
+			   struct jt_address targets[JT_DIGEST_FANOUT])
+{
+	size_t count = 0;
+
+	if (jt_membership_live(membership) < JT_DIGEST_FANOUT ||
+	    jt_random_next(&membership->random) % RETRY_ROUNDS == 0)
+		count = target_add(targets, count, peer_pick(membership, true));
+	while (count < JT_DIGEST_FANOUT) {
+		size_t before = count;
+
+		count = target_add(targets, count,
+				   peer_pick(membership, false));
+		if (count == before)
+			break;
+	}
+	return count;
+}
+
+void jt_membership_own_digest(struct jt_membership *membership,
+			      TALLOC_CTX *mem_ctx,
+			      const struct jt_own_state *own, uint64_t now_ms,
+			      jt_wire_digest *digest)
+{
+	size_t start, told = 0;
+	jt_wire_peer *peers;
+
+	memset(digest, 0, sizeof(*digest));
+	digest->zone = membership->zone_id;
+	digest->routing_version = own->routing_version;
+	digest->revision = own->revision;
+	digest->started = own->started;
+	digest->leaving = own->leaving;
+	peers = talloc_zero_array(mem_ctx, jt_wire_peer, JT_DIRECTOR_MAX_PEERS);
+	if (peers == NULL || membership->count == 0)
+		return;
+	start = jt_random_next(&membership->random) % membership->count;
+	for (size_t i = 0;
+	     i < membership->count && told < JT_DIRECTOR_MAX_PEERS; i++) {
+		const struct jt_peer *peer =
+			&membership->peers[(start + i) % membership->count];
+
+		if (!peer->heard || peer->lost)
+			continue;
+		peers[told++] = (jt_wire_peer){
+			.id = peer->id,
+			.address = peer->address.ip,
+			.port = peer->address.port,
+			.zone = peer->zone_id,
+			.age_ms = (uint32_t)(now_ms - peer->heard_ms),
+		};
+	}
+	digest->peers.peers_val = peers;
+	digest->peers.peers_len = (u_int)told;
+}
+
+static void peer_forget(struct jt_membership *membership, size_t index)
+{
+	membership->peers[index] = membership->peers[--membership->count];
+}
+
+const struct jt_peer *jt_membership_next_lost(struct jt_membership *membership,
+					      uint64_t now_ms)
+{
+	size_t i = 0;
+
+	while (i < membership->count) {
+		struct jt_peer *peer = &membership->peers[i];
+		uint64_t silent_ms = now_ms - peer->heard_ms;
+
+		if (peer->heard && !peer->lost && silent_ms >= PEER_LOST_MS) {
+			peer->lost = true;
+			peer->heard = false;
+			return peer;
+		}
+		if (peer->id != 0 && silent_ms >= PEER_FORGET_MS)
+			peer_forget(membership, i);
+		else
+			i++;
+	}
+	return NULL;
+}
+
+/* The live peer that knows most, if that is more than this node knows. */
+static const struct jt_peer *peer_ahead(const struct jt_membership *membership,
+					const struct jt_own_state *own)
+{
+	const struct jt_peer *best = NULL;
+
+	for (size_t i = 0; i < membership->count; i++) {
+		const struct jt_peer *peer = &membership->peers[i];
+
+		if (!peer->heard || peer->lost || !peer->started)
+			continue;
+		if (own->started && peer->revision <= own->revision &&
+		    peer->routing_version <= own->routing_version)
+			continue;
+		if (best == NULL || peer->revision > best->revision)
+			best = peer;
+	}
+	return best;
+}
+
+const struct jt_peer *jt_membership_fetch(struct jt_membership *membership,
+					  const struct jt_own_state *own,
+					  uint64_t now_ms)
+{
+	const struct jt_peer *peer = peer_ahead(membership, own);
+
+	if (peer == NULL) {
+		membership->behind_ms = 0;
+		return NULL;
+	}
+	if (membership->behind_ms == 0)
+		membership->behind_ms = now_ms;
+	if (membership->fetching || now_ms < membership->fetch_next_ms)
+		return NULL;
+	if (own->started && now_ms - membership->behind_ms < BEHIND_MS)
+		return NULL;
+	membership->fetching = true;
+	return peer;
+}
+
+void jt_membership_fetched(struct jt_membership *membership, bool worked,
+			   uint64_t now_ms)
+{
+	membership->fetching = false;
+	membership->fetch_next_ms = now_ms + FETCH_PAUSE_MS;
+	if (worked)
+		membership->behind_ms = 0;
+}
+
+size_t jt_membership_live(const struct jt_membership *membership)
+{
+	size_t live = 0;
+
+	for (size_t i = 0; i < membership->count; i++) {
+		if (membership->peers[i].heard && !membership->peers[i].lost)
+			live++;
+	}
+	return live;
+}
--- a/src/proto/jt_codec.c
+++ b/src/proto/jt_codec.c
@@ -34,31 +34,39 @@
 	crypto_generichash_final(&state, tag, JT_TAG_BYTES);
 }
 
-size_t jt_codec_encode(const struct jt_keys *keys, struct jt_address to,
-		       uint64_t sequence, const jt_wire_message *message,
-		       uint8_t frame[JT_FRAME_MAX])
+size_t jt_frame_seal(const struct jt_keys *keys, struct jt_address to,
+		     uint64_t sequence, xdrproc_t encode, const void *value,
+		     uint8_t *frame, size_t room)
 {
-	size_t room = JT_FRAME_MAX - JT_FRAME_HEADER - JT_TAG_BYTES;
 	size_t length;
+	bool whole;
 	XDR xdr;
 
-	if (keys->count == 0)
+	if (keys->count == 0 || room < JT_FRAME_HEADER + JT_TAG_BYTES)
 		return 0;
 	memset(frame, 0, JT_FRAME_HEADER);
 	frame[0] = keys->keys[0].id;
 	write64(frame + 4, sequence);
-	xdrmem_create(&xdr, (char *)frame + JT_FRAME_HEADER, (u_int)room,
+	xdrmem_create(&xdr, (char *)frame + JT_FRAME_HEADER,
+		      (u_int)(room - JT_FRAME_HEADER - JT_TAG_BYTES),
 		      XDR_ENCODE);
-	if (!xdr_jt_wire_message(&xdr, (jt_wire_message *)message)) {
-		xdr_destroy(&xdr);
-		return 0;
-	}
+	whole = encode(&xdr, (void *)value);
 	length = JT_FRAME_HEADER + xdr_getpos(&xdr);
 	xdr_destroy(&xdr);
+	if (!whole)
+		return 0;
 	frame_tag(&keys->keys[0], to, frame, length, frame + length);
 	return length + JT_TAG_BYTES;
 }
 
+size_t jt_codec_encode(const struct jt_keys *keys, struct jt_address to,
+		       uint64_t sequence, const jt_wire_message *message,
+		       uint8_t frame[JT_FRAME_MAX])
+{
+	return jt_frame_seal(keys, to, sequence, (xdrproc_t)xdr_jt_wire_message,
+			     message, frame, JT_FRAME_MAX);
+}
+
 static const struct jt_key *find_key(const struct jt_keys *keys, uint8_t id)
 {
 	for (size_t i = 0; i < keys->count; i++) {
@@ -68,10 +76,10 @@
 	return NULL;
 }
 
-enum jt_codec_error jt_codec_decode(const struct jt_keys *keys,
-				    struct jt_address to, const uint8_t *frame,
-				    size_t length, uint64_t *sequence,
-				    jt_wire_message *message)
+enum jt_codec_error jt_frame_open(const struct jt_keys *keys,
+				  struct jt_address to, const uint8_t *frame,
+				  size_t length, uint64_t *sequence,
+				  xdrproc_t decode, void *value)
 {
 	uint8_t tag[JT_TAG_BYTES];
 	const struct jt_key *key;
@@ -79,7 +87,7 @@
 	bool whole;
 	XDR xdr;
 
-	if (length < JT_FRAME_HEADER + JT_TAG_BYTES || length > JT_FRAME_MAX)
+	if (length < JT_FRAME_HEADER + JT_TAG_BYTES)
 		return JT_CODEC_SHORT;
 	key = find_key(keys, frame[0]);
 	if (key == NULL)
@@ -88,20 +96,31 @@
 	frame_tag(key, to, frame, signed_length, tag);
 	if (sodium_memcmp(tag, frame + signed_length, JT_TAG_BYTES) != 0)
 		return JT_CODEC_TAG;
-	memset(message, 0, sizeof(*message));
 	xdrmem_create(&xdr, (char *)frame + JT_FRAME_HEADER,
 		      (u_int)(signed_length - JT_FRAME_HEADER), XDR_DECODE);
-	whole = xdr_jt_wire_message(&xdr, message) &&
+	whole = decode(&xdr, value) &&
 		xdr_getpos(&xdr) == signed_length - JT_FRAME_HEADER;
 	xdr_destroy(&xdr);
 	if (!whole) {
-		jt_codec_free(message);
+		xdr_free(decode, value);
 		return JT_CODEC_BODY;
 	}
 	*sequence = read64(frame + 4);
 	return JT_CODEC_OK;
 }
 
+enum jt_codec_error jt_codec_decode(const struct jt_keys *keys,
+				    struct jt_address to, const uint8_t *frame,
+				    size_t length, uint64_t *sequence,
+				    jt_wire_message *message)
+{
+	if (length > JT_FRAME_MAX)
+		return JT_CODEC_SHORT;
+	memset(message, 0, sizeof(*message));
+	return jt_frame_open(keys, to, frame, length, sequence,
+			     (xdrproc_t)xdr_jt_wire_message, message);
+}
+
 void jt_codec_free(jt_wire_message *message)
 {
 	xdr_free((xdrproc_t)xdr_jt_wire_message, (char *)message);
--- a/src/proto/jt_codec.h
+++ b/src/proto/jt_codec.h
@@ -9,6 +9,7 @@
 #define JT_CODEC_H
 
 #include "jaspertrack/types-t.h"
+#include "jt_director_proto.h"
 #include "jt_proto.h"
 
 #include <talloc.h>
@@ -49,6 +50,22 @@
 	uint64_t seen[JT_REPLAY_WINDOW / 64];
 };
 
+/*
+ * Write a frame of @value, as @encode puts it, for @to into @room bytes.
+ * Returns its length, 0 when it does not fit.
+ */
+size_t jt_frame_seal(const struct jt_keys *keys, struct jt_address to,
+		     uint64_t sequence, xdrproc_t encode, const void *value,
+		     uint8_t *frame, size_t room);
+/*
+ * Read a frame sent to @to into the zeroed @value; on JT_CODEC_OK it must be
+ * given to xdr_free(), with @decode.
+ */
+enum jt_codec_error jt_frame_open(const struct jt_keys *keys,
+				  struct jt_address to, const uint8_t *frame,
+				  size_t length, uint64_t *sequence,
+				  xdrproc_t decode, void *value);
+
 /* Write a frame for @to. Returns its length, 0 when it is too large. */
 size_t jt_codec_encode(const struct jt_keys *keys, struct jt_address to,
 		       uint64_t sequence, const jt_wire_message *message,
--- /dev/null
+++ b/src/proto/jt_director_proto.x
@@ -0,0 +1,102 @@
+/*
+ * The protocol between director nodes (XDR, RFC 4506).
+ *
+ * Generated code is committed; regenerate with `make proto`. Addresses are
+ * IPv4 in host order. Versions and revisions order everything: a message
+ * that comes late, twice or out of order changes nothing.
+ */
+
+const JT_DIRECTOR_MAX_PEERS = 16;
+const JT_DIRECTOR_MAX_ROUTES = 1048576;
+const JT_DIRECTOR_MAX_PARTS = 16;
+const JT_DIRECTOR_MAX_SERVICES = 65536;
+const JT_DIRECTOR_MAX_ENTRIES = 8192;
+const JT_DIRECTOR_MAX_NAME = 63;
+
+struct jt_wire_peer {
+	unsigned hyper id;
+	unsigned int address;
+	unsigned int port;
+	unsigned int zone;
+	unsigned int age_ms; /* since it was last heard, by the sender */
+};
+
+/* Sent to a few peers several times a second. */
+struct jt_wire_digest {
+	unsigned int zone;
+	unsigned hyper routing_version; /* in force at the sender */
+	unsigned hyper revision;        /* of the newest change it knows */
+	bool started;
+	bool leaving;
+	jt_wire_peer peers<JT_DIRECTOR_MAX_PEERS>;
+};
+
+/* The sender has found the endpoint dead. */
+struct jt_wire_suspicion {
+	unsigned hyper endpoint_id;
+};
+
+struct jt_wire_part {
+	unsigned int service_id;
+	unsigned int weight;
+};
+
+struct jt_wire_route {
+	string name<JT_DIRECTOR_MAX_NAME>;
+	unsigned int address;
+	unsigned int port;
+	unsigned int priority;
+	jt_wire_part parts<JT_DIRECTOR_MAX_PARTS>;
+};
+
+struct jt_wire_service {
+	unsigned int id;
+	unsigned int connection_limit;
+};
+
+struct jt_wire_routing {
+	unsigned hyper number; /* 0: none known */
+	unsigned int flow_idle_ms;
+	jt_wire_route routes<JT_DIRECTOR_MAX_ROUTES>;
+	jt_wire_service services<JT_DIRECTOR_MAX_SERVICES>;
+};
+
+struct jt_wire_entry {
+	unsigned hyper id;
+	unsigned int service_id;
+	unsigned int zone_id;
+	unsigned int address;
+	unsigned int port;
+	unsigned int capacity;
+	unsigned int cold_left_ms;
+	unsigned hyper revision;
+	bool draining;
+	bool listed; /* false: gone from discovery as of the revision */
+};
+
+/* All that a node knows, fetched by a peer that is behind. */
+struct jt_wire_knowledge {
+	unsigned hyper revision;
+	jt_wire_routing routing;
+	jt_wire_entry entries<JT_DIRECTOR_MAX_ENTRIES>;
+};
+
+enum jt_wire_director_kind {
+	JT_WIRE_DIGEST = 1,
+	JT_WIRE_SUSPICION = 2,
+	JT_WIRE_KNOWLEDGE = 3
+};
+
+union jt_wire_director_body switch (jt_wire_director_kind kind) {
+case JT_WIRE_DIGEST:
+	jt_wire_digest digest;
+case JT_WIRE_SUSPICION:
+	jt_wire_suspicion suspicion;
+case JT_WIRE_KNOWLEDGE:
+	jt_wire_knowledge knowledge;
+};
+
+struct jt_wire_director_message {
+	unsigned hyper from;
+	jt_wire_director_body body;
+};
--- a/src/settings/jt_director_settings.c
+++ b/src/settings/jt_director_settings.c
@@ -1,5 +1,6 @@
 #include "jt_director_settings.h"
 #include "jt_log.h"
+#include "jt_settings_keys.h"
 #include "jt_settings_reader.h"
 
 #include <stdlib.h>
@@ -91,9 +92,9 @@
 static int read_root(struct jt_settings_reader *r, const config_setting_t *root,
 		     struct jt_director_settings *s)
 {
-	static const char *const known[] = {"placement", "environment", "node",
-					    "listen",	 "store",	"seeds",
-					    "limits",	 "log_level",	NULL};
+	static const char *const known[] = {
+		"placement", "environment", "node",   "listen",	   "store",
+		"seeds",     "keys",	    "limits", "log_level", NULL};
 
 	if (jt_settings_check_keys(r, root, known) != 0 ||
 	    jt_settings_read_text(r, root, "environment", true,
@@ -102,6 +103,7 @@
 	    jt_settings_read_address(r, root, "store", &s->store) != 0 ||
 	    jt_settings_read_addresses(r, root, "seeds", s->seeds,
 				       JT_SEED_LIMIT, &s->seed_count) != 0 ||
+	    jt_settings_read_keys(r, root, &s->keys) != 0 ||
 	    read_limits(r, root, s) != 0)
 		return -1;
 	return read_log_level(r, root, s);
--- a/src/settings/jt_director_settings.h
+++ b/src/settings/jt_director_settings.h
@@ -18,8 +18,11 @@
 	struct jt_address metrics;   /* GET /metrics; port 0: not served */
 	struct jt_address peer;	     /* other nodes */
 	struct jt_address store;
-	struct jt_address seeds[JT_SEED_LIMIT]; /* other nodes, may be stale */
+	/* Other nodes, may be stale. All nodes have one peer port: the ports of
+	 * seeds are not used. */
+	struct jt_address seeds[JT_SEED_LIMIT];
 	size_t seed_count;
+	struct jt_keys keys;
 	uint32_t drain_limit_ms;    /* a leaving endpoint gets none after */
 	uint32_t leave_limit_ms;    /* from SIGTERM to the end */
 	uint32_t flow_age_limit_ms; /* no flow lives longer */
--- a/src/settings/jt_settings.c
+++ b/src/settings/jt_settings.c
@@ -1,6 +1,7 @@
 #include "jt_settings.h"
 #include "jt_log.h"
 #include "jt_net.h"
+#include "jt_settings_keys.h"
 #include "jt_settings_reader.h"
 
 #include <sodium.h>
@@ -77,57 +78,6 @@
 				       &s->store_operations_per_s);
 }
 
-static int read_key(struct reader *r, const config_setting_t *entry,
-		    struct jt_key *key)
-{
-	static const char *const known[] = {"id", "secret", NULL};
-	const char *secret = NULL;
-	uint32_t id = 0;
-	size_t length;
-
-	if (!config_setting_is_group(entry))
-		return jt_settings_wrong(&r->input, entry, "keys",
-					 "each must be a group");
-	if (jt_settings_check_keys(&r->input, entry, known) != 0 ||
-	    jt_settings_read_number(&r->input, entry, "id", 1, 255, 0, &id) !=
-		    0 ||
-	    jt_settings_read_text(&r->input, entry, "secret", true, &secret) !=
-		    0)
-		return -1;
-	if (id == 0 || secret == NULL)
-		return jt_settings_wrong(&r->input, entry, "id", "is missing");
-	key->id = (uint8_t)id;
-	if (sodium_hex2bin(key->bytes, JT_KEY_BYTES, secret, strlen(secret),
-			   NULL, &length, NULL) != 0 ||
-	    length != JT_KEY_BYTES ||
-	    strlen(secret) != (size_t)2 * JT_KEY_BYTES)
-		return jt_settings_wrong(&r->input, entry, "secret",
-					 "must be 64 hexadecimal digits");
-	return 0;
-}
-
-static int read_keys(struct reader *r, const config_setting_t *root)
-{
-	const config_setting_t *keys = config_setting_get_member(root, "keys");
-	struct jt_keys *into = &r->settings->keys;
-
-	if (keys == NULL || !config_setting_is_list(keys) ||
-	    config_setting_length(keys) < 1 ||
-	    config_setting_length(keys) > JT_KEY_LIMIT)
-		return jt_settings_wrong(&r->input, keys ? keys : root, "keys",
-					 "must be a list of 1 or 2 groups");
-	for (int i = 0; i < config_setting_length(keys); i++) {
-		if (read_key(r, config_setting_get_elem(keys, (unsigned)i),
-			     &into->keys[i]) != 0)
-			return -1;
-		into->count++;
-	}
-	if (into->count == 2 && into->keys[0].id == into->keys[1].id)
-		return jt_settings_wrong(&r->input, keys, "keys",
-					 "two keys have the same id");
-	return 0;
-}
-
 static int read_role(struct reader *r, const config_setting_t *entry,
 		     enum jt_role *role)
 {
@@ -282,8 +232,8 @@
 	    read_store(r, root) != 0 ||
 	    jt_settings_read_addresses(&r->input, root, "seeds", s->seeds,
 				       JT_SEED_LIMIT, &s->seed_count) != 0 ||
-	    read_keys(r, root) != 0 || read_api(r, root) != 0 ||
-	    read_limits(r, root) != 0)
+	    jt_settings_read_keys(&r->input, root, &s->keys) != 0 ||
+	    read_api(r, root) != 0 || read_limits(r, root) != 0)
 		return -1;
 	if (jt_settings_read_text(&r->input, root, "machines", false,
 				  &s->machines_url) != 0)
