A peer's news of a former endpoint no longer ends its successor

Cause: knowledge that a peer told carried an ended endpoint's entry under the revision at which it went. Ruled out: the detector (every verdict had cause=replaced), the store. Change: an entry's revision and the one at which it went are kept apart, also between peers; an address belongs to the incarnation with the newest entry, whichever is told first.

--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -62,6 +62,7 @@
 	bool draining;
 	uint32_t cold_left_ms; /* slow for so long after its start */
 	uint64_t revision;     /* of the entry in discovery */
+	uint64_t gone_revision; /* when it went; 0: it is there */
 };
 
 /* How this node sees one incarnation. */
--- a/include/jaspertrack/director.h
+++ b/include/jaspertrack/director.h
@@ -41,7 +41,7 @@
 /* The @index-th known incarnation, with its state; false past the last. */
 bool jt_director_endpoint_at(const struct jt_director *director, size_t index,
 			     struct jt_endpoint_entry *entry,
-			     enum jt_incarnation_state *state, bool *listed);
+			     enum jt_incarnation_state *state);
 
 /* The label that names an incarnation in a flow's packets; never 0. */
 uint32_t jt_flow_label(uint64_t endpoint_id);
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -394,18 +394,11 @@
 	if (routing != NULL && jt_director_routing(node->director) != routing)
 		talloc_free(routing);
 	for (u_int i = 0; i < knowledge->entries.entries_len; i++) {
-		const jt_wire_entry *wire = &knowledge->entries.entries_val[i];
-		struct jt_endpoint_entry entry;
-
-		jt_knowledge_entry(wire, &entry);
-		if (wire->listed) {
-			endpoint_take(node, &entry);
-			continue;
-		}
-		/* Known as of just before it went, then gone. */
-		entry.revision--;
-		endpoint_take(node, &entry);
-		gone_take(node, entry.id, wire->revision);
+		struct jt_director_event told;
+
+		if (jt_knowledge_entry(&knowledge->entries.entries_val[i],
+				       &told))
+			node_event(node, &told);
 	}
 	jt_log_line(node->log, LOG_NOTICE,
 		    "event=knowledge_learned revision=%llu entries=%u",
--- a/src/label/jt_detector.c
+++ b/src/label/jt_detector.c
@@ -38,8 +38,9 @@
 {
 	(void)detector;
 	return incarnation->state == JT_INCARNATION_DEAD &&
-	       incarnation->cause != JT_DEATH_REPLACED && incarnation->listed &&
-	       !incarnation->probing && now_ms >= incarnation->probe_next_ms;
+	       incarnation->cause != JT_DEATH_REPLACED &&
+	       incarnation->entry.gone_revision == 0 && !incarnation->probing &&
+	       now_ms >= incarnation->probe_next_ms;
 }
 
 void jt_detector_probe_sent(struct jt_detector *detector,
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -128,7 +128,7 @@
 static enum jt_incarnation_state
 listed_state(const struct jt_incarnation *incarnation)
 {
-	if (!incarnation->listed)
+	if (incarnation->entry.gone_revision != 0)
 		return JT_INCARNATION_LAPSED;
 	if (incarnation->entry.draining)
 		return JT_INCARNATION_DRAINING;
@@ -221,46 +221,69 @@
 		jt_director_suspect(director, incarnation, now_ms, actions);
 }
 
-/* Whoever else had this incarnation's address before it is gone. */
+/*
+ * An address belongs to the incarnation whose entry is the newest; whoever
+ * had it before is gone.
+ */
 static void address_settle(struct jt_director *director,
-			   const struct jt_incarnation *taken, uint64_t now_ms,
+			   struct jt_incarnation *taken, uint64_t now_ms,
 			   struct jt_director_actions *actions)
 {
-	struct jt_incarnation *other, *next;
+	struct jt_incarnation *newest = taken, *other, *next;
 
 	HASH_ITER(by_id, director->endpoints->ids, other, next)
 	{
-		if (other == taken ||
-		    other->entry.address.ip != taken->entry.address.ip ||
+		if (other->entry.address.ip != taken->entry.address.ip ||
 		    other->entry.address.port != taken->entry.address.port)
 			continue;
-		if (other->entry.revision < taken->entry.revision)
+		if (other->entry.revision > newest->entry.revision)
+			newest = other;
+	}
+	HASH_ITER(by_id, director->endpoints->ids, other, next)
+	{
+		if (other != newest &&
+		    other->entry.address.ip == taken->entry.address.ip &&
+		    other->entry.address.port == taken->entry.address.port)
 			incarnation_dies(director, other, JT_DEATH_REPLACED,
 					 now_ms, actions);
 	}
 }
 
-static void event_endpoint(struct jt_director *director,
-			   const struct jt_endpoint_entry *entry,
-			   uint64_t now_ms, struct jt_director_actions *actions)
+static void event_gone(struct jt_director *director, uint64_t id,
+		       uint64_t revision, uint64_t now_ms,
+		       struct jt_director_actions *actions)
 {
-	struct jt_incarnation *incarnation = NULL;
-	enum jt_entry_result result;
+	struct jt_incarnation *incarnation =
+		jt_endpoint_table_by_id(director->endpoints, id);
 
-	revision_note(director, entry->revision);
-	result = jt_endpoint_table_take(director->endpoints, entry, now_ms,
-					&incarnation);
-	if (incarnation == NULL) {
-		if (result != JT_ENTRY_OLD)
-			director->counters.entries_refused++;
+	revision_note(director, revision);
+	if (incarnation == NULL ||
+	    revision <= jt_incarnation_revision(incarnation))
+		return;
+	incarnation->entry.gone_revision = revision;
+	incarnation->learned_ms = now_ms;
+	if (director->options.break_mechanism & JT_DIRECTOR_BREAK_FORGET_GONE) {
+		jt_endpoint_table_remove(director->endpoints, incarnation);
 		return;
 	}
+	if (incarnation->state == JT_INCARNATION_DEAD)
+		return;
+	state_enter(incarnation, JT_INCARNATION_LAPSED, now_ms, actions);
+	/* It may have ended: flows that rest there are better off knowing. */
+	if (incarnation->flows > 0)
+		jt_director_suspect(director, incarnation, now_ms, actions);
+}
+
+static void entry_taken(struct jt_director *director,
+			struct jt_incarnation *incarnation, bool is_new,
+			uint64_t now_ms, struct jt_director_actions *actions)
+{
 	if (incarnation->state == JT_INCARNATION_DEAD) {
 		/* What it wrote since then shows that it lives. */
 		if (incarnation->cause != JT_DEATH_REPLACED)
 			incarnation_revives(director, incarnation, now_ms,
 					    actions);
-	} else if (result == JT_ENTRY_NEW) {
+	} else if (is_new) {
 		incarnation->state = listed_state(incarnation);
 		jt_director_action_about(actions, JT_DIRECTOR_SEEN, 0,
 					 incarnation, now_ms);
@@ -271,30 +294,26 @@
 	address_settle(director, incarnation, now_ms, actions);
 }
 
-static void event_gone(struct jt_director *director, uint64_t id,
-		       uint64_t revision, uint64_t now_ms,
-		       struct jt_director_actions *actions)
+static void event_endpoint(struct jt_director *director,
+			   const struct jt_endpoint_entry *entry,
+			   uint64_t now_ms, struct jt_director_actions *actions)
 {
-	struct jt_incarnation *incarnation =
-		jt_endpoint_table_by_id(director->endpoints, id);
+	bool stale = director->options.break_mechanism &
+		     JT_DIRECTOR_BREAK_STALE_ENTRY;
+	struct jt_incarnation *incarnation = NULL;
+	enum jt_entry_result result;
 
-	revision_note(director, revision);
-	if (incarnation == NULL || !incarnation->listed ||
-	    revision <= incarnation->entry.revision)
-		return;
-	incarnation->listed = false;
-	incarnation->entry.revision = revision;
-	incarnation->learned_ms = now_ms;
-	if (director->options.break_mechanism & JT_DIRECTOR_BREAK_FORGET_GONE) {
-		jt_endpoint_table_remove(director->endpoints, incarnation);
-		return;
-	}
-	if (incarnation->state == JT_INCARNATION_DEAD)
-		return;
-	state_enter(incarnation, JT_INCARNATION_LAPSED, now_ms, actions);
-	/* It may have ended: flows that rest there are better off knowing. */
-	if (incarnation->flows > 0)
-		jt_director_suspect(director, incarnation, now_ms, actions);
+	revision_note(director, entry->revision);
+	result = jt_endpoint_table_take(director->endpoints, entry, stale,
+					now_ms, &incarnation);
+	if (incarnation != NULL)
+		entry_taken(director, incarnation, result == JT_ENTRY_NEW,
+			    now_ms, actions);
+	else if (result != JT_ENTRY_OLD)
+		director->counters.entries_refused++;
+	if (entry->gone_revision != 0)
+		event_gone(director, entry->id, entry->gone_revision, now_ms,
+			   actions);
 }
 
 static void event_listing(struct jt_director *director)
@@ -424,7 +443,7 @@
 		if (jt_detector_probe_due(&director->detector, incarnation,
 					  now_ms))
 			probe_send(director, incarnation, now_ms, actions);
-		if (!incarnation->listed &&
+		if (incarnation->entry.gone_revision != 0 &&
 		    now_ms - incarnation->learned_ms >
 			    director->options.flow_age_limit_ms)
 			jt_endpoint_table_remove(director->endpoints,
@@ -523,7 +542,7 @@
 
 bool jt_director_endpoint_at(const struct jt_director *director, size_t index,
 			     struct jt_endpoint_entry *entry,
-			     enum jt_incarnation_state *state, bool *listed)
+			     enum jt_incarnation_state *state)
 {
 	struct jt_incarnation *incarnation, *next;
 
@@ -533,7 +552,6 @@
 			continue;
 		*entry = incarnation->entry;
 		*state = incarnation->state;
-		*listed = incarnation->listed;
 		return true;
 	}
 	return false;
--- a/src/label/jt_endpoint_table.c
+++ b/src/label/jt_endpoint_table.c
@@ -100,8 +100,8 @@
 		       const struct jt_endpoint_entry *entry, uint64_t now_ms)
 {
 	incarnation->entry = *entry;
+	incarnation->entry.gone_revision = 0;
 	incarnation->learned_ms = now_ms;
-	incarnation->listed = true;
 	incarnation->cold_until_ms = now_ms + entry->cold_left_ms;
 }
 
@@ -134,8 +134,8 @@
 
 enum jt_entry_result
 jt_endpoint_table_take(struct jt_endpoint_table *table,
-		       const struct jt_endpoint_entry *entry, uint64_t now_ms,
-		       struct jt_incarnation **incarnation)
+		       const struct jt_endpoint_entry *entry, bool stale,
+		       uint64_t now_ms, struct jt_incarnation **incarnation)
 {
 	struct jt_incarnation *known =
 		jt_endpoint_table_by_id(table, entry->id);
@@ -143,7 +143,7 @@
 	if (known == NULL)
 		return entry_add(table, entry, now_ms, incarnation);
 	known->told = true;
-	if (entry->revision <= known->entry.revision)
+	if (!stale && entry->revision <= jt_incarnation_revision(known))
 		return JT_ENTRY_OLD;
 	if (entry->service_id != known->entry.service_id) {
 		pool_leave(table, known);
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -22,8 +22,7 @@
 	uint64_t learned_ms; /* when the entry was last taken */
 	uint64_t state_ms;   /* when the state was entered */
 	uint64_t cold_until_ms;
-	bool listed; /* discovery has the entry */
-	bool told;   /* since the last complete list */
+	bool told; /* since the last complete list */
 
 	/* Load, by this node's own flows. */
 	uint32_t flows;
@@ -57,6 +56,14 @@
 	size_t count;
 };
 
+/* Of the newest that discovery told of it. */
+static inline uint64_t jt_incarnation_revision(const struct jt_incarnation *in)
+{
+	if (in->entry.gone_revision > in->entry.revision)
+		return in->entry.gone_revision;
+	return in->entry.revision;
+}
+
 enum jt_entry_result {
 	JT_ENTRY_NEW,
 	JT_ENTRY_CHANGED,
@@ -67,13 +74,14 @@
 
 struct jt_endpoint_table *jt_endpoint_table_create(TALLOC_CTX *mem_ctx);
 /*
- * Take discovery's @entry over. @incarnation is set on JT_ENTRY_NEW and
+ * Take discovery's @entry over, but for when it went. @stale takes older
+ * entries as well (tests). @incarnation is set on JT_ENTRY_NEW and
  * JT_ENTRY_CHANGED. State changes are the caller's.
  */
 enum jt_entry_result
 jt_endpoint_table_take(struct jt_endpoint_table *table,
-		       const struct jt_endpoint_entry *entry, uint64_t now_ms,
-		       struct jt_incarnation **incarnation);
+		       const struct jt_endpoint_entry *entry, bool stale,
+		       uint64_t now_ms, struct jt_incarnation **incarnation);
 void jt_endpoint_table_remove(struct jt_endpoint_table *table,
 			      struct jt_incarnation *incarnation);
 struct jt_incarnation *
--- a/src/label/jt_knowledge.c
+++ b/src/label/jt_knowledge.c
@@ -62,15 +62,13 @@
 	enum jt_incarnation_state state;
 	jt_wire_entry *entries;
 	size_t count = 0;
-	bool listed;
 
 	entries = talloc_zero_array(mem_ctx, jt_wire_entry,
 				    JT_DIRECTOR_MAX_ENTRIES);
 	if (entries == NULL)
 		return false;
 	while (count < JT_DIRECTOR_MAX_ENTRIES &&
-	       jt_director_endpoint_at(director, count, &entry, &state,
-				       &listed)) {
+	       jt_director_endpoint_at(director, count, &entry, &state)) {
 		entries[count++] = (jt_wire_entry){
 			.id = entry.id,
 			.service_id = entry.service_id,
@@ -81,7 +79,7 @@
 			.cold_left_ms = entry.cold_left_ms,
 			.revision = entry.revision,
 			.draining = entry.draining,
-			.listed = listed,
+			.gone_revision = entry.gone_revision,
 		};
 	}
 	knowledge->entries.entries_val = entries;
@@ -161,10 +159,13 @@
 	return routing;
 }
 
-void jt_knowledge_entry(const jt_wire_entry *wire,
-			struct jt_endpoint_entry *entry)
+bool jt_knowledge_entry(const jt_wire_entry *wire,
+			struct jt_director_event *event)
 {
-	*entry = (struct jt_endpoint_entry){
+	if (wire->id == 0 || wire->port == 0 || wire->port > UINT16_MAX)
+		return false;
+	*event = (struct jt_director_event){.kind = JT_DIRECTOR_ENDPOINT};
+	event->u.endpoint = (struct jt_endpoint_entry){
 		.id = wire->id,
 		.service_id = wire->service_id,
 		.zone_id = wire->zone_id,
@@ -173,5 +174,7 @@
 		.draining = wire->draining,
 		.cold_left_ms = wire->cold_left_ms,
 		.revision = wire->revision,
+		.gone_revision = wire->gone_revision,
 	};
+	return true;
 }
--- a/src/label/jt_knowledge.h
+++ b/src/label/jt_knowledge.h
@@ -14,9 +14,8 @@
 struct jt_routing *jt_knowledge_routing(TALLOC_CTX *mem_ctx,
 					const jt_wire_routing *wire);
 
-/* The event that an entry amounts to: JT_DIRECTOR_ENDPOINT, and
- * JT_DIRECTOR_GONE after it where the entry is not listed any more. */
-void jt_knowledge_entry(const jt_wire_entry *wire,
-			struct jt_endpoint_entry *entry);
+/* The event that an entry amounts to. False when it makes no sense. */
+bool jt_knowledge_entry(const jt_wire_entry *wire,
+			struct jt_director_event *event);
 
 #endif
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -94,8 +94,8 @@
 	u_int capacity;
 	u_int cold_left_ms;
 	u_quad_t revision;
+	u_quad_t gone_revision;
 	bool_t draining;
-	bool_t listed;
 };
 typedef struct jt_wire_entry jt_wire_entry;
 
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -70,8 +70,8 @@
 	unsigned int capacity;
 	unsigned int cold_left_ms;
 	unsigned hyper revision;
+	unsigned hyper gone_revision; /* 0: it is in discovery */
 	bool draining;
-	bool listed; /* false: gone from discovery as of the revision */
 };
 
 /* All that a node knows, fetched by a peer that is behind. */
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -237,9 +237,9 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->draining))
+		 if (!xdr_u_quad_t (xdrs, &objp->gone_revision))
 			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->listed))
+		 if (!xdr_bool (xdrs, &objp->draining))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -270,9 +270,9 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->draining))
+		 if (!xdr_u_quad_t (xdrs, &objp->gone_revision))
 			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->listed))
+		 if (!xdr_bool (xdrs, &objp->draining))
 			 return FALSE;
 	 return TRUE;
 	}
@@ -293,9 +293,9 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->draining))
+	 if (!xdr_u_quad_t (xdrs, &objp->gone_revision))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->listed))
+	 if (!xdr_bool (xdrs, &objp->draining))
 		 return FALSE;
 	return TRUE;
 }
--- /dev/null
+++ b/tests/director_fixture.h
@@ -0,0 +1,244 @@
+/* One director in virtual time, with routes and endpoints by name. */
+#ifndef DIRECTOR_FIXTURE_H
+#define DIRECTOR_FIXTURE_H
+
+#include "test.h"
+
+#include "jaspertrack/director.h"
+#include "jt_knowledge.h"
+#include "jt_routing.h"
+
+#include <stdlib.h>
+
+enum {
+	SERVICE_BOARD = 11,
+	SERVICE_EXPORT = 12,
+	ZONE_A = 1,
+	ZONE_B = 2,
+	ROUTE_IP = 0xc6120001,
+	BOARD_PORT = 443,
+	SPLIT_PORT = 8443,
+};
+
+struct bench {
+	struct jt_director *director;
+	struct jt_director_actions *actions;
+	uint64_t now_ms;
+	uint32_t next_port;
+};
+
+static inline struct bench *bench_create(unsigned break_mechanism)
+{
+	struct bench *bench = talloc_zero(NULL, struct bench);
+	struct jt_director_options options;
+
+	jt_director_options_init(&options);
+	options.zone_id = ZONE_A;
+	options.break_mechanism = break_mechanism;
+	bench->director = jt_director_create(bench, &options);
+	bench->actions = jt_director_actions_create(bench);
+	bench->now_ms = 100000;
+	bench->next_port = 20000;
+	return bench;
+}
+
+/* Handle @event alone; its actions stay until the next one. */
+static inline void bench_event(struct bench *bench,
+			       struct jt_director_event *event)
+{
+	jt_director_actions_clear(bench->actions);
+	event->now_ms = bench->now_ms;
+	jt_director_handle(bench->director, event, bench->actions);
+}
+
+/* The first action of that kind, NULL when there is none. */
+static inline const struct jt_director_action *
+bench_find(const struct bench *bench, enum jt_director_action_kind kind)
+{
+	for (size_t i = 0; i < bench->actions->count; i++) {
+		if (bench->actions->items[i].kind == kind)
+			return &bench->actions->items[i];
+	}
+	return NULL;
+}
+
+static inline size_t bench_count(const struct bench *bench,
+				 enum jt_director_action_kind kind)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < bench->actions->count; i++)
+		count += bench->actions->items[i].kind == kind;
+	return count;
+}
+
+/* A routing of one plain route and one that two services share. */
+static inline void bench_routing(struct bench *bench, uint64_t version,
+				 uint32_t board_weight, uint32_t export_weight)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_ROUTING};
+	struct jt_routing *routing = talloc_zero(bench, struct jt_routing);
+
+	routing->version = version;
+	routing->revision = version;
+	routing->flow_idle_ms = 15000;
+	routing->routes = talloc_zero_array(routing, struct jt_route, 2);
+	routing->route_count = 2;
+	routing->routes[0] = (struct jt_route){
+		.name = "board",
+		.address = {ROUTE_IP, BOARD_PORT},
+		.parts = {{SERVICE_BOARD, 1}},
+		.part_count = 1,
+	};
+	routing->routes[1] = (struct jt_route){
+		.name = "split",
+		.address = {ROUTE_IP, SPLIT_PORT},
+		.parts = {{SERVICE_BOARD, board_weight},
+			  {SERVICE_EXPORT, export_weight}},
+		.part_count = 2,
+	};
+	assert_null(jt_routing_sort(routing));
+	event.u.routing = routing;
+	bench_event(bench, &event);
+}
+
+static inline struct jt_endpoint_entry
+entry_of(uint64_t id, uint32_t service, uint32_t zone, uint64_t revision)
+{
+	return (struct jt_endpoint_entry){
+		.id = id,
+		.service_id = service,
+		.zone_id = zone,
+		.address = {0x0a000000 + (uint32_t)(id & 0xff), 8080},
+		.capacity = 2,
+		.revision = revision,
+	};
+}
+
+static inline void bench_entry(struct bench *bench,
+			       struct jt_endpoint_entry entry)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_ENDPOINT};
+
+	event.u.endpoint = entry;
+	bench_event(bench, &event);
+}
+
+static inline void bench_endpoint(struct bench *bench, uint64_t id,
+				  uint32_t service, uint32_t zone,
+				  uint64_t revision)
+{
+	bench_entry(bench, entry_of(id, service, zone, revision));
+}
+
+static inline void bench_gone(struct bench *bench, uint64_t id,
+			      uint64_t revision)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_GONE};
+
+	event.u.gone.id = id;
+	event.u.gone.revision = revision;
+	bench_event(bench, &event);
+}
+
+static inline void bench_listed(struct bench *bench, uint64_t revision)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_LISTED};
+
+	event.u.listed.revision = revision;
+	bench_event(bench, &event);
+}
+
+static inline void bench_probed(struct bench *bench, uint64_t id,
+				enum jt_probe_outcome outcome)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_PROBED};
+
+	event.u.probed.id = id;
+	event.u.probed.outcome = outcome;
+	bench_event(bench, &event);
+}
+
+static inline void bench_tick(struct bench *bench, uint64_t later_ms)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_TICK};
+
+	bench->now_ms += later_ms;
+	bench_event(bench, &event);
+}
+
+/* A caller's flow as the test follows it. */
+struct caller_flow {
+	struct jt_flow_key key;
+	uint32_t sequence;
+	uint32_t acknowledged;
+	uint32_t label;
+	uint64_t endpoint_id;
+};
+
+static inline struct caller_flow flow_new(struct bench *bench, uint32_t caller,
+					  uint16_t port)
+{
+	return (struct caller_flow){
+		.key = {.source = caller,
+			.destination = ROUTE_IP,
+			.source_port = (uint16_t)bench->next_port++,
+			.destination_port = port,
+			.protocol = JT_PROTOCOL_TCP},
+		.sequence = 1000,
+	};
+}
+
+static inline const struct jt_director_action *
+flow_send(struct bench *bench, struct caller_flow *flow, uint8_t flags,
+	  uint32_t length)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_PACKET};
+
+	event.u.packet = (struct jt_label_packet){
+		.key = flow->key,
+		.flags = flags,
+		.label = flow->label,
+		.sequence = flow->sequence,
+		.acknowledged = flow->acknowledged,
+		.length = length,
+	};
+	bench_event(bench, &event);
+	return bench_find(bench, JT_DIRECTOR_FORWARD);
+}
+
+/* The first packet; the endpoint that got it, 0 when none did. */
+static inline uint64_t flow_syn(struct bench *bench, struct caller_flow *flow)
+{
+	const struct jt_director_action *forward =
+		flow_send(bench, flow, JT_PACKET_SYN, 0);
+
+	if (forward == NULL)
+		return 0;
+	flow->endpoint_id = forward->endpoint_id;
+	return forward->endpoint_id;
+}
+
+/* The endpoint answered the first packet; the caller acknowledges that. */
+static inline void flow_open(struct bench *bench, struct caller_flow *flow)
+{
+	assert_int_not_equal(flow_syn(bench, flow), 0);
+	flow->label = jt_flow_label(flow->endpoint_id);
+	flow->sequence++;
+	flow->acknowledged = 5000;
+	bench->now_ms += 2;
+	flow_send(bench, flow, JT_PACKET_ACK, 0);
+}
+
+/* One request and its answer. */
+static inline void flow_request(struct bench *bench, struct caller_flow *flow,
+				uint64_t took_ms)
+{
+	flow_send(bench, flow, JT_PACKET_ACK, 100);
+	flow->sequence += 100;
+	flow->acknowledged += 600;
+	bench->now_ms += took_ms;
+	flow_send(bench, flow, JT_PACKET_ACK, 0);
+}
+
+#endif
