Ask who answers before a dead endpoint counts as back; shorter probes

Change: a connection proves only that something is there; a dead endpoint, or one whose flows get nothing in spite of a connection, is asked for its id on the health page. Probes give up after 250 ms instead of 400 (a connection takes 3 ms at most between zones); lists are logged in one line. Test: test_who_answers_for_a_dead_endpoint, ..._where_flows_get_nothing.

--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -37,8 +37,9 @@
 
 /* What the routing knows of a service. */
 struct jt_routed_service {
-	uint32_t id;		   /* jt_name_id() of the name */
-	uint32_t connection_limit; /* flows at one endpoint */
+	uint32_t id;			/* jt_name_id() of the name */
+	uint32_t connection_limit;	/* flows at one endpoint */
+	char health_path[JT_NAME_SIZE]; /* of the page that names it */
 };
 
 /* A whole routing configuration; immutable once built. */
@@ -60,8 +61,8 @@
 	struct jt_address address;
 	uint32_t capacity; /* requests worked on at once */
 	bool draining;
-	uint32_t cold_left_ms; /* slow for so long after its start */
-	uint64_t revision;     /* of the entry in discovery */
+	uint32_t cold_left_ms;	/* slow for so long after its start */
+	uint64_t revision;	/* of the entry in discovery */
 	uint64_t gone_revision; /* when it went; 0: it is there */
 };
 
@@ -116,8 +117,9 @@
 	JT_DIRECTOR_LISTING,  /* all that discovery has will be told */
 	JT_DIRECTOR_LISTED,   /* all that discovery had at a revision is told */
 	JT_DIRECTOR_INFORMED, /* a peer told all it knows at a revision */
-	JT_DIRECTOR_SUSPICION, /* a peer takes the endpoint for dead */
-	JT_DIRECTOR_PROBED,    /* the outcome of a probe */
+	JT_DIRECTOR_SUSPICION,	/* a peer takes the endpoint for dead */
+	JT_DIRECTOR_IDENTIFIED, /* who answers at an endpoint's address */
+	JT_DIRECTOR_PROBED,	/* the outcome of a probe */
 	JT_DIRECTOR_TICK,
 };
 
@@ -143,18 +145,23 @@
 			uint64_t id;
 			enum jt_probe_outcome outcome;
 		} probed;
+		struct {
+			uint64_t id;	/* that was asked for */
+			uint64_t found; /* 0: nobody said */
+		} identified;
 	} u;
 };
 
 enum jt_director_action_kind {
-	JT_DIRECTOR_FORWARD, /* the packet in hand, to an endpoint */
-	JT_DIRECTOR_RESET,   /* tell the caller that its flow is over */
-	JT_DIRECTOR_DROP,    /* the packet in hand */
-	JT_DIRECTOR_HOLD,    /* offer the packet again once started */
-	JT_DIRECTOR_PROBE,   /* open a connection to an endpoint */
-	JT_DIRECTOR_VERDICT, /* an endpoint is dead: tell peers */
-	JT_DIRECTOR_REVIVED, /* a dead endpoint lives */
-	JT_DIRECTOR_SEEN,    /* an endpoint's state changed */
+	JT_DIRECTOR_FORWARD,  /* the packet in hand, to an endpoint */
+	JT_DIRECTOR_RESET,    /* tell the caller that its flow is over */
+	JT_DIRECTOR_DROP,     /* the packet in hand */
+	JT_DIRECTOR_HOLD,     /* offer the packet again once started */
+	JT_DIRECTOR_PROBE,    /* open a connection to an endpoint */
+	JT_DIRECTOR_IDENTIFY, /* ask who answers at an endpoint's address */
+	JT_DIRECTOR_VERDICT,  /* an endpoint is dead: tell peers */
+	JT_DIRECTOR_REVIVED,  /* a dead endpoint lives */
+	JT_DIRECTOR_SEEN,     /* an endpoint's state changed */
 };
 
 enum jt_director_reason {
@@ -183,9 +190,10 @@
 	uint32_t reset_sequence;
 	enum jt_incarnation_state state;
 	enum jt_death_cause cause;
-	uint64_t revision; /* of the endpoint's entry */
-	uint64_t age_ms;   /* of the belief that decided */
-	uint64_t version;  /* of the routing that decided */
+	uint64_t revision;   /* of the endpoint's entry */
+	uint64_t age_ms;     /* of the belief that decided */
+	uint64_t version;    /* of the routing that decided */
+	uint32_t service_id; /* of the endpoint */
 };
 
 /* A growing list of actions; clear it between events. */
@@ -223,6 +231,7 @@
 struct jt_director_counters {
 	uint64_t by_reason[JT_DIRECTOR_REASONS];
 	uint64_t probes;
+	uint64_t identifications;
 	uint64_t deaths[JT_DEATH_CAUSES];
 	uint64_t revived;
 	uint64_t suspicions;
--- a/src/common/jt_http_client.c
+++ b/src/common/jt_http_client.c
@@ -1,8 +1,10 @@
 #include "jt_http_client.h"
 #include "jt_timer.h"
 
+#include <ctype.h>
 #include <curl/curl.h>
 #include <string.h>
+#include <strings.h>
 
 enum { ANSWER_LIMIT = 16 << 20 };
 
@@ -23,6 +25,8 @@
 	long status;
 	void (*on_part)(const char *, size_t, void *);
 	void *part_data;
+	char *want; /* header's name */
+	char *wanted;
 };
 
 struct socket_watch {
@@ -183,6 +187,27 @@
 	return length;
 }
 
+static size_t on_header(char *data, size_t size, size_t count, void *userp)
+{
+	struct http_state *state = userp;
+	size_t length = size * count, name = strlen(state->want);
+
+	if (length <= name || strncasecmp(data, state->want, name) != 0 ||
+	    data[name] != ':')
+		return length;
+	data += name + 1;
+	length -= name + 1;
+	while (length > 0 && isspace((unsigned char)data[0])) {
+		data++;
+		length--;
+	}
+	while (length > 0 && isspace((unsigned char)data[length - 1]))
+		length--;
+	TALLOC_FREE(state->wanted);
+	state->wanted = talloc_strndup(state, data, length);
+	return size * count;
+}
+
 static int state_destructor(struct http_state *state)
 {
 	if (state->easy != NULL) {
@@ -252,6 +277,12 @@
 	curl_easy_setopt(state->easy, CURLOPT_WRITEFUNCTION, on_data);
 	curl_easy_setopt(state->easy, CURLOPT_WRITEDATA, state);
 	curl_easy_setopt(state->easy, CURLOPT_PRIVATE, state);
+	if (call->want != NULL) {
+		state->want = talloc_strdup(state, call->want);
+		curl_easy_setopt(state->easy, CURLOPT_HEADERFUNCTION,
+				 on_header);
+		curl_easy_setopt(state->easy, CURLOPT_HEADERDATA, state);
+	}
 	if (call->ca != NULL)
 		curl_easy_setopt(state->easy, CURLOPT_CAINFO, call->ca);
 	if (call->body != NULL)
@@ -285,6 +316,13 @@
 	return 0;
 }
 
+const char *jt_http_wanted(struct tevent_req *req)
+{
+	struct http_state *state = tevent_req_data(req, struct http_state);
+
+	return state->wanted;
+}
+
 int jt_http_recv_bytes(struct tevent_req *req, TALLOC_CTX *mem_ctx,
 		       long *status, char **body, size_t *length)
 {
--- a/src/common/jt_http_client.h
+++ b/src/common/jt_http_client.h
@@ -22,6 +22,7 @@
 	const char *request_id; /* X-Request-Id header, NULL: none */
 	const char *ca;		/* file of the authority, NULL: the system's */
 	long timeout_ms;	/* 0: none, for streams */
+	const char *want;	/* name of an answer's header, NULL: none */
 	/* Parts of a streamed answer; NULL: the body is collected. */
 	void (*on_part)(const char *data, size_t length, void *private_data);
 	void *part_data;
@@ -39,6 +40,9 @@
  */
 int jt_http_recv(struct tevent_req *req, TALLOC_CTX *mem_ctx, long *status,
 		 char **body, size_t *bytes);
+/* The value of the header that was wanted, NULL when there was none; good
+ * until jt_http_recv(). */
+const char *jt_http_wanted(struct tevent_req *req);
 /* The same for a body of any bytes, @length of them. */
 int jt_http_recv_bytes(struct tevent_req *req, TALLOC_CTX *mem_ctx,
 		       long *status, char **body, size_t *length);
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -6,6 +6,7 @@
 #include "jt_net.h"
 #include "jt_peer_exchange.h"
 #include "jt_prober.h"
+#include "jt_routing.h"
 #include "jt_timer.h"
 
 #include <errno.h>
@@ -19,7 +20,8 @@
 	TICK_MS = 100,
 	PACKET_BATCH = 64, /* datagrams before other events get a turn */
 	HELD_LIMIT = 1024, /* packets that wait for the node's start */
-	PROBE_TIMEOUT_MS = 400,
+	PROBE_TIMEOUT_MS = 250,
+	IDENTIFY_TIMEOUT_MS = 500,
 	/* A leaving node ends so long before its limit. */
 	LEAVE_MARGIN_MS = 400,
 	/* Part of the drain limit for which a lapsed endpoint may be used. */
@@ -50,7 +52,7 @@
 	size_t packet_length; /* of the packet in hand */
 	uint64_t leaving_ms;  /* since when, 0: not leaving */
 	bool was_ready;
-	STAILQ_HEAD(, held_packet) held;
+	STAILQ_HEAD(held_queue, held_packet) held;
 	size_t held_count;
 	struct jt_director_traffic traffic;
 	void (*on_left)(void *private_data);
@@ -138,6 +140,41 @@
 	tevent_req_set_callback(req, on_probed, call);
 }
 
+static void on_identified(struct tevent_req *req)
+{
+	struct probe_call *call =
+		tevent_req_callback_data(req, struct probe_call);
+	struct jt_director_event event = {.kind = JT_DIRECTOR_IDENTIFIED};
+	struct jt_director_node *node = call->node;
+
+	event.u.identified.id = call->endpoint_id;
+	event.u.identified.found = node->environment->identity->recv(req);
+	talloc_free(call);
+	node_event(node, &event);
+}
+
+static void act_identify(struct jt_director_node *node,
+			 const struct jt_director_action *action)
+{
+	const struct jt_routed_service *service = jt_routing_service(
+		jt_director_routing(node->director), action->service_id);
+	struct probe_call *call = talloc_zero(node, struct probe_call);
+	struct tevent_req *req;
+
+	if (call == NULL)
+		return;
+	call->node = node;
+	call->endpoint_id = action->endpoint_id;
+	req = node->environment->identity->send(
+		call, node->client, action->address,
+		service ? service->health_path : "/", IDENTIFY_TIMEOUT_MS);
+	if (req == NULL) {
+		talloc_free(call);
+		return;
+	}
+	tevent_req_set_callback(req, on_identified, call);
+}
+
 static void log_endpoint(struct jt_director_node *node,
 			 const struct jt_director_action *action,
 			 const char *event)
@@ -185,6 +222,9 @@
 	case JT_DIRECTOR_PROBE:
 		act_probe(node, action);
 		break;
+	case JT_DIRECTOR_IDENTIFY:
+		act_identify(node, action);
+		break;
 	case JT_DIRECTOR_VERDICT:
 		log_endpoint(node, action, "endpoint_dead");
 		jt_peer_exchange_suspect(node->peers, action->endpoint_id);
@@ -193,7 +233,9 @@
 		log_endpoint(node, action, "endpoint_back");
 		break;
 	case JT_DIRECTOR_SEEN:
-		log_endpoint(node, action, "endpoint_state");
+		/* A whole list is told in one line. */
+		if (jt_director_started(node->director))
+			log_endpoint(node, action, "endpoint_state");
 		break;
 	case JT_DIRECTOR_HOLD:
 		act_hold(node);
--- a/src/director/jt_environment.h
+++ b/src/director/jt_environment.h
@@ -77,10 +77,22 @@
 				     TALLOC_CTX *mem_ctx);
 };
 
+/* Asks an endpoint who it is. */
+struct jt_identity {
+	struct tevent_req *(*send)(TALLOC_CTX *mem_ctx,
+				   struct jt_http_client *client,
+				   struct jt_address endpoint,
+				   const char *health_path,
+				   uint32_t timeout_ms);
+	/* The id of the incarnation that answered, 0 when none did. */
+	uint64_t (*recv)(struct tevent_req *req);
+};
+
 struct jt_environment {
 	const char *name;
 	const struct jt_packet_codec *codec;
 	const struct jt_directory *directory;
+	const struct jt_identity *identity;
 };
 
 /* NULL when this build has no environment of that name. */
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -93,13 +93,13 @@
 {
 	struct jt_split *split, *next;
 
-	HASH_ITER(hh, chooser->splits, split, next)
-	{
+	for (split = chooser->splits; split != NULL; split = next) {
 		struct jt_flow_key key = {
 			.destination = split->address.ip,
 			.destination_port = split->address.port,
 		};
 
+		next = split->hh.next;
 		if (jt_routing_route(routing, &key) != NULL)
 			continue;
 		HASH_DEL(chooser->splits, split);
--- a/src/label/jt_detector.c
+++ b/src/label/jt_detector.c
@@ -17,6 +17,7 @@
 		return;
 	detector->contact_ms = now_ms;
 	incarnation->progress_ms = now_ms;
+	incarnation->vain_connects = 0;
 	incarnation->suspected_ms = 0;
 }
 
@@ -77,8 +78,13 @@
 	switch (outcome) {
 	case JT_PROBE_CONNECTED:
 		detector->contact_ms = now_ms;
+		if (dead || incarnation->vain_connects > 0) {
+			incarnation->probing = true;
+			return JT_VERDICT_IDENTIFY;
+		}
+		incarnation->vain_connects++;
 		incarnation->suspected_ms = 0;
-		return dead ? JT_VERDICT_ALIVE : JT_VERDICT_NONE;
+		return JT_VERDICT_NONE;
 	case JT_PROBE_REFUSED:
 		if (dead)
 			return JT_VERDICT_NONE;
@@ -95,3 +101,23 @@
 		return JT_VERDICT_AGAIN;
 	}
 }
+
+enum jt_detector_verdict
+jt_detector_identified(struct jt_detector *detector,
+		       struct jt_incarnation *incarnation, uint64_t found,
+		       uint64_t now_ms)
+{
+	bool dead = incarnation->state == JT_INCARNATION_DEAD;
+
+	incarnation->probing = false;
+	incarnation->probe_next_ms =
+		now_ms + (dead ? detector->dead_probe_pause_ms
+			       : detector->probe_pause_ms);
+	if (found == 0)
+		return JT_VERDICT_NONE;
+	if (found != incarnation->entry.id)
+		return JT_VERDICT_DEAD;
+	incarnation->vain_connects = 0;
+	incarnation->suspected_ms = 0;
+	return dead ? JT_VERDICT_ALIVE : JT_VERDICT_NONE;
+}
--- a/src/label/jt_detector.h
+++ b/src/label/jt_detector.h
@@ -37,7 +37,8 @@
 
 enum jt_detector_verdict {
 	JT_VERDICT_NONE,
-	JT_VERDICT_DEAD, /* with *cause */
+	JT_VERDICT_IDENTIFY, /* something answers: ask who */
+	JT_VERDICT_DEAD,     /* with *cause */
 	JT_VERDICT_ALIVE,
 	JT_VERDICT_AGAIN, /* the probe told nothing: probe again */
 };
@@ -49,4 +50,10 @@
 					    uint64_t now_ms,
 					    enum jt_death_cause *cause);
 
+/* Who answered at the address: @found is 0 when nobody said. */
+enum jt_detector_verdict
+jt_detector_identified(struct jt_detector *detector,
+		       struct jt_incarnation *incarnation, uint64_t found,
+		       uint64_t now_ms);
+
 #endif
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -100,6 +100,7 @@
 	action->state = incarnation->state;
 	action->cause = incarnation->cause;
 	action->revision = incarnation->entry.revision;
+	action->service_id = incarnation->entry.service_id;
 	action->age_ms = now_ms - incarnation->learned_ms;
 	return action;
 }
@@ -229,18 +230,18 @@
 			   struct jt_incarnation *taken, uint64_t now_ms,
 			   struct jt_director_actions *actions)
 {
-	struct jt_incarnation *newest = taken, *other, *next;
+	struct jt_incarnation *newest = taken, *other;
 
-	HASH_ITER(by_id, director->endpoints->ids, other, next)
-	{
+	for (other = jt_endpoint_table_first(director->endpoints);
+	     other != NULL; other = jt_endpoint_table_next(other)) {
 		if (other->entry.address.ip != taken->entry.address.ip ||
 		    other->entry.address.port != taken->entry.address.port)
 			continue;
 		if (other->entry.revision > newest->entry.revision)
 			newest = other;
 	}
-	HASH_ITER(by_id, director->endpoints->ids, other, next)
-	{
+	for (other = jt_endpoint_table_first(director->endpoints);
+	     other != NULL; other = jt_endpoint_table_next(other)) {
 		if (other != newest &&
 		    other->entry.address.ip == taken->entry.address.ip &&
 		    other->entry.address.port == taken->entry.address.port)
@@ -318,10 +319,11 @@
 
 static void event_listing(struct jt_director *director)
 {
-	struct jt_incarnation *incarnation, *next;
+	struct jt_incarnation *incarnation;
 
-	HASH_ITER(by_id, director->endpoints->ids, incarnation, next)
-	{
+	for (incarnation = jt_endpoint_table_first(director->endpoints);
+	     incarnation != NULL;
+	     incarnation = jt_endpoint_table_next(incarnation)) {
 		incarnation->told = false;
 	}
 }
@@ -330,12 +332,13 @@
 static void event_listed(struct jt_director *director, uint64_t revision,
 			 uint64_t now_ms, struct jt_director_actions *actions)
 {
-	struct jt_incarnation *incarnation, *next;
+	struct jt_incarnation *incarnation;
 
 	director->listed = true;
 	revision_note(director, revision);
-	HASH_ITER(by_id, director->endpoints->ids, incarnation, next)
-	{
+	for (incarnation = jt_endpoint_table_first(director->endpoints);
+	     incarnation != NULL;
+	     incarnation = jt_endpoint_table_next(incarnation)) {
 		if (!incarnation->told)
 			event_gone(director, incarnation->entry.id, revision,
 				   now_ms, actions);
@@ -353,18 +356,13 @@
 		jt_director_suspect(director, incarnation, now_ms, actions);
 }
 
-static void event_probed(struct jt_director *director, uint64_t id,
-			 enum jt_probe_outcome outcome, uint64_t now_ms,
-			 struct jt_director_actions *actions)
+static void verdict_act(struct jt_director *director,
+			struct jt_incarnation *incarnation,
+			enum jt_detector_verdict verdict,
+			enum jt_death_cause cause, uint64_t now_ms,
+			struct jt_director_actions *actions)
 {
-	struct jt_incarnation *incarnation =
-		jt_endpoint_table_by_id(director->endpoints, id);
-	enum jt_death_cause cause;
-
-	if (incarnation == NULL || !incarnation->probing)
-		return;
-	switch (jt_detector_probed(&director->detector, incarnation, outcome,
-				   now_ms, &cause)) {
+	switch (verdict) {
 	case JT_VERDICT_DEAD:
 		incarnation_dies(director, incarnation, cause, now_ms, actions);
 		break;
@@ -375,11 +373,48 @@
 		if (incarnation->suspected_ms != 0)
 			probe_send(director, incarnation, now_ms, actions);
 		break;
-	default:
+	case JT_VERDICT_IDENTIFY:
+		director->counters.identifications++;
+		jt_director_action_about(actions, JT_DIRECTOR_IDENTIFY, 0,
+					 incarnation, now_ms);
+		break;
+	case JT_VERDICT_NONE:
 		break;
 	}
 }
 
+static void event_probed(struct jt_director *director, uint64_t id,
+			 enum jt_probe_outcome outcome, uint64_t now_ms,
+			 struct jt_director_actions *actions)
+{
+	struct jt_incarnation *incarnation =
+		jt_endpoint_table_by_id(director->endpoints, id);
+	enum jt_death_cause cause;
+	enum jt_detector_verdict verdict;
+
+	if (incarnation == NULL || !incarnation->probing)
+		return;
+	verdict = jt_detector_probed(&director->detector, incarnation, outcome,
+				     now_ms, &cause);
+	verdict_act(director, incarnation, verdict, cause, now_ms, actions);
+}
+
+static void event_identified(struct jt_director *director, uint64_t id,
+			     uint64_t found, uint64_t now_ms,
+			     struct jt_director_actions *actions)
+{
+	struct jt_incarnation *incarnation =
+		jt_endpoint_table_by_id(director->endpoints, id);
+	enum jt_detector_verdict verdict;
+
+	if (incarnation == NULL || !incarnation->probing)
+		return;
+	verdict = jt_detector_identified(&director->detector, incarnation,
+					 found, now_ms);
+	verdict_act(director, incarnation, verdict, JT_DEATH_REPLACED, now_ms,
+		    actions);
+}
+
 static void event_routing(struct jt_director *director,
 			  const struct jt_routing *routing, uint64_t now_ms)
 {
@@ -433,19 +468,27 @@
 	}
 }
 
+static bool incarnation_outdated(const struct jt_director *director,
+				 const struct jt_incarnation *incarnation,
+				 uint64_t now_ms)
+{
+	return incarnation->entry.gone_revision != 0 &&
+	       now_ms - incarnation->learned_ms >
+		       director->options.flow_age_limit_ms;
+}
+
 static void endpoints_tick(struct jt_director *director, uint64_t now_ms,
 			   struct jt_director_actions *actions)
 {
 	struct jt_incarnation *incarnation, *next;
 
-	HASH_ITER(by_id, director->endpoints->ids, incarnation, next)
-	{
+	incarnation = jt_endpoint_table_first(director->endpoints);
+	for (; incarnation != NULL; incarnation = next) {
+		next = jt_endpoint_table_next(incarnation);
 		if (jt_detector_probe_due(&director->detector, incarnation,
 					  now_ms))
 			probe_send(director, incarnation, now_ms, actions);
-		if (incarnation->entry.gone_revision != 0 &&
-		    now_ms - incarnation->learned_ms >
-			    director->options.flow_age_limit_ms)
+		if (incarnation_outdated(director, incarnation, now_ms))
 			jt_endpoint_table_remove(director->endpoints,
 						 incarnation);
 	}
@@ -490,6 +533,10 @@
 		event_probed(director, event->u.probed.id,
 			     event->u.probed.outcome, now_ms, actions);
 		break;
+	case JT_DIRECTOR_IDENTIFIED:
+		event_identified(director, event->u.identified.id,
+				 event->u.identified.found, now_ms, actions);
+		break;
 	case JT_DIRECTOR_TICK:
 		flows_expire(director, now_ms);
 		openings_tick(director, now_ms, actions);
@@ -529,11 +576,12 @@
 size_t jt_director_endpoint_count(const struct jt_director *director,
 				  enum jt_incarnation_state state)
 {
-	struct jt_incarnation *incarnation, *next;
+	struct jt_incarnation *incarnation;
 	size_t count = 0;
 
-	HASH_ITER(by_id, director->endpoints->ids, incarnation, next)
-	{
+	for (incarnation = jt_endpoint_table_first(director->endpoints);
+	     incarnation != NULL;
+	     incarnation = jt_endpoint_table_next(incarnation)) {
 		if (incarnation->state == state)
 			count++;
 	}
@@ -544,10 +592,11 @@
 			     struct jt_endpoint_entry *entry,
 			     enum jt_incarnation_state *state)
 {
-	struct jt_incarnation *incarnation, *next;
+	struct jt_incarnation *incarnation;
 
-	HASH_ITER(by_id, director->endpoints->ids, incarnation, next)
-	{
+	for (incarnation = jt_endpoint_table_first(director->endpoints);
+	     incarnation != NULL;
+	     incarnation = jt_endpoint_table_next(incarnation)) {
 		if (index-- > 0)
 			continue;
 		*entry = incarnation->entry;
--- a/src/label/jt_endpoint_table.c
+++ b/src/label/jt_endpoint_table.c
@@ -12,14 +12,10 @@
 
 static int table_destructor(struct jt_endpoint_table *table)
 {
-	struct jt_service_pool *pool, *next;
 
 	HASH_CLEAR(by_id, table->ids);
 	HASH_CLEAR(by_label, table->labels);
-	HASH_ITER(hh, table->pools, pool, next)
-	{
-		HASH_DEL(table->pools, pool);
-	}
+	HASH_CLEAR(hh, table->pools);
 	return 0;
 }
 
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -34,6 +34,7 @@
 	uint64_t suspected_ms;	/* since when, 0: not suspected */
 	uint64_t probe_sent_ms; /* of the probe under way */
 	uint64_t probe_next_ms; /* not before */
+	uint32_t vain_connects; /* since the last sign of life on a flow */
 	bool probing;
 
 	struct jt_service_pool *pool;
@@ -89,6 +90,20 @@
 struct jt_incarnation *
 jt_endpoint_table_by_label(const struct jt_endpoint_table *table,
 			   uint32_t label);
+/* Any order: for (in = first(table); in != NULL; in = next(in)). The one at
+ * hand may be removed once the next is known. */
+static inline struct jt_incarnation *
+jt_endpoint_table_first(const struct jt_endpoint_table *table)
+{
+	return table->ids;
+}
+
+static inline struct jt_incarnation *
+jt_endpoint_table_next(const struct jt_incarnation *incarnation)
+{
+	return incarnation->by_id.next;
+}
+
 /* NULL when no incarnation of the service is known. */
 struct jt_service_pool *
 jt_endpoint_table_pool(const struct jt_endpoint_table *table,
--- a/src/label/jt_knowledge.c
+++ b/src/label/jt_knowledge.c
@@ -46,6 +46,8 @@
 	}
 	for (size_t i = 0; i < routing->service_count; i++) {
 		wire->services.services_val[i].id = routing->services[i].id;
+		wire->services.services_val[i].health_path =
+			(char *)routing->services[i].health_path;
 		wire->services.services_val[i].connection_limit =
 			routing->services[i].connection_limit;
 	}
@@ -118,6 +120,15 @@
 	return true;
 }
 
+static void service_read(const jt_wire_service *wire,
+			 struct jt_routed_service *service)
+{
+	service->id = wire->id;
+	service->connection_limit = wire->connection_limit;
+	snprintf(service->health_path, sizeof(service->health_path), "%s",
+		 wire->health_path);
+}
+
 static bool routing_fill(const jt_wire_routing *wire,
 			 struct jt_routing *routing)
 {
@@ -132,11 +143,9 @@
 				&routing->routes[i]))
 			return false;
 	}
-	for (u_int i = 0; i < wire->services.services_len; i++) {
-		routing->services[i].id = wire->services.services_val[i].id;
-		routing->services[i].connection_limit =
-			wire->services.services_val[i].connection_limit;
-	}
+	for (u_int i = 0; i < wire->services.services_len; i++)
+		service_read(&wire->services.services_val[i],
+			     &routing->services[i]);
 	routing->route_count = wire->routes.routes_len;
 	routing->service_count = wire->services.services_len;
 	return jt_routing_sort(routing) == NULL;
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -68,6 +68,7 @@
 struct jt_wire_service {
 	u_int id;
 	u_int connection_limit;
+	char *health_path;
 };
 typedef struct jt_wire_service jt_wire_service;
 
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -52,6 +52,7 @@
 struct jt_wire_service {
 	unsigned int id;
 	unsigned int connection_limit;
+	string health_path<JT_DIRECTOR_MAX_NAME>;
 };
 
 struct jt_wire_routing {
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -182,6 +182,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->connection_limit))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->health_path, JT_DIRECTOR_MAX_NAME))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/director_fixture.h
+++ b/tests/director_fixture.h
@@ -159,6 +159,16 @@
 	bench_event(bench, &event);
 }
 
+static inline void bench_identified(struct bench *bench, uint64_t id,
+				    uint64_t found)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_IDENTIFIED};
+
+	event.u.identified.id = id;
+	event.u.identified.found = found;
+	bench_event(bench, &event);
+}
+
 static inline void bench_tick(struct bench *bench, uint64_t later_ms)
 {
 	struct jt_director_event event = {.kind = JT_DIRECTOR_TICK};
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -353,11 +353,52 @@
 	bench_tick(bench, 1500);
 	assert_non_null(bench_find(bench, JT_DIRECTOR_PROBE));
 	bench_probed(bench, 0x101, JT_PROBE_CONNECTED);
+	assert_null(bench_find(bench, JT_DIRECTOR_REVIVED));
+	assert_non_null(bench_find(bench, JT_DIRECTOR_IDENTIFY));
+	bench_identified(bench, 0x101, 0x101);
 	assert_non_null(bench_find(bench, JT_DIRECTOR_REVIVED));
 	assert_int_equal(state_of(bench, 0x101), JT_INCARNATION_READY);
 	talloc_free(bench);
 }
 
+/* The address went to another endpoint before discovery told of it. */
+static void test_who_answers_for_a_dead_endpoint(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	struct caller_flow dead, other;
+
+	(void)state;
+	flow_at_each(bench, &dead, &other);
+	suspect(bench, &dead);
+	bench_probed(bench, 0x101, JT_PROBE_REFUSED);
+	bench_tick(bench, 1500);
+	bench_probed(bench, 0x101, JT_PROBE_CONNECTED);
+	bench_identified(bench, 0x101, 0x999);
+	assert_int_equal(state_of(bench, 0x101), JT_INCARNATION_DEAD);
+	bench_tick(bench, 5000);
+	assert_null(bench_find(bench, JT_DIRECTOR_PROBE));
+	talloc_free(bench);
+}
+
+static void test_who_answers_where_flows_get_nothing(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	struct caller_flow dead, other;
+
+	(void)state;
+	flow_at_each(bench, &dead, &other);
+	suspect(bench, &dead);
+	bench_probed(bench, 0x101, JT_PROBE_CONNECTED);
+	assert_null(bench_find(bench, JT_DIRECTOR_IDENTIFY));
+	bench->now_ms += 600;
+	flow_send(bench, &dead, JT_PACKET_ACK, 100);
+	bench_probed(bench, 0x101, JT_PROBE_CONNECTED);
+	assert_non_null(bench_find(bench, JT_DIRECTOR_IDENTIFY));
+	bench_identified(bench, 0x101, 0x999);
+	assert_int_equal(bench_count(bench, JT_DIRECTOR_RESET), 1);
+	talloc_free(bench);
+}
+
 static void test_reused_address_ends_the_former_endpoint(void **state)
 {
 	struct bench *bench = two_endpoints(0);
@@ -595,6 +636,8 @@
 		cmocka_unit_test(test_void_probe_says_nothing),
 		cmocka_unit_test(test_refusal_to_the_caller_is_noticed),
 		cmocka_unit_test(test_dead_endpoint_comes_back),
+		cmocka_unit_test(test_who_answers_for_a_dead_endpoint),
+		cmocka_unit_test(test_who_answers_where_flows_get_nothing),
 		cmocka_unit_test(test_reused_address_ends_the_former_endpoint),
 		cmocka_unit_test(test_peers_news_of_a_former_endpoint),
 		cmocka_unit_test(test_late_entries_change_nothing),
