--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -206,14 +206,13 @@
 /* Faults that tests put into the mechanism, to prove the proofs. */
 enum jt_director_break {
 	JT_DIRECTOR_BREAK_NONE = 0,
-	JT_DIRECTOR_BREAK_GUESS_DEATH = 1 << 0,	 /* suspicion is proof */
+	JT_DIRECTOR_BREAK_GUESS_DEATH = 1 << 0,	 /* silence is proof */
 	JT_DIRECTOR_BREAK_NO_DETECTOR = 1 << 1,	 /* the dead are kept */
 	JT_DIRECTOR_BREAK_VERSION = 1 << 2,	 /* older routing is taken */
 	JT_DIRECTOR_BREAK_PLACE_COPIES = 1 << 3, /* SYN copies placed anew */
 	JT_DIRECTOR_BREAK_DRAINING = 1 << 4,	 /* leaving ones get flows */
 	JT_DIRECTOR_BREAK_FORGET_GONE = 1 << 5,	 /* no entry, no endpoint */
-	JT_DIRECTOR_BREAK_PROGRESS = 1 << 6,	 /* progress proves nothing */
-	JT_DIRECTOR_BREAK_STALE_ENTRY = 1 << 7,	 /* older entries are taken */
+	JT_DIRECTOR_BREAK_STALE_ENTRY = 1 << 6,	 /* older entries are taken */
 };
 
 /* Limits and times; jt_director_options_init() gives the defaults. */
--- a/src/label/jt_detector.c
+++ b/src/label/jt_detector.c
@@ -13,8 +13,6 @@
 void jt_detector_progress(struct jt_detector *detector,
 			  struct jt_incarnation *incarnation, uint64_t now_ms)
 {
-	if (detector->break_mechanism & JT_DIRECTOR_BREAK_PROGRESS)
-		return;
 	detector->contact_ms = now_ms;
 	incarnation->progress_ms = now_ms;
 	incarnation->vain_connects = 0;
@@ -56,6 +54,8 @@
 static bool silence_proves(const struct jt_detector *detector,
 			   const struct jt_incarnation *incarnation)
 {
+	if (detector->break_mechanism & JT_DIRECTOR_BREAK_GUESS_DEATH)
+		return true;
 	if (incarnation->progress_ms >= incarnation->probe_sent_ms)
 		return false;
 	/* Where nobody answers, this node may be the one that is cut off. */
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -201,11 +201,6 @@
 			 struct jt_director_actions *actions)
 {
 	director->counters.suspicions++;
-	if (director->options.break_mechanism & JT_DIRECTOR_BREAK_GUESS_DEATH) {
-		incarnation_dies(director, incarnation, JT_DEATH_SILENT, now_ms,
-				 actions);
-		return;
-	}
 	if (jt_detector_suspect(&director->detector, incarnation, now_ms))
 		probe_send(director, incarnation, now_ms, actions);
 }
