Endpoints that are full are not taken for dead

Cause: an endpoint at its connection limit leaves first packets unanswered and refuses connections. Ruled out: store and peers; progress on other flows of the endpoint is too rare to show that it lives. Change: a failed probe proves death only where an open flow gets nothing, here or at a peer, or where the endpoint is far from full by this node's share of its flows, which a node that has just started does not know. First packets without an answer make an endpoint avoided for 0.5 to 4 s.

--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -149,6 +149,9 @@
 			uint64_t id;	/* that was asked for */
 			uint64_t found; /* 0: nobody said */
 		} identified;
+		struct {
+			uint64_t nodes; /* known to live, this one too */
+		} tick;
 	} u;
 };
 
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -504,6 +504,7 @@
 	struct jt_director_node *node = private_data;
 	struct jt_director_event event = {.kind = JT_DIRECTOR_TICK};
 
+	event.u.tick.nodes = jt_peer_exchange_live(node->peers) + 1;
 	node_event(node, &event);
 	watch_ready(node);
 	watch_leave(node, event.now_ms);
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -119,7 +119,9 @@
 		return UNWILLING;
 	switch (in->state) {
 	case JT_INCARNATION_READY:
-		return in->suspected_ms != 0 ? SUSPECTED : WILLING;
+		if (in->suspected_ms != 0 || now_ms < in->avoid_until_ms)
+			return SUSPECTED;
+		return WILLING;
 	case JT_INCARNATION_LAPSED:
 		if (in->entry.draining)
 			return UNWILLING;
--- a/src/label/jt_detector.c
+++ b/src/label/jt_detector.c
@@ -1,5 +1,10 @@
 #include "jt_detector.h"
 
+enum {
+	AVOID_MS = 500,
+	AVOID_DOUBLINGS = 3,
+};
+
 void jt_detector_init(struct jt_detector *detector,
 		      const struct jt_director_options *options)
 {
@@ -19,18 +24,39 @@
 	incarnation->suspected_ms = 0;
 }
 
+/* Twice as long after each first packet without an answer. */
+static void avoid(struct jt_incarnation *incarnation, uint64_t now_ms)
+{
+	uint32_t doublings = incarnation->unanswered;
+
+	if (doublings > AVOID_DOUBLINGS)
+		doublings = AVOID_DOUBLINGS;
+	incarnation->unanswered++;
+	incarnation->avoid_until_ms =
+		now_ms + ((uint64_t)AVOID_MS << doublings);
+}
+
 bool jt_detector_suspect(struct jt_detector *detector,
-			 struct jt_incarnation *incarnation, uint64_t now_ms)
+			 struct jt_incarnation *incarnation,
+			 enum jt_evidence evidence, uint64_t now_ms)
 {
 	if (detector->break_mechanism & JT_DIRECTOR_BREAK_NO_DETECTOR)
 		return false;
 	if (incarnation->state == JT_INCARNATION_DEAD)
 		return false;
-	if (incarnation->suspected_ms == 0)
+	if (evidence == JT_EVIDENCE_OPENING)
+		avoid(incarnation, now_ms);
+	else if (incarnation->suspected_ms == 0)
 		incarnation->suspected_ms = now_ms;
 	return !incarnation->probing && now_ms >= incarnation->probe_next_ms;
 }
 
+void jt_detector_opened(struct jt_incarnation *incarnation)
+{
+	incarnation->unanswered = 0;
+	incarnation->avoid_until_ms = 0;
+}
+
 bool jt_detector_probe_due(const struct jt_detector *detector,
 			   const struct jt_incarnation *incarnation,
 			   uint64_t now_ms)
@@ -50,22 +76,42 @@
 	incarnation->probe_sent_ms = now_ms;
 }
 
-/* Whether a silent probe proves death. */
-static bool silence_proves(const struct jt_detector *detector,
-			   const struct jt_incarnation *incarnation)
+/* Whether a probe that got no connection proves death. */
+static bool failure_proves(const struct jt_detector *detector,
+			   const struct jt_incarnation *incarnation,
+			   enum jt_probe_outcome outcome, bool far_from_full)
 {
 	if (detector->break_mechanism & JT_DIRECTOR_BREAK_GUESS_DEATH)
 		return true;
 	if (incarnation->progress_ms >= incarnation->probe_sent_ms)
 		return false;
+	if (incarnation->suspected_ms == 0 && !far_from_full)
+		return false;
 	/* Where nobody answers, this node may be the one that is cut off. */
-	return detector->contact_ms >= incarnation->probe_sent_ms;
+	return outcome == JT_PROBE_REFUSED ||
+	       detector->contact_ms >= incarnation->probe_sent_ms;
+}
+
+/* Something answers at the address: is it this incarnation? */
+static enum jt_detector_verdict connected(struct jt_detector *detector,
+					  struct jt_incarnation *incarnation,
+					  uint64_t now_ms)
+{
+	detector->contact_ms = now_ms;
+	if (incarnation->state == JT_INCARNATION_DEAD ||
+	    incarnation->vain_connects > 0) {
+		incarnation->probing = true;
+		return JT_VERDICT_IDENTIFY;
+	}
+	incarnation->vain_connects++;
+	incarnation->suspected_ms = 0;
+	return JT_VERDICT_NONE;
 }
 
 enum jt_detector_verdict jt_detector_probed(struct jt_detector *detector,
 					    struct jt_incarnation *incarnation,
 					    enum jt_probe_outcome outcome,
-					    uint64_t now_ms,
+					    bool far_from_full, uint64_t now_ms,
 					    enum jt_death_cause *cause)
 {
 	bool dead = incarnation->state == JT_INCARNATION_DEAD;
@@ -75,31 +121,20 @@
 		now_ms + (dead ? detector->dead_probe_pause_ms
 			       : detector->probe_pause_ms);
 	*cause = JT_DEATH_NONE;
-	switch (outcome) {
-	case JT_PROBE_CONNECTED:
-		detector->contact_ms = now_ms;
-		if (dead || incarnation->vain_connects > 0) {
-			incarnation->probing = true;
-			return JT_VERDICT_IDENTIFY;
-		}
-		incarnation->vain_connects++;
-		incarnation->suspected_ms = 0;
+	if (outcome == JT_PROBE_CONNECTED)
+		return connected(detector, incarnation, now_ms);
+	if (outcome == JT_PROBE_VOID)
+		return JT_VERDICT_AGAIN;
+	if (dead)
 		return JT_VERDICT_NONE;
-	case JT_PROBE_REFUSED:
-		if (dead)
-			return JT_VERDICT_NONE;
-		*cause = JT_DEATH_REFUSED;
-		return JT_VERDICT_DEAD;
-	case JT_PROBE_SILENT:
-		if (dead)
-			return JT_VERDICT_NONE;
-		if (!silence_proves(detector, incarnation))
-			return JT_VERDICT_AGAIN;
-		*cause = JT_DEATH_SILENT;
+	if (failure_proves(detector, incarnation, outcome, far_from_full)) {
+		*cause = outcome == JT_PROBE_REFUSED ? JT_DEATH_REFUSED
+						     : JT_DEATH_SILENT;
 		return JT_VERDICT_DEAD;
-	default:
-		return JT_VERDICT_AGAIN;
 	}
+	if (outcome == JT_PROBE_SILENT && incarnation->suspected_ms != 0)
+		return JT_VERDICT_AGAIN;
+	return JT_VERDICT_NONE;
 }
 
 enum jt_detector_verdict
--- a/src/label/jt_detector.h
+++ b/src/label/jt_detector.h
@@ -24,9 +24,21 @@
 /* A flow of the incarnation got an answer. */
 void jt_detector_progress(struct jt_detector *detector,
 			  struct jt_incarnation *incarnation, uint64_t now_ms);
-/* Something speaks against the incarnation. True: probe it now. */
+/* What speaks against an incarnation. */
+enum jt_evidence {
+	/* A first packet has no answer, or the entry went: it may be full, or
+	 * leaving, as well as dead. It is avoided, and probed. */
+	JT_EVIDENCE_OPENING,
+	/* A flow that was open gets nothing any more, here or at a peer. */
+	JT_EVIDENCE_FLOW,
+};
+
+/* True: probe the incarnation now. */
 bool jt_detector_suspect(struct jt_detector *detector,
-			 struct jt_incarnation *incarnation, uint64_t now_ms);
+			 struct jt_incarnation *incarnation,
+			 enum jt_evidence evidence, uint64_t now_ms);
+/* A new flow has opened at the incarnation: it is not full. */
+void jt_detector_opened(struct jt_incarnation *incarnation);
 /* True when a dead incarnation is due for another probe. */
 bool jt_detector_probe_due(const struct jt_detector *detector,
 			   const struct jt_incarnation *incarnation,
@@ -43,11 +55,13 @@
 	JT_VERDICT_AGAIN, /* the probe told nothing: probe again */
 };
 
-/* What the outcome of the probe under way means. */
+/* What the outcome of the probe under way means. @far_from_full: the endpoint
+ * can not be short of connections. */
+
 enum jt_detector_verdict jt_detector_probed(struct jt_detector *detector,
 					    struct jt_incarnation *incarnation,
 					    enum jt_probe_outcome outcome,
-					    uint64_t now_ms,
+					    bool far_from_full, uint64_t now_ms,
 					    enum jt_death_cause *cause);
 
 /* Who answered at the address: @found is 0 when nobody said. */
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -11,6 +11,10 @@
 	DEFAULT_FLOW_IDLE_MS = 60 * 1000,
 	/* A flow with a FIN is remembered so long for what follows it. */
 	CLOSING_MS = 2000,
+	/* How much more than this node's share of an endpoint's flows the
+	 * other nodes may have. */
+	FULL_MARGIN = 4,
+	FULL_MARGIN_FLOWS = 4,
 	/* A first packet without an answer speaks against its endpoint. */
 	OPENING_MS = 60,
 	/* Its caller has given up by then: the flow never opened. */
@@ -37,6 +41,7 @@
 	if (director == NULL)
 		return NULL;
 	director->options = *opts;
+	director->nodes = 1;
 	jt_detector_init(&director->detector, opts);
 	director->endpoints = jt_endpoint_table_create(director);
 	director->flows = jt_flow_cache_create(director, opts->flow_limit);
@@ -47,6 +52,14 @@
 	return director;
 }
 
+/* How long a flow may rest. */
+static uint64_t flow_idle_ms(const struct jt_director *director)
+{
+	if (director->routing != NULL && director->routing->flow_idle_ms > 0)
+		return director->routing->flow_idle_ms;
+	return DEFAULT_FLOW_IDLE_MS;
+}
+
 /* Actions */
 
 struct jt_director_actions *jt_director_actions_create(TALLOC_CTX *mem_ctx)
@@ -197,11 +210,13 @@
 }
 
 void jt_director_suspect(struct jt_director *director,
-			 struct jt_incarnation *incarnation, uint64_t now_ms,
+			 struct jt_incarnation *incarnation,
+			 enum jt_evidence evidence, uint64_t now_ms,
 			 struct jt_director_actions *actions)
 {
 	director->counters.suspicions++;
-	if (jt_detector_suspect(&director->detector, incarnation, now_ms))
+	if (jt_detector_suspect(&director->detector, incarnation, evidence,
+				now_ms))
 		probe_send(director, incarnation, now_ms, actions);
 }
 
@@ -214,7 +229,8 @@
 
 	flow->doubted = true;
 	if (incarnation != NULL)
-		jt_director_suspect(director, incarnation, now_ms, actions);
+		jt_director_suspect(director, incarnation, JT_EVIDENCE_OPENING,
+				    now_ms, actions);
 }
 
 /*
@@ -267,7 +283,8 @@
 	state_enter(incarnation, JT_INCARNATION_LAPSED, now_ms, actions);
 	/* It may have ended: flows that rest there are better off knowing. */
 	if (incarnation->flows > 0)
-		jt_director_suspect(director, incarnation, now_ms, actions);
+		jt_director_suspect(director, incarnation, JT_EVIDENCE_OPENING,
+				    now_ms, actions);
 }
 
 static void entry_taken(struct jt_director *director,
@@ -312,6 +329,13 @@
 			   actions);
 }
 
+static void listed_note(struct jt_director *director, uint64_t now_ms)
+{
+	if (!director->listed)
+		director->started_ms = now_ms;
+	director->listed = true;
+}
+
 static void event_listing(struct jt_director *director)
 {
 	struct jt_incarnation *incarnation;
@@ -329,7 +353,7 @@
 {
 	struct jt_incarnation *incarnation;
 
-	director->listed = true;
+	listed_note(director, now_ms);
 	revision_note(director, revision);
 	for (incarnation = jt_endpoint_table_first(director->endpoints);
 	     incarnation != NULL;
@@ -348,7 +372,8 @@
 		jt_endpoint_table_by_id(director->endpoints, id);
 
 	if (incarnation != NULL && incarnation->state != JT_INCARNATION_DEAD)
-		jt_director_suspect(director, incarnation, now_ms, actions);
+		jt_director_suspect(director, incarnation, JT_EVIDENCE_FLOW,
+				    now_ms, actions);
 }
 
 static void verdict_act(struct jt_director *director,
@@ -378,6 +403,27 @@
 	}
 }
 
+/*
+ * Whether all nodes together can't have opened so many flows that the
+ * endpoint is short of connections, by this node's own share of them.
+ */
+static bool far_from_full(const struct jt_director *director,
+			  const struct jt_incarnation *incarnation,
+			  uint64_t now_ms)
+{
+	const struct jt_routed_service *service = jt_routing_service(
+		director->routing, incarnation->entry.service_id);
+	uint64_t flows = incarnation->flows + FULL_MARGIN_FLOWS;
+
+	/* Flows that rest since before this node's start are not seen yet. */
+	if (now_ms - director->started_ms < flow_idle_ms(director))
+		return false;
+	if (service == NULL || service->connection_limit == 0)
+		return true;
+	return flows * director->nodes * FULL_MARGIN <
+	       service->connection_limit;
+}
+
 static void event_probed(struct jt_director *director, uint64_t id,
 			 enum jt_probe_outcome outcome, uint64_t now_ms,
 			 struct jt_director_actions *actions)
@@ -389,8 +435,9 @@
 
 	if (incarnation == NULL || !incarnation->probing)
 		return;
-	verdict = jt_detector_probed(&director->detector, incarnation, outcome,
-				     now_ms, &cause);
+	verdict = jt_detector_probed(
+		&director->detector, incarnation, outcome,
+		far_from_full(director, incarnation, now_ms), now_ms, &cause);
 	verdict_act(director, incarnation, verdict, cause, now_ms, actions);
 }
 
@@ -430,10 +477,8 @@
 /* Forget flows at rest, a few at a time. */
 static void flows_expire(struct jt_director *director, uint64_t now_ms)
 {
-	uint64_t idle_ms = DEFAULT_FLOW_IDLE_MS;
+	uint64_t idle_ms = flow_idle_ms(director);
 
-	if (director->routing != NULL && director->routing->flow_idle_ms > 0)
-		idle_ms = director->routing->flow_idle_ms;
 	while (director->flows->rested != NULL) {
 		struct jt_cached_flow *flow = director->flows->rested;
 		uint64_t limit_ms = flow->closing && idle_ms > CLOSING_MS
@@ -517,7 +562,7 @@
 			     actions);
 		break;
 	case JT_DIRECTOR_INFORMED:
-		director->listed = true;
+		listed_note(director, now_ms);
 		revision_note(director, event->u.listed.revision);
 		break;
 	case JT_DIRECTOR_SUSPICION:
@@ -533,6 +578,8 @@
 				 event->u.identified.found, now_ms, actions);
 		break;
 	case JT_DIRECTOR_TICK:
+		director->nodes =
+			event->u.tick.nodes > 0 ? event->u.tick.nodes : 1;
 		flows_expire(director, now_ms);
 		openings_tick(director, now_ms, actions);
 		endpoints_tick(director, now_ms, actions);
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -241,7 +241,8 @@
 		    incarnation->state != JT_INCARNATION_DEAD) {
 			jt_flow_cache_touch(director->flows, flow, now_ms);
 			director->counters.resent++;
-			jt_director_suspect(director, incarnation, now_ms,
+			jt_director_suspect(director, incarnation,
+					    JT_EVIDENCE_OPENING, now_ms,
 					    actions);
 			add_forward(director, packet, incarnation,
 				    JT_DIRECTOR_REMEMBERED, now_ms, actions);
@@ -269,7 +270,9 @@
 
 	if (answered) {
 		jt_detector_progress(&director->detector, incarnation, now_ms);
-		if (flow->opening_ms == 0)
+		if (flow->opening_ms != 0)
+			jt_detector_opened(incarnation);
+		else
 			flow_answered(flow, incarnation, now_ms);
 		flow->acknowledged = packet->acknowledged;
 		jt_flow_cache_opened(director->flows, flow);
@@ -288,7 +291,8 @@
 		flow_waits(flow, incarnation, now_ms);
 	} else if (!answered) {
 		director->counters.resent++;
-		jt_director_suspect(director, incarnation, now_ms, actions);
+		jt_director_suspect(director, incarnation, JT_EVIDENCE_FLOW,
+				    now_ms, actions);
 	}
 }
 
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -13,8 +13,10 @@
 	struct jt_director_options options;
 	const struct jt_routing *routing; /* talloc child, NULL at first */
 	uint64_t routing_ms;		  /* when it was taken */
-	uint64_t revision;		  /* of the newest change known */
-	bool listed; /* discovery was told whole at least once */
+	uint64_t started_ms; /* since when it has known the endpoints */
+	uint64_t nodes;	     /* that share the endpoints, this one too */
+	uint64_t revision;   /* of the newest change known */
+	bool listed;	     /* discovery was told whole at least once */
 	struct jt_endpoint_table *endpoints;
 	struct jt_flow_cache *flows;
 	struct jt_chooser *chooser;
@@ -52,7 +54,8 @@
 		       struct jt_director_actions *actions);
 /* Something speaks against the incarnation: probe it if that is due. */
 void jt_director_suspect(struct jt_director *director,
-			 struct jt_incarnation *incarnation, uint64_t now_ms,
+			 struct jt_incarnation *incarnation,
+			 enum jt_evidence evidence, uint64_t now_ms,
 			 struct jt_director_actions *actions);
 
 #endif
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -30,11 +30,13 @@
 	uint32_t latency_us; /* smoothed time to the answer; 0: unknown */
 
 	/* The failure detector's view. */
-	uint64_t progress_ms;	/* last sign of life on a flow */
-	uint64_t suspected_ms;	/* since when, 0: not suspected */
-	uint64_t probe_sent_ms; /* of the probe under way */
-	uint64_t probe_next_ms; /* not before */
-	uint32_t vain_connects; /* since the last sign of life on a flow */
+	uint64_t progress_ms;	 /* last sign of life on a flow */
+	uint64_t suspected_ms;	 /* an open flow gets nothing, since when */
+	uint32_t unanswered;	 /* first packets without an answer, in a row */
+	uint64_t avoid_until_ms; /* no new flows until then, for that */
+	uint64_t probe_sent_ms;	 /* of the probe under way */
+	uint64_t probe_next_ms;	 /* not before */
+	uint32_t vain_connects;	 /* since the last sign of life on a flow */
 	bool probing;
 
 	struct jt_service_pool *pool;
