--- /dev/null
+++ b/fuzz/fuzz_director.c
@@ -0,0 +1,739 @@
+/*
+ * Stateful fuzzing of three director nodes against a simple oracle.
+ *
+ * Each byte is one step of a small world: callers open flows and send on
+ * them through any node, endpoints drain, end, fall silent, fill up and give
+ * their addresses on, the store forgets entries, nodes miss news, hear it
+ * late or twice, restart, tell each other. The oracle knows callers and
+ * endpoints, never what a node believes:
+ *
+ *   an open flow whose endpoint lives is never reset by a node;
+ *   a flow's packets reach no endpoint but its own;
+ *   a first packet reaches a service that some configuration ever allowed;
+ *   an endpoint that a node was told leaves gets no first packet from it;
+ *   routing never goes back on a node.
+ */
+#include "jaspertrack/director.h"
+#include "jt_knowledge.h"
+#include "jt_routing.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+extern unsigned fuzz_break_mechanism;
+extern int fuzz_verbose;
+unsigned fuzz_break_mechanism;
+int fuzz_verbose;
+
+enum {
+	NODES = 3,
+	ENDPOINTS = 24, /* over the whole run */
+	ADDRESSES = 6,
+	FLOWS = 48,
+	NEWS = 256,
+	VERDICTS = 4096,
+	SERVICES = 2,
+	OPEN_ACKNOWLEDGED = 0x40000000, /* of an endpoint's own choice */
+	FULL_AT = 6,			/* flows that an endpoint holds */
+};
+
+enum life { UNUSED, ALIVE, DRAINING, ENDED, SILENT_END };
+
+struct endpoint {
+	enum life life;
+	struct jt_endpoint_entry entry;
+	bool listed;
+	unsigned flows;
+	bool told_draining[NODES];
+};
+
+struct flow {
+	bool used;
+	bool open;
+	bool over; /* the caller knows that it has ended */
+	struct jt_flow_key key;
+	uint32_t label;
+	uint32_t sequence;
+	uint32_t acknowledged;
+	uint32_t copies;
+	int endpoint; /* that has it, -1 while it is not open */
+};
+
+struct news {
+	struct jt_director_event event;
+	uint64_t routing_version; /* 0: event is about an endpoint */
+};
+
+struct world {
+	struct jt_director *directors[NODES];
+	struct jt_director_actions *actions;
+	size_t heard[NODES]; /* news that each node was told so far */
+	uint64_t versions[NODES];
+	struct endpoint endpoints[ENDPOINTS];
+	int endpoint_count;
+	struct flow flows[FLOWS];
+	struct news news[NEWS];
+	size_t news_count;
+	uint64_t revision;
+	uint64_t now_ms;
+	uint16_t next_port;
+	uint32_t services_ever; /* bits of services that routes ever named */
+	const uint8_t *data;
+	size_t size;
+};
+
+static uint8_t next_byte(struct world *world)
+{
+	if (world->size == 0)
+		return 0;
+	world->size--;
+	return *world->data++;
+}
+
+static void broken(const struct world *world, const char *promise)
+{
+	fprintf(stderr, "broken at %llu ms: %s\n",
+		(unsigned long long)world->now_ms, promise);
+	abort();
+}
+
+static bool lives(const struct endpoint *endpoint)
+{
+	return endpoint->life == ALIVE || endpoint->life == DRAINING;
+}
+
+static int endpoint_of(const struct world *world, uint64_t id)
+{
+	for (int i = 0; i < world->endpoint_count; i++) {
+		if (world->endpoints[i].entry.id == id)
+			return i;
+	}
+	return -1;
+}
+
+/* Endpoints */
+
+static void endpoint_drop_flows(struct world *world, int index)
+{
+	for (int i = 0; i < FLOWS; i++) {
+		if (world->flows[i].used && world->flows[i].endpoint == index)
+			world->flows[i].endpoint = -1;
+	}
+	world->endpoints[index].flows = 0;
+}
+
+static void news_add(struct world *world, const struct news *news)
+{
+	if (world->news_count < NEWS)
+		world->news[world->news_count++] = *news;
+}
+
+static void entry_publish(struct world *world, struct endpoint *endpoint)
+{
+	struct news news = {.event.kind = JT_DIRECTOR_ENDPOINT};
+
+	endpoint->entry.revision = ++world->revision;
+	endpoint->listed = true;
+	news.event.u.endpoint = endpoint->entry;
+	news_add(world, &news);
+}
+
+static void entry_remove(struct world *world, struct endpoint *endpoint)
+{
+	struct news news = {.event.kind = JT_DIRECTOR_GONE};
+
+	if (!endpoint->listed)
+		return;
+	endpoint->listed = false;
+	news.event.u.gone.id = endpoint->entry.id;
+	news.event.u.gone.revision = ++world->revision;
+	news_add(world, &news);
+}
+
+static void endpoint_start(struct world *world, uint8_t choice)
+{
+	struct endpoint *endpoint;
+	uint32_t address = 0x0a000000 + choice % ADDRESSES;
+
+	if (world->endpoint_count == ENDPOINTS)
+		return;
+	for (int i = 0; i < world->endpoint_count; i++) {
+		struct endpoint *other = &world->endpoints[i];
+
+		if (other->entry.address.ip != address)
+			continue;
+		if (lives(other))
+			return;
+	}
+	endpoint = &world->endpoints[world->endpoint_count];
+	endpoint->life = ALIVE;
+	endpoint->entry = (struct jt_endpoint_entry){
+		.id = 0x1000 + (uint64_t)world->endpoint_count,
+		.service_id = 1 + choice / ADDRESSES % SERVICES,
+		.zone_id = 1 + choice % 2,
+		.address = {address, 80},
+		.capacity = 2,
+	};
+	world->endpoint_count++;
+	entry_publish(world, endpoint);
+}
+
+static struct endpoint *pick_endpoint(struct world *world, uint8_t choice)
+{
+	if (world->endpoint_count == 0)
+		return NULL;
+	return &world->endpoints[choice % world->endpoint_count];
+}
+
+static void endpoint_change(struct world *world, uint8_t what, uint8_t choice)
+{
+	struct endpoint *endpoint = pick_endpoint(world, choice);
+
+	if (endpoint == NULL)
+		return;
+	switch (what % 5) {
+	case 0: /* says that it leaves */
+		if (endpoint->life != ALIVE)
+			return;
+		endpoint->life = DRAINING;
+		endpoint->entry.draining = true;
+		entry_publish(world, endpoint);
+		break;
+	case 1: /* ends and refuses */
+	case 2: /* ends and says nothing */
+		if (!lives(endpoint))
+			return;
+		endpoint->life = what % 5 == 1 ? ENDED : SILENT_END;
+		endpoint_drop_flows(world, (int)(endpoint - world->endpoints));
+		break;
+	case 3: /* its entry lapses, dead or alive */
+		entry_remove(world, endpoint);
+		break;
+	case 4: /* and comes again with the next beat */
+		if (lives(endpoint) && !endpoint->listed)
+			entry_publish(world, endpoint);
+		break;
+	}
+}
+
+/* Routing */
+
+static struct jt_routing *routing_create(TALLOC_CTX *mem_ctx, uint64_t version)
+{
+	struct jt_routing *routing = talloc_zero(mem_ctx, struct jt_routing);
+
+	routing->version = version;
+	routing->revision = version;
+	routing->flow_idle_ms = 60000;
+	routing->routes = talloc_zero_array(routing, struct jt_route, 2);
+	for (uint16_t i = 0; i < 2; i++) {
+		struct jt_route *route = &routing->routes[routing->route_count];
+
+		/* The second route comes and goes with the version. */
+		if (i == 1 && version % 2 == 0)
+			continue;
+		route->address = (struct jt_address){0xc6120001, 443 + i};
+		route->parts[0].service_id = 1 + i;
+		route->parts[0].weight = 1;
+		route->part_count = 1;
+		routing->route_count++;
+	}
+	routing->services =
+		talloc_zero_array(routing, struct jt_routed_service, SERVICES);
+	for (uint32_t i = 0; i < SERVICES; i++) {
+		routing->services[i].id = 1 + i;
+		routing->services[i].connection_limit = FULL_AT;
+	}
+	routing->service_count = SERVICES;
+	jt_routing_sort(routing);
+	return routing;
+}
+
+static void routing_publish(struct world *world)
+{
+	struct news news = {.routing_version = ++world->revision};
+
+	news_add(world, &news);
+	world->services_ever |= 3;
+}
+
+/* Nodes */
+
+static void act(struct world *world, int node);
+
+static void tell(struct world *world, int node, struct jt_director_event *event)
+{
+	event->now_ms = world->now_ms;
+	jt_director_actions_clear(world->actions);
+	jt_director_handle(world->directors[node], event, world->actions);
+	act(world, node);
+}
+
+static void routing_tell(struct world *world, int node,
+			 struct jt_routing *routing)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_ROUTING};
+	const struct jt_routing *now;
+
+	event.u.routing = routing;
+	tell(world, node, &event);
+	now = jt_director_routing(world->directors[node]);
+	if (now != routing)
+		talloc_free(routing);
+	if (now->version < world->versions[node])
+		broken(world, "routing went back");
+	world->versions[node] = now->version;
+}
+
+static void news_tell(struct world *world, int node, size_t index)
+{
+	struct news *news = &world->news[index];
+	struct jt_director_event event = news->event;
+	int endpoint;
+
+	if (news->routing_version != 0) {
+		routing_tell(world, node,
+			     routing_create(world, news->routing_version));
+		return;
+	}
+	if (event.kind == JT_DIRECTOR_ENDPOINT && event.u.endpoint.draining) {
+		endpoint = endpoint_of(world, event.u.endpoint.id);
+		world->endpoints[endpoint].told_draining[node] = true;
+	}
+	tell(world, node, &event);
+}
+
+/* The node hears some of what it has not heard, and old news again. */
+static void node_hears(struct world *world, int node, uint8_t choice)
+{
+	size_t count = choice % 8;
+
+	while (count-- > 0 && world->heard[node] < world->news_count)
+		news_tell(world, node, world->heard[node]++);
+	if (choice & 0x80 && world->heard[node] > 0)
+		news_tell(world, node, choice % world->heard[node]);
+}
+
+/* A list of all that the store holds now. */
+static void node_lists(struct world *world, int node)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_LISTING};
+	uint64_t newest = 0;
+
+	tell(world, node, &event);
+	for (int i = 0; i < world->endpoint_count; i++) {
+		struct endpoint *endpoint = &world->endpoints[i];
+
+		if (!endpoint->listed)
+			continue;
+		event.kind = JT_DIRECTOR_ENDPOINT;
+		event.u.endpoint = endpoint->entry;
+		if (endpoint->entry.draining)
+			endpoint->told_draining[node] = true;
+		tell(world, node, &event);
+	}
+	for (size_t i = 0; i < world->news_count; i++) {
+		if (world->news[i].routing_version > newest)
+			newest = world->news[i].routing_version;
+	}
+	if (newest > 0)
+		routing_tell(world, node, routing_create(world, newest));
+	event.kind = JT_DIRECTOR_LISTED;
+	event.u.listed.revision = world->revision;
+	tell(world, node, &event);
+	world->heard[node] = world->news_count;
+}
+
+static void node_start(struct world *world, int node)
+{
+	struct jt_director_options options;
+
+	talloc_free(world->directors[node]);
+	jt_director_options_init(&options);
+	options.zone_id = 1 + (uint32_t)node % 2;
+	options.flow_limit = 16;
+	options.flow_age_limit_ms = 600000;
+	options.seed = (uint64_t)node + 1;
+	options.break_mechanism = fuzz_break_mechanism;
+	world->directors[node] = jt_director_create(world, &options);
+	world->versions[node] = 0;
+	world->heard[node] = 0;
+	for (int i = 0; i < ENDPOINTS; i++)
+		world->endpoints[i].told_draining[node] = false;
+}
+
+/* @node learns all that @from knows. */
+static void node_fetches(struct world *world, int node, int from)
+{
+	struct jt_director_event event;
+	jt_wire_knowledge knowledge;
+	TALLOC_CTX *frame = talloc_new(world);
+	struct jt_routing *routing;
+
+	if (node == from || !jt_director_started(world->directors[from]) ||
+	    !jt_knowledge_write(frame, world->directors[from], &knowledge))
+		goto out;
+	routing = jt_knowledge_routing(world, &knowledge.routing);
+	if (routing != NULL)
+		routing_tell(world, node, routing);
+	for (u_int i = 0; i < knowledge.entries.entries_len; i++) {
+		jt_wire_entry *entry = &knowledge.entries.entries_val[i];
+		int index = endpoint_of(world, entry->id);
+
+		if (entry->draining && index >= 0)
+			world->endpoints[index].told_draining[node] = true;
+		if (jt_knowledge_entry(entry, &event))
+			tell(world, node, &event);
+	}
+	event = (struct jt_director_event){.kind = JT_DIRECTOR_INFORMED};
+	event.u.listed.revision = knowledge.revision;
+	tell(world, node, &event);
+out:
+	talloc_free(frame);
+}
+
+/* Packets */
+
+static struct flow *flow_of(struct world *world, const struct jt_flow_key *key)
+{
+	for (int i = 0; i < FLOWS; i++) {
+		if (world->flows[i].used &&
+		    world->flows[i].key.source_port == key->source_port)
+			return &world->flows[i];
+	}
+	return NULL;
+}
+
+static void flow_leave(struct world *world, struct flow *flow)
+{
+	if (flow->endpoint >= 0 && world->endpoints[flow->endpoint].flows > 0)
+		world->endpoints[flow->endpoint].flows--;
+	flow->endpoint = -1;
+	flow->over = true;
+}
+
+/* A node resets the flow. */
+static void on_reset(struct world *world, const struct jt_director_action *a)
+{
+	struct flow *flow = flow_of(world, &a->key);
+
+	if (flow == NULL || flow->over)
+		return;
+	/* A caller takes a reset of an open flow only near what it has
+	 * acknowledged; one meant for its first packet is not. */
+	if (flow->open && a->reset_sequence < OPEN_ACKNOWLEDGED)
+		return;
+	if (flow->open && flow->endpoint >= 0 &&
+	    lives(&world->endpoints[flow->endpoint]))
+		broken(world, "an open flow was reset, its endpoint lives");
+	flow_leave(world, flow);
+}
+
+static void on_first_packet(struct world *world, struct flow *flow, int node,
+			    int index)
+{
+	struct endpoint *endpoint = &world->endpoints[index];
+	uint32_t service = endpoint->entry.service_id;
+
+	if (!(world->services_ever >> (service - 1) & 1) ||
+	    service != (uint32_t)(flow->key.destination_port - 443) + 1)
+		broken(world, "a first packet reached another service");
+	if (endpoint->told_draining[node] && flow->copies == 0)
+		broken(world, "a leaving endpoint got a first packet");
+	if (!lives(endpoint) || endpoint->flows >= FULL_AT)
+		return;
+	flow->endpoint = index;
+	flow->label = jt_flow_label(endpoint->entry.id);
+	flow->open = true;
+	flow->sequence++;
+	flow->acknowledged = OPEN_ACKNOWLEDGED;
+	endpoint->flows++;
+}
+
+static void on_forward(struct world *world, int node,
+		       const struct jt_director_action *a)
+{
+	struct flow *flow = flow_of(world, &a->key);
+	int index = endpoint_of(world, a->endpoint_id);
+
+	if (flow == NULL || index < 0)
+		return;
+	if (!flow->open) {
+		on_first_packet(world, flow, node, index);
+		return;
+	}
+	if (a->label != flow->label)
+		broken(world, "a flow's packet went to another endpoint");
+	if (flow->endpoint >= 0) {
+		flow->sequence += 10;
+		flow->acknowledged += 50;
+	} else if (world->endpoints[index].life == ENDED) {
+		flow->over = true; /* the endpoint's host resets it */
+	}
+}
+
+/* What a connection to the endpoint's address gets. */
+static enum jt_probe_outcome probe_outcome(const struct world *world,
+					   uint64_t id, uint64_t *found)
+{
+	int index = endpoint_of(world, id);
+	bool silent = false;
+
+	*found = 0;
+	for (int i = 0; i < world->endpoint_count; i++) {
+		const struct endpoint *endpoint = &world->endpoints[i];
+
+		if (endpoint->entry.address.ip !=
+		    world->endpoints[index].entry.address.ip)
+			continue;
+		silent = endpoint->life == SILENT_END;
+		if (!lives(endpoint))
+			continue;
+		if (endpoint->flows >= FULL_AT)
+			return id % 2 ? JT_PROBE_REFUSED : JT_PROBE_SILENT;
+		*found = endpoint->entry.id;
+		return JT_PROBE_CONNECTED;
+	}
+	return silent ? JT_PROBE_SILENT : JT_PROBE_REFUSED;
+}
+
+struct pending {
+	int node;
+	uint64_t id;
+	bool identify;
+};
+
+static struct pending pendings[64];
+static size_t pending_count;
+
+/* What nodes found dead, for them to tell each other. */
+static uint64_t verdicts[VERDICTS];
+static size_t verdict_count;
+
+static void probe_note(int node, uint64_t id, bool identify)
+{
+	if (pending_count < sizeof(pendings) / sizeof(pendings[0]))
+		pendings[pending_count++] =
+			(struct pending){node, id, identify};
+}
+
+static void act(struct world *world, int node)
+{
+	/* Handling may add to the list: only what is there now. */
+	for (size_t i = 0; i < world->actions->count; i++) {
+		const struct jt_director_action *a = &world->actions->items[i];
+
+		if (fuzz_verbose)
+			fprintf(stderr,
+				"%llu node %d action %d reason %s endpoint "
+				"%llx state %s cause %s port %u\n",
+				(unsigned long long)world->now_ms, node,
+				a->kind, jt_director_reason_name(a->reason),
+				(unsigned long long)a->endpoint_id,
+				jt_incarnation_state_name(a->state),
+				jt_death_cause_name(a->cause),
+				a->key.source_port);
+		switch (a->kind) {
+		case JT_DIRECTOR_FORWARD:
+			on_forward(world, node, a);
+			break;
+		case JT_DIRECTOR_RESET:
+			on_reset(world, a);
+			break;
+		case JT_DIRECTOR_PROBE:
+			probe_note(node, a->endpoint_id, false);
+			break;
+		case JT_DIRECTOR_VERDICT:
+			verdicts[verdict_count++ % VERDICTS] = a->endpoint_id;
+			break;
+		case JT_DIRECTOR_IDENTIFY:
+			probe_note(node, a->endpoint_id, true);
+			break;
+		default:
+			break;
+		}
+	}
+}
+
+static void probe_settle(struct world *world, uint8_t choice)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_PROBED};
+	struct pending pending;
+	enum jt_probe_outcome outcome;
+	uint64_t found;
+	size_t at;
+
+	if (pending_count == 0)
+		return;
+	at = choice % pending_count;
+	pending = pendings[at];
+	pending_count--;
+	pendings[at] = pendings[pending_count];
+	outcome = probe_outcome(world, pending.id, &found);
+	if (pending.identify) {
+		event.kind = JT_DIRECTOR_IDENTIFIED;
+		event.u.identified.id = pending.id;
+		event.u.identified.found = found;
+	} else {
+		event.u.probed.id = pending.id;
+		event.u.probed.outcome =
+			choice & 0x80 ? JT_PROBE_VOID : outcome;
+	}
+	tell(world, pending.node, &event);
+}
+
+/* Callers */
+
+static void packet_send(struct world *world, int node, struct flow *flow,
+			uint8_t flags, uint32_t length)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_PACKET};
+
+	event.u.packet = (struct jt_label_packet){
+		.key = flow->key,
+		.flags = flags,
+		.label = flow->open ? flow->label : 0,
+		.sequence = flow->sequence,
+		.acknowledged = flow->open ? flow->acknowledged : flow->copies,
+		.length = length,
+	};
+	tell(world, node, &event);
+}
+
+static void flow_start(struct world *world, int node, uint8_t choice)
+{
+	struct flow *flow = &world->flows[choice % FLOWS];
+
+	if (flow->used && !flow->over)
+		flow_leave(world, flow);
+	*flow = (struct flow){.used = true, .endpoint = -1, .sequence = 1};
+	flow->key = (struct jt_flow_key){
+		.source = 0x64400001 + choice % 5,
+		.destination = 0xc6120001,
+		.source_port = world->next_port++,
+		.destination_port = 443 + choice / 8 % 2,
+		.protocol = JT_PROTOCOL_TCP,
+	};
+	packet_send(world, node, flow, JT_PACKET_SYN, 0);
+}
+
+static void flow_continue(struct world *world, int node, uint8_t choice)
+{
+	struct flow *flow = &world->flows[choice % FLOWS];
+
+	if (!flow->used || flow->over)
+		return;
+	if (!flow->open) {
+		/* A copy goes through the same node, but for sprays. */
+		flow->copies++;
+		if (flow->copies <= 2)
+			packet_send(world, node, flow, JT_PACKET_SYN, 0);
+		return;
+	}
+	packet_send(world, node, flow, JT_PACKET_ACK, choice & 0x40 ? 10 : 0);
+}
+
+static void flow_end(struct world *world, int node, uint8_t choice)
+{
+	struct flow *flow = &world->flows[choice % FLOWS];
+
+	if (!flow->used || flow->over || !flow->open)
+		return;
+	packet_send(world, node, flow, JT_PACKET_FIN | JT_PACKET_ACK, 0);
+	flow_leave(world, flow);
+}
+
+static void time_pass(struct world *world, uint8_t choice)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_TICK};
+
+	world->now_ms += 1 + (uint64_t)choice * 4;
+	event.u.tick.nodes = NODES;
+	for (int node = 0; node < NODES; node++)
+		tell(world, node, &event);
+}
+
+static void step(struct world *world)
+{
+	uint8_t what = next_byte(world), choice = next_byte(world);
+	int node = what / 16 % NODES;
+	struct jt_director_event event = {.kind = JT_DIRECTOR_SUSPICION};
+
+	switch (what % 16) {
+	case 0:
+	case 1:
+		flow_start(world, node, choice);
+		break;
+	case 2:
+	case 3:
+	case 4:
+	case 5:
+		flow_continue(world, node, choice);
+		break;
+	case 6:
+		flow_end(world, node, choice);
+		break;
+	case 7:
+		time_pass(world, choice);
+		break;
+	case 8:
+		endpoint_start(world, choice);
+		break;
+	case 9:
+		endpoint_change(world, what / 16, choice);
+		break;
+	case 10:
+		node_hears(world, node, choice);
+		break;
+	case 11:
+		if (choice % 4 == 0)
+			routing_publish(world);
+		else if (choice % 4 == 1)
+			node_lists(world, node);
+		else
+			node_hears(world, node, choice);
+		break;
+	case 12:
+	case 13:
+		probe_settle(world, choice);
+		break;
+	case 14:
+		node_fetches(world, node, choice % NODES);
+		break;
+	case 15:
+		if (choice % 8 == 0)
+			node_start(world, node);
+		else if (verdict_count > 0) {
+			event.u.suspicion.id =
+				verdicts[choice % verdict_count % VERDICTS];
+			tell(world, node, &event);
+		}
+		break;
+	}
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct world *world = talloc_zero(NULL, struct world);
+
+	pending_count = 0;
+	verdict_count = 0;
+	world->data = data;
+	world->size = size;
+	world->now_ms = 1000000;
+	world->next_port = 1024;
+	world->actions = jt_director_actions_create(world);
+	for (int node = 0; node < NODES; node++)
+		node_start(world, node);
+	routing_publish(world);
+	for (uint8_t i = 0; i < 4; i++)
+		endpoint_start(world, (uint8_t)(i * 5));
+	for (int node = 0; node < NODES; node++)
+		node_lists(world, node);
+	while (world->size > 0)
+		step(world);
+	talloc_free(world);
+	return 0;
+}
--- a/include/jaspertrack/director.h
+++ b/include/jaspertrack/director.h
@@ -7,6 +7,8 @@
 /* Fill @options with the default times and limits. */
 void jt_director_options_init(struct jt_director_options *options);
 
+struct jt_latency;
+
 /* A node that knows nothing yet; NULL when memory runs out. */
 struct jt_director *jt_director_create(TALLOC_CTX *mem_ctx,
 				       const struct jt_director_options *opts);
@@ -32,6 +34,9 @@
 jt_director_routing(const struct jt_director *director);
 const struct jt_director_counters *
 jt_director_counters(const struct jt_director *director);
+/* Of the requests that were answered; see jt_latency.h. */
+const struct jt_latency *
+jt_director_latency(const struct jt_director *director);
 size_t jt_director_flow_count(const struct jt_director *director);
 /* Of the newest change that is known, from wherever it came. */
 uint64_t jt_director_revision(const struct jt_director *director);
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -22,5 +22,6 @@
 part=$((seconds / 10))
 [ $part -gt 0 ] || part=1
 for target in packet message resource settings; do run $target $part 1000; done
-run cluster $((seconds - 4 * part > 0 ? seconds - 4 * part : 1)) 400
+run director $((3 * part)) 4000
+run cluster $((seconds - 7 * part > 0 ? seconds - 7 * part : 1)) 400
 exit $failed
--- a/src/common/jt_log.c
+++ b/src/common/jt_log.c
@@ -12,7 +12,11 @@
 	[LOG_INFO] = "info",	   [LOG_DEBUG] = "debug",
 };
 
-enum { SEVERITY_COUNT = sizeof(severity_names) / sizeof(severity_names[0]) };
+enum {
+	SEVERITY_COUNT = sizeof(severity_names) / sizeof(severity_names[0]),
+	LINE_BYTES = 1024,
+	UP_BYTES = 40, /* room for " up_ms=N" and the line's end */
+};
 
 int jt_log_severity(const char *name)
 {
@@ -26,11 +30,12 @@
 void jt_log_line(const struct jt_log *log, int severity, const char *format,
 		 ...)
 {
-	char line[1024];
+	char text[LINE_BYTES], line[LINE_BYTES];
 	char stamp[32];
 	struct timespec now;
 	struct tm parts;
 	va_list arguments;
+	int length;
 
 	if (severity > log->threshold)
 		return;
@@ -38,9 +43,21 @@
 	gmtime_r(&now.tv_sec, &parts);
 	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &parts);
 	va_start(arguments, format);
-	vsnprintf(line, sizeof(line), format, arguments);
+	vsnprintf(text, sizeof(text), format, arguments);
 	va_end(arguments);
-	fprintf(stderr, "%s.%03ldZ %s %s[%d]: %s\n", stamp,
-		now.tv_nsec / 1000000, severity_names[severity], log->program,
-		(int)getpid(), line);
+	length = snprintf(line, sizeof(line) - UP_BYTES,
+			  "%s.%03ldZ %s %s[%d]: %s", stamp,
+			  now.tv_nsec / 1000000, severity_names[severity],
+			  log->program, (int)getpid(), text);
+	if (length >= (int)sizeof(line) - UP_BYTES)
+		length = (int)sizeof(line) - UP_BYTES - 1;
+	if (log->sink == NULL) {
+		fprintf(stderr, "%.*s\n", length, line);
+		return;
+	}
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	length +=
+		snprintf(line + length, UP_BYTES, " up_ms=%lld\n",
+			 (long long)now.tv_sec * 1000 + now.tv_nsec / 1000000);
+	jt_log_sink_add(log->sink, line, (size_t)length);
 }
--- a/src/common/jt_log.h
+++ b/src/common/jt_log.h
@@ -1,5 +1,5 @@
 /*
- * Log lines on stderr: severity, program, then key=value pairs.
+ * Log lines on stderr, or into a sink: severity, program, then key=value pairs.
  *
  * Lines are written for changes of state only; everything that happens often
  * is a counter. The caller passes the log about; there is no global.
@@ -7,12 +7,18 @@
 #ifndef JT_LOG_H
 #define JT_LOG_H
 
+#include "jt_log_sink.h"
+
 #include <stdio.h>
 #include <syslog.h>
 
 struct jt_log {
 	const char *program;
 	int threshold; /* LOG_ERR .. LOG_DEBUG of syslog(3) */
+	/* Where lines go instead of stderr, NULL: stderr. With a sink, each
+	 * line ends with the process's monotonic clock, up_ms, which puts the
+	 * lines of a process in order whatever its time of day does. */
+	struct jt_log_sink *sink;
 };
 
 /* Write one line; @format yields key=value pairs, "event=..." first. */
--- a/src/daemon/main_director.c
+++ b/src/daemon/main_director.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/stat.h>
+#include <unistd.h>
 
 enum { SETTINGS_LOOK_MS = 1000 };
 
@@ -136,6 +137,7 @@
 	process->loop = tevent_context_init(process);
 	process->log.program = "jaspertrackd";
 	process->log.threshold = process->settings->log_threshold;
+	process->log.sink = jt_log_sink_create(process, STDOUT_FILENO);
 	signal(SIGPIPE, SIG_IGN);
 	file_changed(process);
 	process->node = jt_director_node_create(
@@ -157,6 +159,8 @@
 	log_start(process);
 	while (!process->finished)
 		tevent_loop_once(process->loop);
+	if (process->log.sink != NULL)
+		jt_log_sink_flush(process->log.sink);
 	return EXIT_DONE;
 }
 
--- /dev/null
+++ b/src/director/jt_director_log.c
@@ -0,0 +1,127 @@
+#include "jt_director_log.h"
+#include "jt_net.h"
+
+enum { FLOW_TEXT = 2 * JT_ADDRESS_TEXT };
+
+static const char *flow_format(const struct jt_flow_key *key,
+			       char text[FLOW_TEXT])
+{
+	struct jt_address from = {key->source, key->source_port};
+	struct jt_address to = {key->destination, key->destination_port};
+	char left[JT_ADDRESS_TEXT], right[JT_ADDRESS_TEXT];
+
+	snprintf(text, FLOW_TEXT, "%s>%s", jt_address_format(from, left),
+		 jt_address_format(to, right));
+	return text;
+}
+
+static enum jt_log_class reason_class(enum jt_director_reason reason)
+{
+	switch (reason) {
+	case JT_DIRECTOR_PLACED:
+		return JT_LOG_ORDINARY;
+	default:
+		return JT_LOG_UNUSUAL;
+	}
+}
+
+static const char *decision_name(enum jt_director_action_kind kind)
+{
+	switch (kind) {
+	case JT_DIRECTOR_FORWARD:
+		return "forward";
+	case JT_DIRECTOR_RESET:
+		return "reset";
+	case JT_DIRECTOR_HOLD:
+		return "hold";
+	default:
+		return "drop";
+	}
+}
+
+static bool allowed(const struct jt_log *log, enum jt_log_class class,
+		    uint64_t now_ms)
+{
+	if (log->threshold < LOG_INFO)
+		return false;
+	return log->sink == NULL || jt_log_sink_allow(log->sink, class, now_ms);
+}
+
+void jt_director_log_flow(const struct jt_log *log,
+			  const struct jt_director_action *action,
+			  const char *request, uint64_t now_ms)
+{
+	char flow[FLOW_TEXT], address[JT_ADDRESS_TEXT];
+
+	if (action->reason == JT_DIRECTOR_LABELLED ||
+	    !allowed(log, reason_class(action->reason), now_ms))
+		return;
+	jt_log_line(log, LOG_INFO,
+		    "event=flow flow=%s decision=%s reason=%s version=%llu "
+		    "endpoint=%llx address=%s state=%s revision=%llu "
+		    "age_ms=%llu label=%x request=%s",
+		    flow_format(&action->key, flow),
+		    decision_name(action->kind),
+		    jt_director_reason_name(action->reason),
+		    (unsigned long long)action->version,
+		    (unsigned long long)action->endpoint_id,
+		    jt_address_format(action->address, address),
+		    jt_incarnation_state_name(action->state),
+		    (unsigned long long)action->revision,
+		    (unsigned long long)action->age_ms, action->label,
+		    request[0] != '\0' ? request : "-");
+}
+
+void jt_director_log_request(const struct jt_log *log,
+			     const struct jt_director_action *action,
+			     const char *request, uint64_t now_ms)
+{
+	char flow[FLOW_TEXT];
+
+	if (!allowed(log, JT_LOG_ORDINARY, now_ms))
+		return;
+	jt_log_line(log, LOG_INFO,
+		    "event=request request=%s flow=%s endpoint=%llx state=%s "
+		    "revision=%llu age_ms=%llu",
+		    request, flow_format(&action->key, flow),
+		    (unsigned long long)action->endpoint_id,
+		    jt_incarnation_state_name(action->state),
+		    (unsigned long long)action->revision,
+		    (unsigned long long)action->age_ms);
+}
+
+void jt_director_log_endpoint(const struct jt_log *log,
+			      const struct jt_director_action *action,
+			      const char *event)
+{
+	char address[JT_ADDRESS_TEXT];
+
+	jt_log_line(log, LOG_NOTICE,
+		    "event=%s endpoint=%llx address=%s state=%s cause=%s "
+		    "revision=%llu age_ms=%llu",
+		    event, (unsigned long long)action->endpoint_id,
+		    jt_address_format(action->address, address),
+		    jt_incarnation_state_name(action->state),
+		    jt_death_cause_name(action->cause),
+		    (unsigned long long)action->revision,
+		    (unsigned long long)action->age_ms);
+}
+
+void jt_director_log_flush(const struct jt_log *log, uint64_t now_ms)
+{
+	const struct jt_log_counters *counters;
+
+	if (log->sink == NULL)
+		return;
+	if (jt_log_sink_shortened(log->sink, now_ms)) {
+		counters = jt_log_sink_counters(log->sink);
+		jt_log_line(
+			log, LOG_WARNING,
+			"event=log_shortened ordinary=%llu unusual=%llu "
+			"lost=%llu",
+			(unsigned long long)counters->left_out[JT_LOG_ORDINARY],
+			(unsigned long long)counters->left_out[JT_LOG_UNUSUAL],
+			(unsigned long long)counters->lost);
+	}
+	jt_log_sink_flush(log->sink);
+}
--- /dev/null
+++ b/src/director/jt_director_log.h
@@ -0,0 +1,29 @@
+/*
+ * What a director node writes into its log. docs/LOGS.md lists the events and
+ * their fields.
+ */
+#ifndef JT_DIRECTOR_LOG_H
+#define JT_DIRECTOR_LOG_H
+
+#include "jaspertrack/director.h"
+#include "jt_log.h"
+
+enum { JT_REQUEST_ID_SIZE = 64 };
+
+/* What was decided on a flow's packet; @request is its request's id, or "".
+ * Only decisions are told: packets that follow a flow's label are not. */
+void jt_director_log_flow(const struct jt_log *log,
+			  const struct jt_director_action *action,
+			  const char *request, uint64_t now_ms);
+/* A request went to the endpoint of its flow. */
+void jt_director_log_request(const struct jt_log *log,
+			     const struct jt_director_action *action,
+			     const char *request, uint64_t now_ms);
+/* What this node believes of an endpoint has changed. */
+void jt_director_log_endpoint(const struct jt_log *log,
+			      const struct jt_director_action *action,
+			      const char *event);
+/* How many lines were left out or lost, when that is due; and write. */
+void jt_director_log_flush(const struct jt_log *log, uint64_t now_ms);
+
+#endif
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -1,6 +1,7 @@
 #include "jt_director_node.h"
 #include "jaspertrack/director.h"
 #include "jt_directory_sync.h"
+#include "jt_director_log.h"
 #include "jt_director_pages.h"
 #include "jt_knowledge.h"
 #include "jt_net.h"
@@ -50,6 +51,7 @@
 	int data_fd;
 	uint8_t buffer[JT_HEADROOM_MAX + JT_DATAGRAM_MAX];
 	size_t packet_length; /* of the packet in hand */
+	uint64_t event_ms;    /* when the event in hand came */
 	uint64_t leaving_ms;  /* since when, 0: not leaving */
 	bool was_ready;
 	STAILQ_HEAD(held_queue, held_packet) held;
@@ -77,6 +79,27 @@
 		node->traffic.send_failed++;
 }
 
+/* The id of the request that begins in the packet in hand, or "". */
+static void packet_request(const struct jt_director_node *node,
+			   char request[JT_REQUEST_ID_SIZE])
+{
+	request[0] = '\0';
+	node->environment->codec->request(node->buffer + JT_HEADROOM_MAX,
+					  node->packet_length, request,
+					  JT_REQUEST_ID_SIZE);
+}
+
+static void log_request(const struct jt_director_node *node,
+			const struct jt_director_action *action)
+{
+	char request[JT_REQUEST_ID_SIZE];
+
+	packet_request(node, request);
+	if (request[0] != '\0')
+		jt_director_log_request(node->log, action, request,
+					node->event_ms);
+}
+
 static void act_forward(struct jt_director_node *node,
 			const struct jt_director_action *action)
 {
@@ -87,6 +110,7 @@
 	datagram_send(node, action->address, packet - before,
 		      node->packet_length + before);
 	node->traffic.forwarded++;
+	log_request(node, action);
 }
 
 static void act_reset(struct jt_director_node *node,
@@ -175,23 +199,6 @@
 	tevent_req_set_callback(req, on_identified, call);
 }
 
-static void log_endpoint(struct jt_director_node *node,
-			 const struct jt_director_action *action,
-			 const char *event)
-{
-	char address[JT_ADDRESS_TEXT];
-
-	jt_log_line(node->log, LOG_NOTICE,
-		    "event=%s endpoint=%llx address=%s state=%s cause=%s "
-		    "revision=%llu age_ms=%llu",
-		    event, (unsigned long long)action->endpoint_id,
-		    jt_address_format(action->address, address),
-		    jt_incarnation_state_name(action->state),
-		    jt_death_cause_name(action->cause),
-		    (unsigned long long)action->revision,
-		    (unsigned long long)action->age_ms);
-}
-
 static void act_hold(struct jt_director_node *node)
 {
 	struct held_packet *held;
@@ -209,9 +216,31 @@
 	node->held_count++;
 }
 
+static void log_flow(const struct jt_director_node *node,
+		     const struct jt_director_action *action)
+{
+	char request[JT_REQUEST_ID_SIZE] = "";
+
+	/* A reset may concern another flow than the packet in hand. */
+	if (action->kind != JT_DIRECTOR_RESET)
+		packet_request(node, request);
+	jt_director_log_flow(node->log, action, request, node->event_ms);
+}
+
 static void node_act(struct jt_director_node *node,
 		     const struct jt_director_action *action)
 {
+	switch (action->kind) {
+	case JT_DIRECTOR_FORWARD:
+	case JT_DIRECTOR_RESET:
+	case JT_DIRECTOR_HOLD:
+	case JT_DIRECTOR_DROP:
+		if (action->reason != JT_DIRECTOR_LABELLED)
+			log_flow(node, action);
+		break;
+	default:
+		break;
+	}
 	switch (action->kind) {
 	case JT_DIRECTOR_FORWARD:
 		act_forward(node, action);
@@ -226,16 +255,17 @@
 		act_identify(node, action);
 		break;
 	case JT_DIRECTOR_VERDICT:
-		log_endpoint(node, action, "endpoint_dead");
+		jt_director_log_endpoint(node->log, action, "endpoint_dead");
 		jt_peer_exchange_suspect(node->peers, action->endpoint_id);
 		break;
 	case JT_DIRECTOR_REVIVED:
-		log_endpoint(node, action, "endpoint_back");
+		jt_director_log_endpoint(node->log, action, "endpoint_back");
 		break;
 	case JT_DIRECTOR_SEEN:
 		/* A whole list is told in one line. */
 		if (jt_director_started(node->director))
-			log_endpoint(node, action, "endpoint_state");
+			jt_director_log_endpoint(node->log, action,
+						 "endpoint_state");
 		break;
 	case JT_DIRECTOR_HOLD:
 		act_hold(node);
@@ -249,6 +279,7 @@
 		       struct jt_director_event *event)
 {
 	event->now_ms = jt_clock_ms();
+	node->event_ms = event->now_ms;
 	jt_director_handle(node->director, event, node->actions);
 	for (size_t i = 0; i < node->actions->count; i++)
 		node_act(node, &node->actions->items[i]);
@@ -508,6 +539,7 @@
 	node_event(node, &event);
 	watch_ready(node);
 	watch_leave(node, event.now_ms);
+	jt_director_log_flush(node->log, event.now_ms);
 	jt_timer_set(node->tick, TICK_MS);
 }
 
--- a/src/director/jt_director_pages.c
+++ b/src/director/jt_director_pages.c
@@ -1,6 +1,7 @@
 #include "jt_director_pages.h"
 #include "jaspertrack/director.h"
 #include "jt_http_server.h"
+#include "jt_latency.h"
 #include "jt_net.h"
 
 #include <errno.h>
@@ -112,6 +113,28 @@
 			  counters->routing_refused);
 }
 
+static char *add_latency(char *text, const struct jt_latency *latency)
+{
+	size_t buckets = jt_latency_buckets(latency);
+
+	text = add_type(text, "request_ms", "histogram");
+	for (size_t i = 0; i < buckets; i++) {
+		uint64_t most_ms;
+		uint64_t count = jt_latency_up_to(latency, i, &most_ms);
+		char bound[24] = "+Inf";
+
+		if (most_ms != 0)
+			snprintf(bound, sizeof(bound), "%llu",
+				 (unsigned long long)most_ms);
+		text = add_label(text, "request_ms_bucket", "le", bound, count);
+	}
+	return talloc_asprintf_append_buffer(
+		text,
+		"jaspertrack_request_ms_sum %.0f\n"
+		"jaspertrack_request_ms_count %llu\n",
+		latency->sum_ms, (unsigned long long)latency->count);
+}
+
 static char *add_beliefs(char *text, const struct jt_director *director,
 			 const struct jt_directory_sync *sync)
 {
@@ -185,6 +208,7 @@
 
 	text = add_traffic(text, traffic);
 	text = add_decisions(text, director);
+	text = add_latency(text, jt_director_latency(director));
 	text = add_beliefs(text, director, sync);
 	text = add_store_calls(text, sync);
 	return add_peers(text, peers);
--- a/src/director/jt_environment.h
+++ b/src/director/jt_environment.h
@@ -28,6 +28,10 @@
 	/* A reset from the flow's destination to its source; its length. */
 	size_t (*reset)(const struct jt_flow_key *key, uint32_t sequence,
 			uint8_t data[JT_RESET_MAX]);
+	/* The id of the request that begins in @data, if its bytes show it;
+	 * left as it is otherwise. */
+	void (*request)(const uint8_t *data, size_t length, char *id,
+			size_t size);
 	/* Where the caller of a flow takes datagrams; @own is this node's
 	 * address for packets. */
 	struct jt_address (*caller)(const struct jt_flow_key *key,
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -46,8 +46,9 @@
 	director->endpoints = jt_endpoint_table_create(director);
 	director->flows = jt_flow_cache_create(director, opts->flow_limit);
 	director->chooser = jt_chooser_create(director, opts);
+	director->latency = jt_latency_create(director);
 	if (director->endpoints == NULL || director->flows == NULL ||
-	    director->chooser == NULL)
+	    director->chooser == NULL || director->latency == NULL)
 		TALLOC_FREE(director);
 	return director;
 }
@@ -293,7 +294,8 @@
 {
 	if (incarnation->state == JT_INCARNATION_DEAD) {
 		/* What it wrote since then shows that it lives. */
-		if (incarnation->cause != JT_DEATH_REPLACED)
+		if (incarnation->cause != JT_DEATH_REPLACED &&
+		    incarnation->entry.gone_revision == 0)
 			incarnation_revives(director, incarnation, now_ms,
 					    actions);
 	} else if (is_new) {
@@ -610,6 +612,11 @@
 	return director->revision;
 }
 
+const struct jt_latency *jt_director_latency(const struct jt_director *director)
+{
+	return director->latency;
+}
+
 size_t jt_director_flow_count(const struct jt_director *director)
 {
 	return director->flows->count;
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -76,7 +76,8 @@
 		action->version = director->routing->version;
 }
 
-static void flow_answered(struct jt_cached_flow *flow,
+static void flow_answered(struct jt_director *director,
+			  struct jt_cached_flow *flow,
 			  struct jt_incarnation *incarnation, uint64_t now_ms)
 {
 	uint64_t took_us;
@@ -84,6 +85,7 @@
 	if (flow->waiting_ms == 0)
 		return;
 	took_us = (now_ms - flow->waiting_ms) * 1000;
+	jt_latency_add(director->latency, now_ms - flow->waiting_ms);
 	flow->waiting_ms = 0;
 	if (incarnation->waiting > 0)
 		incarnation->waiting--;
@@ -273,7 +275,7 @@
 		if (flow->opening_ms != 0)
 			jt_detector_opened(incarnation);
 		else
-			flow_answered(flow, incarnation, now_ms);
+			flow_answered(director, flow, incarnation, now_ms);
 		flow->acknowledged = packet->acknowledged;
 		jt_flow_cache_opened(director->flows, flow);
 	}
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -7,6 +7,7 @@
 #include "jt_detector.h"
 #include "jt_endpoint_table.h"
 #include "jt_flow_cache.h"
+#include "jt_latency.h"
 #include "jt_routing.h"
 
 struct jt_director {
@@ -21,6 +22,7 @@
 	struct jt_flow_cache *flows;
 	struct jt_chooser *chooser;
 	struct jt_detector detector;
+	struct jt_latency *latency;
 	struct jt_director_counters counters;
 };
 
--- a/src/label/jt_endpoint_table.c
+++ b/src/label/jt_endpoint_table.c
@@ -135,12 +135,14 @@
 {
 	struct jt_incarnation *known =
 		jt_endpoint_table_by_id(table, entry->id);
+	uint64_t gone_revision;
 
 	if (known == NULL)
 		return entry_add(table, entry, now_ms, incarnation);
 	known->told = true;
-	if (!stale && entry->revision <= jt_incarnation_revision(known))
+	if (!stale && entry->revision <= known->entry.revision)
 		return JT_ENTRY_OLD;
+	gone_revision = known->entry.gone_revision;
 	if (entry->service_id != known->entry.service_id) {
 		pool_leave(table, known);
 		entry_copy(known, entry, now_ms);
@@ -148,6 +150,9 @@
 	} else {
 		entry_copy(known, entry, now_ms);
 	}
+	/* What it said before it went is news, but does not bring it back. */
+	if (!stale && gone_revision > entry->revision)
+		known->entry.gone_revision = gone_revision;
 	*incarnation = known;
 	return JT_ENTRY_CHANGED;
 }
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -112,8 +112,14 @@
 		peer->id = told->id;
 		peer->zone_id = told->zone;
 	}
-	if (heard_ms > peer->heard_ms)
-		peer->heard_ms = heard_ms;
+	if (peer->id == 0) {
+		peer->id = told->id;
+		peer->zone_id = told->zone;
+	}
+	if (heard_ms <= peer->heard_ms)
+		return;
+	peer->heard_ms = heard_ms;
+	peer->lost = false;
 }
 
 bool jt_membership_digest(struct jt_membership *membership, uint64_t from,
@@ -146,6 +152,12 @@
 	return news;
 }
 
+/* Whether the peer was heard lately, by this node or by another. */
+static bool peer_lives(const struct jt_peer *peer)
+{
+	return peer->id != 0 && !peer->lost;
+}
+
 /* A peer at random: one that lives, or any when @any. */
 static const struct jt_peer *peer_pick(struct jt_membership *membership,
 				       bool any)
@@ -159,7 +171,7 @@
 		const struct jt_peer *peer =
 			&membership->peers[(start + i) % membership->count];
 
-		if (any || (peer->heard && !peer->lost))
+		if (any || peer_lives(peer))
 			return peer;
 	}
 	return NULL;
@@ -220,7 +232,7 @@
 		const struct jt_peer *peer =
 			&membership->peers[(start + i) % membership->count];
 
-		if (!peer->heard || peer->lost)
+		if (!peer_lives(peer))
 			continue;
 		peers[told++] = (jt_wire_peer){
 			.id = peer->id,
@@ -248,7 +260,7 @@
 		struct jt_peer *peer = &membership->peers[i];
 		uint64_t silent_ms = now_ms - peer->heard_ms;
 
-		if (peer->heard && !peer->lost && silent_ms >= PEER_LOST_MS) {
+		if (peer_lives(peer) && silent_ms >= PEER_LOST_MS) {
 			peer->lost = true;
 			peer->heard = false;
 			return peer;
@@ -315,7 +327,7 @@
 	size_t live = 0;
 
 	for (size_t i = 0; i < membership->count; i++) {
-		if (membership->peers[i].heard && !membership->peers[i].lost)
+		if (peer_lives(&membership->peers[i]))
 			live++;
 	}
 	return live;
--- a/tests/proofs.cmake
+++ b/tests/proofs.cmake
@@ -20,3 +20,15 @@
 jt_replay_proof(barrier 2 rolling-leave)
 jt_replay_proof(sticky 8 pause-and-cut)
 jt_replay_proof(handover 64 zone-loss-and-return)
+# Placement by label: mechanism, enum jt_director_break.
+function(jt_director_proof mechanism flags)
+  add_test(NAME proof_director_needs_${mechanism}
+    COMMAND fuzz_director --break ${flags} --seeds 1 20 2000)
+  set_tests_properties(proof_director_needs_${mechanism} PROPERTIES
+    WILL_FAIL TRUE)
+endfunction()
+jt_director_proof(proof_of_death 1)
+jt_director_proof(routing_version 4)
+jt_director_proof(draining 16)
+jt_director_proof(gone_entries 32)
+jt_director_proof(entry_revision 64)
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -541,6 +541,25 @@
 	assert_false(late_news_is_refused(JT_DIRECTOR_BREAK_STALE_ENTRY));
 }
 
+/* Failure 24: what an endpoint said before its entry went, told afterwards. */
+static void test_leaving_is_heard_after_the_entry_went(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	struct jt_endpoint_entry entry =
+		entry_of(0x101, SERVICE_BOARD, ZONE_A, 7);
+	struct caller_flow flow = flow_new(bench, CALLER, BOARD_PORT);
+
+	(void)state;
+	bench_gone(bench, 0x102, 8);
+	bench_gone(bench, 0x101, 9);
+	entry.draining = true;
+	bench_entry(bench, entry);
+	assert_int_equal(state_of(bench, 0x101), JT_INCARNATION_LAPSED);
+	/* The last resort is the one that never said that it leaves. */
+	assert_int_equal(flow_syn(bench, &flow), 0x102);
+	talloc_free(bench);
+}
+
 static bool older_routing_is_refused(unsigned break_mechanism)
 {
 	struct bench *bench = two_endpoints(break_mechanism);
@@ -695,6 +714,7 @@
 		cmocka_unit_test(test_reused_address_ends_the_former_endpoint),
 		cmocka_unit_test(test_peers_news_of_a_former_endpoint),
 		cmocka_unit_test(test_late_entries_change_nothing),
+		cmocka_unit_test(test_leaving_is_heard_after_the_entry_went),
 		cmocka_unit_test(test_routing_never_goes_back),
 		cmocka_unit_test(test_list_tells_what_is_gone),
 		cmocka_unit_test(test_parts_are_exact),
--- /dev/null
+++ b/tests/test_follower.c
@@ -0,0 +1,118 @@
+/* Following a store: every kind of failure has its own way back. */
+#include "test.h"
+
+#include "jt_follower.h"
+
+static struct jt_follower listed_at(uint64_t revision, uint64_t now_ms)
+{
+	struct jt_follower follower;
+
+	jt_follower_init(&follower, 1);
+	assert_int_equal(jt_follower_next(&follower, now_ms), JT_FOLLOWER_LIST);
+	assert_true(
+		jt_follower_page(&follower, JT_KV_OK, revision, false, now_ms));
+	assert_int_equal(jt_follower_next(&follower, now_ms),
+			 JT_FOLLOWER_WATCH);
+	return follower;
+}
+
+static void test_pages_form_no_snapshot(void **state)
+{
+	struct jt_follower follower;
+
+	(void)state;
+	jt_follower_init(&follower, 1);
+	assert_false(jt_follower_page(&follower, JT_KV_OK, 10, true, 0));
+	assert_false(jt_follower_page(&follower, JT_KV_OK, 14, true, 0));
+	assert_true(jt_follower_page(&follower, JT_KV_OK, 19, false, 0));
+	/* Whatever changed while the pages came is watched for. */
+	assert_int_equal(follower.revision, 10);
+}
+
+static void test_failed_page_is_asked_for_again(void **state)
+{
+	struct jt_follower follower;
+
+	(void)state;
+	jt_follower_init(&follower, 1);
+	assert_false(jt_follower_page(&follower, JT_KV_OK, 10, true, 0));
+	assert_false(jt_follower_page(&follower, JT_KV_LOST, 0, false, 0));
+	assert_int_equal(jt_follower_next(&follower, 0), JT_FOLLOWER_WAIT);
+	assert_int_equal(jt_follower_next(&follower, 5000), JT_FOLLOWER_LIST);
+}
+
+static void test_lost_answer_resumes_from_the_same_revision(void **state)
+{
+	struct jt_follower follower = listed_at(10, 0);
+
+	(void)state;
+	jt_follower_watched(&follower, JT_KV_LOST, 0, false, 0);
+	assert_int_equal(follower.revision, 10);
+	assert_int_equal(jt_follower_next(&follower, 5000), JT_FOLLOWER_WATCH);
+}
+
+static void test_history_gone_leads_to_a_list(void **state)
+{
+	struct jt_follower follower = listed_at(10, 0);
+
+	(void)state;
+	jt_follower_watched(&follower, JT_KV_COMPACTED, 0, false, 0);
+	assert_int_equal(jt_follower_next(&follower, 0), JT_FOLLOWER_LIST);
+	assert_true(jt_follower_page(&follower, JT_KV_OK, 30, false, 0));
+	assert_int_equal(follower.revision, 30);
+}
+
+static void test_refusals_wait_longer_and_not_together(void **state)
+{
+	struct jt_follower follower = listed_at(10, 0);
+	struct jt_follower other = listed_at(10, 0);
+	uint64_t now_ms = 0, first;
+	bool apart = false;
+
+	(void)state;
+	other.random.seed = 77;
+	jt_follower_watched(&follower, JT_KV_THROTTLED, 0, false, now_ms);
+	first = follower.due_ms - now_ms;
+	for (int i = 0; i < 10; i++) {
+		now_ms = follower.due_ms;
+		jt_follower_watched(&follower, JT_KV_THROTTLED, 0, false,
+				    now_ms);
+		jt_follower_watched(&other, JT_KV_THROTTLED, 0, false, now_ms);
+		apart = apart || follower.due_ms != other.due_ms;
+	}
+	assert_true(follower.due_ms - now_ms > first);
+	assert_in_range(follower.due_ms - now_ms, 500, 2000);
+	assert_true(apart);
+	jt_follower_watched(&follower, JT_KV_OK, 12, false, now_ms);
+	assert_int_equal(jt_follower_next(&follower, now_ms),
+			 JT_FOLLOWER_WATCH);
+	assert_int_equal(follower.revision, 12);
+}
+
+static void test_changes_come_together(void **state)
+{
+	struct jt_follower follower = listed_at(10, 0);
+
+	(void)state;
+	jt_follower_watched(&follower, JT_KV_OK, 11, true, 1000);
+	assert_int_equal(jt_follower_next(&follower, 1000), JT_FOLLOWER_WAIT);
+	assert_int_equal(jt_follower_next(&follower, 2000), JT_FOLLOWER_WATCH);
+	/* An answer that comes late never takes the revision back. */
+	jt_follower_watched(&follower, JT_KV_OK, 9, true, 2000);
+	assert_int_equal(follower.revision, 11);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_pages_form_no_snapshot),
+		cmocka_unit_test(test_failed_page_is_asked_for_again),
+		cmocka_unit_test(
+			test_lost_answer_resumes_from_the_same_revision),
+		cmocka_unit_test(test_history_gone_leads_to_a_list),
+		cmocka_unit_test(test_refusals_wait_longer_and_not_together),
+		cmocka_unit_test(test_changes_come_together),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_membership.c
@@ -0,0 +1,176 @@
+/* Nodes find each other, lose each other, and learn from who knows more. */
+#include "test.h"
+
+#include "jt_membership.h"
+
+enum { NODES = 40, SEEDS = 3, PORT = 7720, ROUND_MS = 500 };
+
+struct member {
+	struct jt_membership *membership;
+	struct jt_own_state own;
+	bool alive;
+};
+
+static struct jt_address address_of(int index)
+{
+	return (struct jt_address){0x0a000000 + (uint32_t)index, PORT};
+}
+
+static struct member *members_create(TALLOC_CTX *mem_ctx)
+{
+	struct member *members =
+		talloc_zero_array(mem_ctx, struct member, NODES);
+
+	for (int i = 0; i < NODES; i++) {
+		members[i].alive = true;
+		members[i].own.started = true;
+		members[i].own.revision = 1;
+		members[i].membership = jt_membership_create(
+			members, 1000 + (uint64_t)i, address_of(i), 1);
+		for (int seed = 0; seed < SEEDS; seed++)
+			jt_membership_seed(members[i].membership,
+					   address_of(seed));
+	}
+	return members;
+}
+
+/* Every live node tells two others; returns the messages sent. */
+static unsigned round_play(struct member *members, uint64_t now_ms)
+{
+	unsigned sent = 0;
+
+	for (int i = 0; i < NODES; i++) {
+		struct jt_address targets[JT_DIGEST_FANOUT];
+		TALLOC_CTX *frame = talloc_new(members);
+		jt_wire_digest digest;
+		size_t count;
+
+		if (!members[i].alive)
+			continue;
+		while (jt_membership_next_lost(members[i].membership, now_ms) !=
+		       NULL)
+			continue;
+		count = jt_membership_round(members[i].membership, targets);
+		jt_membership_own_digest(members[i].membership, frame,
+					 &members[i].own, now_ms, &digest);
+		for (size_t t = 0; t < count; t++) {
+			struct member *to =
+				&members[targets[t].ip - 0x0a000000];
+
+			sent++;
+			if (to->alive)
+				jt_membership_digest(
+					to->membership, 1000 + (uint64_t)i,
+					address_of(i), &digest, now_ms);
+		}
+		talloc_free(frame);
+	}
+	return sent;
+}
+
+static void test_all_find_each_other_from_three_seeds(void **state)
+{
+	struct member *members = members_create(NULL);
+	unsigned sent = 0;
+	size_t least = NODES;
+
+	(void)state;
+	for (int round = 0; round < 40; round++)
+		sent = round_play(members, 1000 + (uint64_t)round * ROUND_MS);
+	for (int i = 0; i < NODES; i++) {
+		if (members[i].membership->count < least)
+			least = members[i].membership->count;
+	}
+	assert_in_range(least, NODES - 4, NODES);
+	/* What a node sends does not grow with their number. */
+	assert_in_range(sent, NODES, NODES * JT_DIGEST_FANOUT);
+	talloc_free(members);
+}
+
+static void test_dead_peer_is_lost_and_told_once(void **state)
+{
+	struct jt_membership *membership =
+		jt_membership_create(NULL, 1, address_of(0), 1);
+	jt_wire_digest digest = {0};
+
+	(void)state;
+	assert_true(jt_membership_digest(membership, 2, address_of(1), &digest,
+					 1000));
+	assert_false(jt_membership_digest(membership, 2, address_of(1), &digest,
+					  1500));
+	assert_null(jt_membership_next_lost(membership, 3000));
+	assert_non_null(jt_membership_next_lost(membership, 6000));
+	assert_null(jt_membership_next_lost(membership, 6500));
+	assert_int_equal(jt_membership_live(membership), 0);
+	/* Another process at the same address is news. */
+	assert_true(jt_membership_digest(membership, 3, address_of(1), &digest,
+					 7000));
+	talloc_free(membership);
+}
+
+static void test_node_behind_fetches_after_a_while(void **state)
+{
+	struct jt_membership *membership =
+		jt_membership_create(NULL, 1, address_of(0), 1);
+	struct jt_own_state own = {.started = true, .revision = 10};
+	jt_wire_digest digest = {.started = TRUE, .revision = 10};
+
+	(void)state;
+	jt_membership_digest(membership, 2, address_of(1), &digest, 1000);
+	assert_null(jt_membership_fetch(membership, &own, 1000));
+	digest.revision = 12;
+	jt_membership_digest(membership, 2, address_of(1), &digest, 2000);
+	/* The store may tell the same just now. */
+	assert_null(jt_membership_fetch(membership, &own, 2000));
+	assert_non_null(jt_membership_fetch(membership, &own, 3000));
+	/* One fetch at a time. */
+	assert_null(jt_membership_fetch(membership, &own, 3100));
+	jt_membership_fetched(membership, false, 3200);
+	assert_null(jt_membership_fetch(membership, &own, 3300));
+	assert_non_null(jt_membership_fetch(membership, &own, 4000));
+	talloc_free(membership);
+}
+
+static void test_node_that_starts_fetches_at_once(void **state)
+{
+	struct jt_membership *membership =
+		jt_membership_create(NULL, 1, address_of(0), 1);
+	struct jt_own_state own = {0};
+	jt_wire_digest digest = {.revision = 12};
+
+	(void)state;
+	jt_membership_digest(membership, 2, address_of(1), &digest, 1000);
+	/* A peer that has not started itself knows nothing. */
+	assert_null(jt_membership_fetch(membership, &own, 1000));
+	digest.started = TRUE;
+	jt_membership_digest(membership, 2, address_of(1), &digest, 1001);
+	assert_non_null(jt_membership_fetch(membership, &own, 1001));
+	talloc_free(membership);
+}
+
+static void test_own_address_is_no_peer(void **state)
+{
+	struct jt_membership *membership =
+		jt_membership_create(NULL, 1, address_of(0), 1);
+	jt_wire_digest digest = {0};
+
+	(void)state;
+	jt_membership_seed(membership, address_of(0));
+	assert_int_equal(membership->count, 0);
+	jt_membership_digest(membership, 1, address_of(0), &digest, 1000);
+	assert_int_equal(membership->count, 0);
+	talloc_free(membership);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_all_find_each_other_from_three_seeds),
+		cmocka_unit_test(test_dead_peer_is_lost_and_told_once),
+		cmocka_unit_test(test_node_behind_fetches_after_a_while),
+		cmocka_unit_test(test_node_that_starts_fetches_at_once),
+		cmocka_unit_test(test_own_address_is_no_peer),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,227 @@
+/* Translation to the platform, by the examples of its pages' shapes. */
+#include "test.h"
+
+#include "jt_platform.h"
+#include "jt_net.h"
+
+#include <stdio.h>
+#include <sodium.h>
+
+static json_t *item_of(const char *key, const char *value)
+{
+	char text[8192];
+
+	sodium_bin2base64(text, sizeof(text), (const uint8_t *)value,
+			  strlen(value), sodium_base64_VARIANT_ORIGINAL);
+	return json_pack("{s:s, s:s, s:i}", "tlsKey", key, "value", text,
+			 "revision", 412);
+}
+
+/* The change that a document makes; JT_CHANGE_INVALID with @field. */
+static enum jt_change_kind read_change(const char *key, const char *value,
+				       struct jt_change *change)
+{
+	json_t *item = item_of(key, value);
+
+	assert_true(jt_platform_item(NULL, item, change));
+	json_decref(item);
+	return change->kind;
+}
+
+static void test_packet_round_trip(void **state)
+{
+	/* SYN from 100.64.0.7:40001 to 198.18.0.1:443, seq 0x11223344 */
+	static const uint8_t syn[] = {0x07, 0x00, 0x40, 0x64, 0x41, 0x9c, 0xbb,
+				      0x01, 0x01, 0x00, 0x12, 0xc6, 0x00, 0x00,
+				      0x00, 0x00, 0xd5, 0xc3, 0xb2, 0xa1, 0x44,
+				      0x33, 0x22, 0x11, 0x00, 0x00, 0x00, 0x00,
+				      0x04, 0x00, 0x00, 0x00};
+	static const uint8_t reset[] = {
+		0x01, 0x00, 0x12, 0xc6, 0xbb, 0x01, 0x41, 0x9c,
+		0x07, 0x00, 0x40, 0x64, 0x00, 0x00, 0x00, 0x00,
+		0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+		0x00, 0x00, 0x00, 0x00, 0x10, 0x00, 0x00, 0x00};
+	uint8_t buffer[8 + sizeof(syn)], out[JT_RESET_MAX];
+	struct jt_label_packet packet;
+
+	(void)state;
+	assert_true(jt_platform_codec.parse(syn, sizeof(syn), &packet));
+	assert_int_equal(packet.flags, JT_PACKET_SYN);
+	assert_int_equal(packet.key.source, 0x64400007);
+	assert_int_equal(packet.key.source_port, 40001);
+	assert_int_equal(packet.key.destination, 0xc6120001);
+	assert_int_equal(packet.key.destination_port, 443);
+	assert_int_equal(packet.sequence, 0x11223344);
+	assert_int_equal(jt_platform_codec.reset(&packet.key, 0, out),
+			 sizeof(reset));
+	assert_memory_equal(out, reset, sizeof(reset));
+	memcpy(buffer + 8, syn, sizeof(syn));
+	assert_int_equal(jt_platform_codec.wrap(buffer + 8, 0x7f3a91c2, 0xabcd),
+			 8);
+	assert_memory_equal(buffer, "\0\0\0\0\x7f\x3a\x91\xc2", 8);
+	/* Only the label has changed. */
+	assert_memory_equal(buffer + 8, syn, 12);
+	assert_memory_equal(buffer + 20, "\xcd\xab\0\0", 4);
+	assert_memory_equal(buffer + 24, syn + 16, sizeof(syn) - 16);
+}
+
+static void test_packets_that_make_no_sense(void **state)
+{
+	uint8_t data[1300] = {0};
+	struct jt_label_packet packet;
+
+	(void)state;
+	assert_false(jt_platform_codec.parse(data, 0, &packet));
+	assert_false(jt_platform_codec.parse(data, 31, &packet));
+	assert_false(jt_platform_codec.parse(data, 33, &packet));
+	assert_false(jt_platform_codec.parse(data, 1300, &packet));
+	data[30] = 4;
+	assert_true(jt_platform_codec.parse(data, 36, &packet));
+	assert_false(jt_platform_codec.parse(data, 35, &packet));
+}
+
+static void test_request_id(void **state)
+{
+	uint8_t data[256] = {0};
+	const char *text = "GET / HTTP/1.1\r\nRequest-Id: abc123\r\n\r\n";
+	char id[64] = "";
+
+	(void)state;
+	memcpy(data + 32, text, strlen(text));
+	jt_platform_codec.request(data, 32 + strlen(text), id, sizeof(id));
+	assert_string_equal(id, "abc123");
+	id[0] = '\0';
+	/* Cut off within the id. */
+	jt_platform_codec.request(data, 32 + 33, id, sizeof(id));
+	assert_string_equal(id, "");
+}
+
+static void test_endpoint(void **state)
+{
+	struct jt_change change;
+
+	(void)state;
+	assert_int_equal(
+		read_change("servers/i-7f3a91c2",
+			    "{\"service\":\"huvo11a\",\"address\":"
+			    "\"10.128.0.9:8080\",\"zone\":\"scl-quilicura\","
+			    "\"version\":\"v1\",\"capacity\":2,\"state\":"
+			    "\"draining\",\"coldLeftMs\":70,\"callCount\":4}",
+			    &change),
+		JT_CHANGE_ENDPOINT);
+	assert_int_equal(change.endpoint.id, 0x7f3a91c2);
+	assert_int_equal(change.endpoint.service_id, jt_name_id("huvo11a"));
+	assert_int_equal(change.endpoint.capacity, 2);
+	assert_int_equal(change.endpoint.cold_left_ms, 70);
+	assert_int_equal(change.endpoint.revision, 412);
+	assert_true(change.endpoint.draining);
+}
+
+static void expect_invalid(const char *key, const char *value,
+			   const char *field)
+{
+	struct jt_change change;
+
+	assert_int_equal(read_change(key, value, &change), JT_CHANGE_INVALID);
+	assert_string_equal(change.field, field);
+	assert_non_null(change.reason);
+	assert_string_equal(change.key, key);
+}
+
+static void test_bad_documents_are_named(void **state)
+{
+	(void)state;
+	expect_invalid("servers/i-1", "{", "value");
+	expect_invalid("servers/i-1", "{}", "service");
+	expect_invalid("servers/i-1", "{\"service\":\"a\",\"address\":\"x\"}",
+		       "address");
+	expect_invalid("servers/i-1",
+		       "{\"service\":\"a\",\"address\":\"10.0.0.1:80\","
+		       "\"state\":\"asleep\"}",
+		       "state");
+	expect_invalid("servers/none", "{\"service\":\"a\"}", "id");
+	expect_invalid("op/config", "[]", "version");
+	expect_invalid("op/config", "{\"version\":3}", "routes");
+	expect_invalid("op/config",
+		       "{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":"
+		       "\"x\"}]}",
+		       "host");
+	expect_invalid("op/config",
+		       "{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":"
+		       "\"198.18.0.1\",\"pathPrefix\":\"443\"}]}",
+		       "pathPrefix");
+	expect_invalid("op/config",
+		       "{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":"
+		       "\"198.18.0.1\",\"pathPrefix\":\"/443/\"}]}",
+		       "backends");
+	expect_invalid("op/config",
+		       "{\"version\":3,\"routes\":[{\"name\":\"a\",\"host\":"
+		       "\"198.18.0.1\",\"pathPrefix\":\"/443/\",\"service\":"
+		       "\"s\"},{\"name\":\"b\",\"host\":\"198.18.0.1\","
+		       "\"pathPrefix\":\"/443/\",\"service\":\"s\"}],"
+		       "\"services\":[]}",
+		       "routes");
+}
+
+static void test_config(void **state)
+{
+	struct jt_change change;
+
+	(void)state;
+	assert_int_equal(
+		read_change(
+			"op/config",
+			"{\"version\":7,\"routes\":[{\"name\":\"r-a\",\"host\":"
+			"\"198.18.0.1\",\"pathPrefix\":\"/8443/\",\"priority\":"
+			"2,\"backends\":[{\"service\":\"a\",\"weight\":90},"
+			"{\"service\":\"b\",\"weight\":10}]}],\"services\":[{"
+			"\"name\":\"a\",\"healthPath\":\"/health\",\"maxConns\""
+			":2000}],\"limits\":{\"idleTimeoutMs\":15000}}",
+			&change),
+		JT_CHANGE_ROUTING);
+	assert_int_equal(change.routing->version, 7);
+	assert_int_equal(change.routing->flow_idle_ms, 15000);
+	assert_int_equal(change.routing->routes[0].address.port, 8443);
+	assert_int_equal(change.routing->routes[0].parts[0].weight, 90);
+	assert_string_equal(change.routing->services[0].health_path, "/health");
+	talloc_free(change.routing);
+}
+
+static void test_keys_of_others_are_passed_over(void **state)
+{
+	json_t *item = item_of("my/key", "{}");
+	struct jt_change change;
+
+	(void)state;
+	assert_false(jt_platform_item(NULL, item, &change));
+	json_decref(item);
+}
+
+static void test_endpoint_ids(void **state)
+{
+	(void)state;
+	assert_int_equal(jt_platform_endpoint_id("i-7f3a91c2"), 0x7f3a91c2);
+	assert_int_equal(jt_platform_endpoint_id("i-392183b00d"),
+			 0x392183b00dull);
+	assert_int_equal(jt_platform_endpoint_id("i-"), 0);
+	assert_int_equal(jt_platform_endpoint_id("i-xyz"), 0);
+	assert_int_equal(jt_platform_endpoint_id("i-11112222333344445"), 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_packet_round_trip),
+		cmocka_unit_test(test_packets_that_make_no_sense),
+		cmocka_unit_test(test_request_id),
+		cmocka_unit_test(test_endpoint),
+		cmocka_unit_test(test_bad_documents_are_named),
+		cmocka_unit_test(test_config),
+		cmocka_unit_test(test_keys_of_others_are_passed_over),
+		cmocka_unit_test(test_endpoint_ids),
+	};
+
+	if (sodium_init() < 0)
+		return 1;
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
