A part whose endpoints all seem to have ended gives way to the others

Change: willing endpoints of all parts first. Also: jaspertrack why ID LOGS. Test: test_part_that_seems_dead_gives_way, seen to fail before.

--- /dev/null
+++ b/src/cli/log_lines.c
@@ -0,0 +1,177 @@
+#include "log_lines.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+enum { PROGRAM_LENGTH = 13 }; /* of "jaspertrackd[" */
+
+struct log_lines *log_lines_create(TALLOC_CTX *mem_ctx)
+{
+	return talloc_zero(mem_ctx, struct log_lines);
+}
+
+char *log_line_field(TALLOC_CTX *mem_ctx, const struct log_line *line,
+		     const char *field)
+{
+	size_t length = strlen(field);
+	const char *at = line->text;
+
+	while (at != NULL) {
+		if (strncmp(at, field, length) == 0 && at[length] == '=') {
+			at += length + 1;
+			return talloc_strndup(mem_ctx, at, strcspn(at, " \n"));
+		}
+		at = strchr(at, ' ');
+		if (at != NULL)
+			at++;
+	}
+	return NULL;
+}
+
+const char *log_line_node(const struct log_line *line)
+{
+	const struct log_process *process = line->process;
+
+	return process->node != NULL ? process->node : process->key;
+}
+
+static struct log_process *process_of(struct log_lines *lines, const char *file,
+				      int pid)
+{
+	char *key = talloc_asprintf(lines, "%s[%d]", file, pid);
+	struct log_process *process;
+
+	for (size_t i = 0; i < lines->process_count; i++) {
+		if (strcmp(lines->processes[i]->key, key) == 0) {
+			talloc_free(key);
+			return lines->processes[i];
+		}
+	}
+	process = talloc_zero(lines, struct log_process);
+	process->key = talloc_steal(process, key);
+	lines->processes =
+		talloc_realloc(lines, lines->processes, struct log_process *,
+			       lines->process_count + 1);
+	lines->processes[lines->process_count++] = process;
+	return process;
+}
+
+/* Milliseconds of "2026-12-02T09:46:16.272Z", -1 for anything else. */
+static int64_t read_stamp(const char *text)
+{
+	struct tm parts = {0};
+	const char *end = strptime(text, "%Y-%m-%dT%H:%M:%S", &parts);
+	int64_t seconds;
+
+	if (end == NULL || *end != '.')
+		return -1;
+	seconds = timegm(&parts);
+	return seconds * 1000 + strtol(end + 1, NULL, 10);
+}
+
+/* The stamp stands two words before the program. */
+static int64_t find_stamp(const char *text, const char *program)
+{
+	const char *at = program;
+
+	for (int words = 0; words < 2; words++) {
+		while (at > text && at[-1] == ' ')
+			at--;
+		while (at > text && at[-1] != ' ')
+			at--;
+	}
+	return read_stamp(at);
+}
+
+static struct log_line *line_add(struct log_lines *lines)
+{
+	if (lines->count == lines->capacity) {
+		lines->capacity = lines->capacity ? lines->capacity * 2 : 1024;
+		lines->items = talloc_realloc(lines, lines->items,
+					      struct log_line, lines->capacity);
+	}
+	memset(&lines->items[lines->count], 0, sizeof(struct log_line));
+	return &lines->items[lines->count++];
+}
+
+static void line_take(struct log_lines *lines, const char *text,
+		      const char *name)
+{
+	const char *program = strstr(text, "jaspertrackd[");
+	const char *event = strstr(text, "event=");
+	struct log_line *line;
+	int64_t wall_ms;
+	char *up, *node;
+
+	if (program == NULL || event == NULL || event < program)
+		return;
+	wall_ms = find_stamp(text, program);
+	if (wall_ms < 0)
+		return;
+	line = line_add(lines);
+	line->wall_ms = wall_ms;
+	line->text = talloc_strndup(lines, event, strcspn(event, "\n"));
+	line->process = process_of(lines, name, atoi(program + PROGRAM_LENGTH));
+	up = log_line_field(lines, line, "up_ms");
+	line->up_ms = up != NULL ? strtoll(up, NULL, 10) : wall_ms;
+	node = log_line_field(line->process, line, "node");
+	if (strncmp(line->text, "event=started", 13) == 0 && node != NULL)
+		line->process->node = node;
+}
+
+void log_lines_read(struct log_lines *lines, FILE *file, const char *name)
+{
+	char *text = NULL;
+	size_t room = 0;
+
+	while (getline(&text, &room, file) >= 0)
+		line_take(lines, text, name);
+	free(text);
+}
+
+static int compare_numbers(const void *a, const void *b)
+{
+	int64_t left = *(const int64_t *)a, right = *(const int64_t *)b;
+
+	return (left > right) - (left < right);
+}
+
+static int compare_lines(const void *a, const void *b)
+{
+	const struct log_line *left = a, *right = b;
+
+	if (left->time_ms != right->time_ms)
+		return left->time_ms < right->time_ms ? -1 : 1;
+	return (left->up_ms > right->up_ms) - (left->up_ms < right->up_ms);
+}
+
+static void process_correct(struct log_lines *lines,
+			    struct log_process *process)
+{
+	int64_t *offsets = talloc_array(lines, int64_t, lines->count + 1);
+	size_t count = 0;
+
+	for (size_t i = 0; i < lines->count; i++) {
+		const struct log_line *line = &lines->items[i];
+
+		if (line->process == process)
+			offsets[count++] = line->wall_ms - line->up_ms;
+	}
+	qsort(offsets, count, sizeof(*offsets), compare_numbers);
+	process->offset_ms = offsets[count / 2];
+	talloc_free(offsets);
+}
+
+void log_lines_order(struct log_lines *lines)
+{
+	for (size_t i = 0; i < lines->process_count; i++)
+		process_correct(lines, lines->processes[i]);
+	for (size_t i = 0; i < lines->count; i++)
+		lines->items[i].time_ms = lines->items[i].up_ms +
+					  lines->items[i].process->offset_ms;
+	if (lines->count > 0)
+		qsort(lines->items, lines->count, sizeof(*lines->items),
+		      compare_lines);
+}
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -1,8 +1,10 @@
 /* jaspertrack: the operator's command line. */
+#include "jt_director_settings.h"
 #include "jt_http_client.h"
 #include "jt_resource.h"
 #include "jt_settings.h"
 #include "jt_version.h"
+#include "why.h"
 
 #include <argtable2.h>
 #include <curl/curl.h>
@@ -27,6 +29,8 @@
 	"  explain SRC DST      endpoint of the flow from SRC to DST "
 	"(IP:PORT)\n"
 	"  outcome ID           what became of a write without an answer\n"
+	"  why ID LOGS          what became of a request or flow, from the "
+	"logs\n"
 	"  check FILE           settings (*.cfg) or resources (*.json)\n"
 	"\n"
 	"Options: --api URL    any node's API (or JASPERTRACK_API)\n"
@@ -391,8 +395,12 @@
 static int check_settings(const char *name)
 {
 	char *error = NULL;
-	struct jt_settings *settings = jt_settings_load(NULL, name, &error);
+	void *settings;
 
+	if (jt_director_settings_wanted(name))
+		settings = jt_director_settings_load(NULL, name, &error);
+	else
+		settings = jt_settings_load(NULL, name, &error);
 	if (settings == NULL) {
 		fprintf(stderr, "%s\n", error);
 		talloc_free(error);
@@ -444,6 +452,14 @@
 	return EXIT_USAGE;
 }
 
+static int run_why(const struct arguments *a)
+{
+	if (a->word_count == 3)
+		return why_run(a->words[1], a->words[2]);
+	fprintf(stderr, "jaspertrack: why ID LOGS\n");
+	return EXIT_USAGE;
+}
+
 static int run_command(const struct arguments *a)
 {
 	const char *command = a->words[0];
@@ -452,6 +468,8 @@
 		return EXIT_USAGE;
 	if (strcmp(command, "check") == 0)
 		return run_check(a);
+	if (strcmp(command, "why") == 0)
+		return run_why(a);
 	if (a->api == NULL) {
 		fprintf(stderr, "jaspertrack: --api URL is needed\n");
 		return EXIT_USAGE;
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -202,13 +202,12 @@
 		best->incarnation = in;
 }
 
-static struct jt_incarnation *pool_choose(struct jt_chooser *chooser,
-					  const struct jt_service_pool *pool,
-					  uint32_t connection_limit,
-					  uint64_t now_ms)
+static struct jt_incarnation *
+pool_choose(struct jt_chooser *chooser, const struct jt_service_pool *pool,
+	    uint32_t connection_limit, enum willingness most, uint64_t now_ms)
 {
 	struct candidate local = {0}, remote = {0};
-	enum willingness lowest = UNWILLING;
+	enum willingness lowest = most;
 	uint32_t fastest_us = pool_latency(pool);
 	struct jt_incarnation *in;
 
@@ -216,7 +215,7 @@
 		enum willingness willing = incarnation_willing(
 			chooser, in, connection_limit, now_ms);
 
-		if (willing == UNWILLING || willing > lowest)
+		if (willing > lowest)
 			continue;
 		if (willing < lowest) {
 			memset(&local, 0, sizeof(local));
@@ -259,20 +258,18 @@
 	return next;
 }
 
-struct jt_incarnation *jt_chooser_choose(struct jt_chooser *chooser,
-					 const struct jt_endpoint_table *table,
-					 const struct jt_routing *routing,
-					 const struct jt_route *route,
-					 uint64_t now_ms)
+/* An endpoint of the first part, by weight, that has one that is as willing
+ * as @most. */
+static struct jt_incarnation *
+parts_choose(struct jt_chooser *chooser, const struct jt_endpoint_table *table,
+	     const struct jt_routing *routing, struct jt_split *split,
+	     enum willingness most, uint64_t now_ms)
 {
-	struct jt_split *split = split_find(chooser, route);
 	unsigned tried = 0;
 	int part;
 
-	if (split == NULL)
-		return NULL;
 	while ((part = split_next(split, tried)) >= 0) {
-		uint32_t service_id = route->parts[part].service_id;
+		uint32_t service_id = split->route.parts[part].service_id;
 		const struct jt_routed_service *service =
 			jt_routing_service(routing, service_id);
 		struct jt_service_pool *pool =
@@ -283,7 +280,7 @@
 			chosen = pool_choose(chooser, pool,
 					     service ? service->connection_limit
 						     : 0,
-					     now_ms);
+					     most, now_ms);
 		if (chosen != NULL) {
 			split_give(split, (size_t)part);
 			return chosen;
@@ -292,3 +289,21 @@
 	}
 	return NULL;
 }
+
+struct jt_incarnation *jt_chooser_choose(struct jt_chooser *chooser,
+					 const struct jt_endpoint_table *table,
+					 const struct jt_routing *routing,
+					 const struct jt_route *route,
+					 uint64_t now_ms)
+{
+	struct jt_split *split = split_find(chooser, route);
+	struct jt_incarnation *chosen = NULL;
+
+	if (split == NULL)
+		return NULL;
+	/* A part whose endpoints all seem to have ended gives way to others. */
+	for (int most = WILLING; most < UNWILLING && chosen == NULL; most++)
+		chosen = parts_choose(chooser, table, routing, split,
+				      (enum willingness)most, now_ms);
+	return chosen;
+}
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -611,6 +611,31 @@
 	talloc_free(bench);
 }
 
+/* Failure 25: all endpoints of one part have crashed. */
+static void test_part_that_seems_dead_gives_way(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	struct caller_flow flow;
+	uint64_t at;
+
+	(void)state;
+	bench_endpoint(bench, 0x301, SERVICE_EXPORT, ZONE_A, 5);
+	do {
+		flow = flow_new(bench, CALLER, SPLIT_PORT);
+		at = flow_syn(bench, &flow);
+		if (at != 0x301)
+			flow_open(bench, &flow);
+	} while (at != 0x301);
+	/* Refused by the endpoint, the caller tries again at once. */
+	bench->now_ms += 3;
+	for (int i = 0; i < 4; i++) {
+		flow = flow_new(bench, CALLER, SPLIT_PORT);
+		flow_open(bench, &flow);
+		assert_int_not_equal(flow.endpoint_id, 0x301);
+	}
+	talloc_free(bench);
+}
+
 static void test_load_goes_to_the_own_zone_until_it_is_higher(void **state)
 {
 	struct bench *bench = bench_create(0);
@@ -718,6 +743,7 @@
 		cmocka_unit_test(test_routing_never_goes_back),
 		cmocka_unit_test(test_list_tells_what_is_gone),
 		cmocka_unit_test(test_parts_are_exact),
+		cmocka_unit_test(test_part_that_seems_dead_gives_way),
 		cmocka_unit_test(
 			test_load_goes_to_the_own_zone_until_it_is_higher),
 		cmocka_unit_test(test_slow_endpoint_gets_fewer),
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -87,7 +87,7 @@
 	char id[64] = "";
 
 	(void)state;
-	memcpy(data + 32, text, strlen(text));
+	memcpy(data + 32, text, strlen(text) + 1);
 	jt_platform_codec.request(data, 32 + strlen(text), id, sizeof(id));
 	assert_string_equal(id, "abc123");
 	id[0] = '\0';
