--- a/src/cli/why.c
+++ b/src/cli/why.c
@@ -141,6 +141,33 @@
 	}
 }
 
+/* Events that tell of a node, not of an endpoint or flow. */
+static bool node_event(const struct log_line *line)
+{
+	static const char *const events[] = {
+		"started",
+		"ready",
+		"not_ready",
+		"leaving",
+		"left",
+		"store_lost",
+		"store_regained",
+		"routing",
+		"reloaded",
+		"reload_rejected",
+		"knowledge_learned",
+		"peer_lost",
+		"log_shortened",
+		"entry_refused",
+	};
+
+	for (size_t i = 0; i < sizeof(events) / sizeof(events[0]); i++) {
+		if (event_is(line, events[i]))
+			return true;
+	}
+	return false;
+}
+
 /* Whether a line about no flow helps to understand this one. */
 static bool line_matters(const struct story *story, const struct log_line *line)
 {
@@ -156,7 +183,8 @@
 		return false;
 	if (endpoint != NULL)
 		return names_have(&story->endpoints, endpoint);
-	return names_have(&story->nodes, log_line_node(line));
+	return node_event(line) &&
+	       names_have(&story->nodes, log_line_node(line));
 }
 
 static void print_line(const struct log_line *line)
@@ -220,12 +248,33 @@
 	}
 }
 
+/* Processes of the story that say nothing more soon after it. */
+static void print_ends(const struct story *story)
+{
+	for (size_t p = 0; p < story->lines->process_count; p++) {
+		const struct log_line *last = NULL;
+
+		for (size_t i = 0; i < story->lines->count; i++) {
+			if (story->lines->items[i].process ==
+			    story->lines->processes[p])
+				last = &story->lines->items[i];
+		}
+		if (last != NULL && last->time_ms >= story->first_ms &&
+		    last->time_ms <= story->last_ms + AROUND_AFTER_MS &&
+		    names_have(&story->nodes, log_line_node(last)))
+			printf("%s (%s) says no more after that: it ended, "
+			       "or these logs do\n",
+			       log_line_node(last), last->process->key);
+	}
+}
+
 static void print_story(const struct story *story)
 {
 	for (size_t i = 0; i < story->lines->count; i++) {
 		if (line_matters(story, &story->lines->items[i]))
 			print_line(&story->lines->items[i]);
 	}
+	print_ends(story);
 	print_conclusion(story);
 }
 
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -125,21 +125,31 @@
 	jt_flow_cache_remove(director->flows, flow);
 }
 
-void jt_director_flow_reset(struct jt_director *director,
-			    struct jt_cached_flow *flow,
-			    const struct jt_incarnation *incarnation,
-			    uint64_t now_ms,
-			    struct jt_director_actions *actions)
+/* The flow's endpoint is dead. */
+static void reset_dead(struct jt_director *director,
+		       const struct jt_flow_key *key, uint32_t acknowledged,
+		       const struct jt_incarnation *incarnation,
+		       uint64_t now_ms, struct jt_director_actions *actions)
 {
 	struct jt_director_action *action = jt_director_action_about(
 		actions, JT_DIRECTOR_RESET, JT_DIRECTOR_ENDPOINT_DEAD,
 		incarnation, now_ms);
 
 	director->counters.by_reason[JT_DIRECTOR_ENDPOINT_DEAD]++;
-	if (action != NULL) {
-		action->key = flow->key;
-		action->reset_sequence = flow->acknowledged;
-	}
+	if (action == NULL)
+		return;
+	action->key = *key;
+	action->reset_sequence = acknowledged;
+}
+
+void jt_director_flow_reset(struct jt_director *director,
+			    struct jt_cached_flow *flow,
+			    const struct jt_incarnation *incarnation,
+			    uint64_t now_ms,
+			    struct jt_director_actions *actions)
+{
+	reset_dead(director, &flow->key, flow->acknowledged, incarnation,
+		   now_ms, actions);
 	jt_director_flow_forget(director, flow);
 }
 
@@ -351,8 +361,8 @@
 		if (flow != NULL)
 			jt_director_flow_forget(director, flow);
 		if (!(packet->flags & JT_PACKET_RST))
-			add_reset(director, &packet->key, packet->acknowledged,
-				  JT_DIRECTOR_ENDPOINT_DEAD, actions);
+			reset_dead(director, &packet->key, packet->acknowledged,
+				   incarnation, now_ms, actions);
 		return;
 	}
 	if (flow == NULL) {
