Peers' shares of the endpoints' flows count in the choice

Cause: each node balanced its own flows alone; an endpoint that was full by all nodes' flows together was not seen to be, and first packets waited there for their deadline. Ways weighed: counts through the store (calls cost), one counter node (one more thing to lose), reports to a few peers with the mean added to the own count (chosen: every node corrects its part of a difference, late reports make no herd). Change: reports of up to 128 endpoints with each digest; an endpoint that is full by all nodes' flows is refused at once (no_capacity) when it left first packets unanswered.

--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -18,6 +18,7 @@
 enum {
 	JT_ROUTE_PART_LIMIT = 16,	/* services that share one route */
 	JT_ENDPOINT_TABLE_LIMIT = 8192, /* incarnations known at once */
+	JT_LOAD_LIMIT = 128,		/* endpoints in one report of loads */
 };
 
 /* A service's part of a route's new flows. */
@@ -66,6 +67,12 @@
 	uint64_t gone_revision; /* when it went; 0: it is there */
 };
 
+/* Flows that a node has open at one endpoint. */
+struct jt_endpoint_load {
+	uint32_t label;
+	uint32_t flows;
+};
+
 /* How this node sees one incarnation. */
 enum jt_incarnation_state {
 	JT_INCARNATION_READY,
@@ -120,6 +127,7 @@
 	JT_DIRECTOR_SUSPICION,	/* a peer takes the endpoint for dead */
 	JT_DIRECTOR_IDENTIFIED, /* who answers at an endpoint's address */
 	JT_DIRECTOR_PROBED,	/* the outcome of a probe */
+	JT_DIRECTOR_LOADS,	/* a peer's share of the endpoints' flows */
 	JT_DIRECTOR_TICK,
 };
 
@@ -149,6 +157,11 @@
 			uint64_t id;	/* that was asked for */
 			uint64_t found; /* 0: nobody said */
 		} identified;
+		struct {
+			uint64_t peer;
+			const struct jt_endpoint_load *loads;
+			size_t count;
+		} loads;
 		struct {
 			uint64_t nodes; /* known to live, this one too */
 		} tick;
@@ -178,7 +191,7 @@
 	JT_DIRECTOR_UNKNOWN_LABEL, /* no endpoint known by that label */
 	JT_DIRECTOR_NO_LABEL,	   /* not a first packet, and no label */
 	JT_DIRECTOR_FORGED,	   /* only endpoints send such packets */
-	JT_DIRECTOR_OVER_SHARE,	   /* the route's share is used up */
+	JT_DIRECTOR_NO_CAPACITY,   /* all endpoints are full */
 	JT_DIRECTOR_NOT_STARTED,   /* routing or endpoints not yet known */
 	JT_DIRECTOR_REASONS,
 };
--- a/include/jaspertrack/director.h
+++ b/include/jaspertrack/director.h
@@ -48,6 +48,11 @@
 			     struct jt_endpoint_entry *entry,
 			     enum jt_incarnation_state *state);
 
+/* This node's share of the endpoints' flows; returns how many of @loads were
+ * set. Endpoints past the limit take turns. */
+size_t jt_director_loads(struct jt_director *director,
+			 struct jt_endpoint_load loads[JT_LOAD_LIMIT]);
+
 /* The label that names an incarnation in a flow's packets; never 0. */
 uint32_t jt_flow_label(uint64_t endpoint_id);
 
--- a/src/cli/why.c
+++ b/src/cli/why.c
@@ -224,7 +224,9 @@
 			  "started after the endpoint had left discovery"},
 	{"no_label", "a packet of a flow that never opened"},
 	{"forged", "a packet that only endpoints send"},
-	{"over_share", "the route had used up its share"},
+	{"no_capacity",
+	 "every endpoint that could take the flow holds as many as "
+	 "its service allows"},
 	{"not_started", "the node did not know routing or endpoints yet; the "
 			"packet waited for that"},
 };
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -482,6 +482,25 @@
 	started_look(node);
 }
 
+static size_t on_own_loads(struct jt_endpoint_load loads[JT_LOAD_LIMIT],
+			   void *private_data)
+{
+	struct jt_director_node *node = private_data;
+
+	return jt_director_loads(node->director, loads);
+}
+
+static void on_loads(uint64_t peer, const struct jt_endpoint_load *loads,
+		     size_t count, void *private_data)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_LOADS};
+
+	event.u.loads.peer = peer;
+	event.u.loads.loads = loads;
+	event.u.loads.count = count;
+	node_event(private_data, &event);
+}
+
 static void on_suspicion(uint64_t endpoint_id, void *private_data)
 {
 	struct jt_director_event event = {.kind = JT_DIRECTOR_SUSPICION};
@@ -604,6 +623,8 @@
 		.own_state = on_own_state,
 		.knowledge = on_knowledge,
 		.learned = on_learned,
+		.own_loads = on_own_loads,
+		.loads = on_loads,
 		.suspicion = on_suspicion,
 		.private_data = node,
 	};
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -57,6 +57,40 @@
 	exchange->counters.bytes_sent += length;
 }
 
+static void loads_send(struct jt_peer_exchange *exchange,
+		       const struct jt_address *targets, size_t count)
+{
+	struct jt_endpoint_load own[JT_LOAD_LIMIT];
+	jt_wire_load wire[JT_LOAD_LIMIT];
+	jt_wire_director_message message = {
+		.from = exchange->membership->id,
+		.body.kind = JT_WIRE_LOADS,
+	};
+	jt_wire_loads *loads = &message.body.jt_wire_director_body_u.loads;
+	size_t own_count = exchange->handler.own_loads(
+		own, exchange->handler.private_data);
+
+	for (size_t i = 0; i < own_count; i++)
+		wire[i] = (jt_wire_load){own[i].label, own[i].flows};
+	loads->loads.loads_val = wire;
+	loads->loads.loads_len = (u_int)own_count;
+	for (size_t i = 0; i < count; i++)
+		message_send(exchange, targets[i], &message);
+}
+
+static void loads_take(struct jt_peer_exchange *exchange, uint64_t peer,
+		       const jt_wire_loads *wire)
+{
+	struct jt_endpoint_load loads[JT_LOAD_LIMIT];
+
+	for (u_int i = 0; i < wire->loads.loads_len; i++) {
+		loads[i].label = wire->loads.loads_val[i].label;
+		loads[i].flows = wire->loads.loads_val[i].flows;
+	}
+	exchange->handler.loads(peer, loads, wire->loads.loads_len,
+				exchange->handler.private_data);
+}
+
 static void digests_send(struct jt_peer_exchange *exchange, uint64_t now_ms)
 {
 	struct jt_address targets[JT_DIGEST_FANOUT];
@@ -75,6 +109,7 @@
 		message_send(exchange, targets[i], &message);
 		exchange->counters.digests_sent++;
 	}
+	loads_send(exchange, targets, count);
 	talloc_free(frame);
 }
 
@@ -255,6 +290,10 @@
 				    jt_address_format(from, text));
 		fetch_look(exchange, now_ms);
 		break;
+	case JT_WIRE_LOADS:
+		loads_take(exchange, message->from,
+			   &message->body.jt_wire_director_body_u.loads);
+		break;
 	case JT_WIRE_SUSPICION:
 		exchange->handler.suspicion(
 			message->body.jt_wire_director_body_u.suspicion
--- a/src/director/jt_peer_exchange.h
+++ b/src/director/jt_peer_exchange.h
@@ -8,6 +8,7 @@
 #include "jt_director_settings.h"
 #include "jt_http_client.h"
 #include "jt_log.h"
+#include "jaspertrack/director-t.h"
 #include "jt_membership.h"
 
 /* What the owner of a peer exchange provides and is told. */
@@ -18,6 +19,12 @@
 			  void *private_data);
 	/* What a peer knows. */
 	void (*learned)(const jt_wire_knowledge *knowledge, void *private_data);
+	/* This node's share of the endpoints' flows. */
+	size_t (*own_loads)(struct jt_endpoint_load loads[JT_LOAD_LIMIT],
+			    void *private_data);
+	/* A peer's share of them. */
+	void (*loads)(uint64_t peer, const struct jt_endpoint_load *loads,
+		      size_t count, void *private_data);
 	/* A peer has found an endpoint dead. */
 	void (*suspicion)(uint64_t endpoint_id, void *private_data);
 	void *private_data;
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -21,12 +21,15 @@
 };
 
 struct jt_chooser *jt_chooser_create(TALLOC_CTX *mem_ctx,
-				     const struct jt_director_options *opts)
+				     const struct jt_director_options *opts,
+				     const struct jt_peer_loads *peer_loads)
 {
 	struct jt_chooser *chooser = talloc_zero(mem_ctx, struct jt_chooser);
 
 	if (chooser == NULL)
 		return NULL;
+	chooser->peer_loads = peer_loads;
+	chooser->nodes = 1;
 	chooser->zone_id = opts->zone_id;
 	chooser->lapsed_grace_ms = opts->lapsed_grace_ms;
 	chooser->random.seed = opts->seed;
@@ -107,16 +110,30 @@
 	}
 }
 
+double jt_chooser_flows(const struct jt_chooser *chooser,
+			const struct jt_incarnation *incarnation,
+			uint64_t now_ms)
+{
+	double mean = jt_peer_loads_mean(chooser->peer_loads,
+					 incarnation->label, now_ms);
+
+	return incarnation->flows + mean * (double)(chooser->nodes - 1);
+}
+
 /* How willing an incarnation is to take a new flow; lower is better. */
-enum willingness { WILLING, SUSPECTED, LAST_RESORT, UNWILLING };
+enum willingness { WILLING, SUSPECTED, FULL, LAST_RESORT, UNWILLING };
 
 static enum willingness incarnation_willing(const struct jt_chooser *chooser,
 					    const struct jt_incarnation *in,
 					    uint32_t connection_limit,
 					    uint64_t now_ms)
 {
-	if (connection_limit > 0 && in->flows >= connection_limit)
-		return UNWILLING;
+	if (connection_limit > 0 && in->state == JT_INCARNATION_READY &&
+	    jt_chooser_flows(chooser, in, now_ms) >= connection_limit)
+		return now_ms < in->avoid_until_ms ||
+				       in->flows >= connection_limit
+			       ? UNWILLING
+			       : FULL;
 	switch (in->state) {
 	case JT_INCARNATION_READY:
 		if (in->suspected_ms != 0 || now_ms < in->avoid_until_ms)
@@ -172,11 +189,14 @@
 }
 
 /* Load after one more flow, for capacity and speed. */
-static double incarnation_load(const struct jt_incarnation *in,
+static double incarnation_load(const struct jt_chooser *chooser,
+			       const struct jt_incarnation *in,
 			       uint32_t fastest_us, uint64_t now_ms)
 {
 	uint32_t capacity = in->entry.capacity ? in->entry.capacity : 1;
-	double work = (double)in->flows + (double)in->waiting + 1.0;
+	double work =
+		(double)in->flows + (double)in->waiting + 1.0 +
+		jt_peer_loads_mean(chooser->peer_loads, in->label, now_ms);
 
 	return work * (double)slowness_permille(in, fastest_us, now_ms) /
 	       capacity;
@@ -222,10 +242,11 @@
 			memset(&remote, 0, sizeof(remote));
 			lowest = willing;
 		}
-		candidate_offer(chooser,
-				in->entry.zone_id == chooser->zone_id ? &local
-								      : &remote,
-				in, incarnation_load(in, fastest_us, now_ms));
+		candidate_offer(
+			chooser,
+			in->entry.zone_id == chooser->zone_id ? &local
+							      : &remote,
+			in, incarnation_load(chooser, in, fastest_us, now_ms));
 	}
 	if (local.incarnation == NULL)
 		return remote.incarnation;
@@ -290,20 +311,48 @@
 	return NULL;
 }
 
+/* Whether some endpoint of the route would take flows if it had room. */
+static bool parts_full(const struct jt_chooser *chooser,
+		       const struct jt_endpoint_table *table,
+		       const struct jt_routing *routing,
+		       const struct jt_route *route, uint64_t now_ms)
+{
+	for (size_t i = 0; i < route->part_count; i++) {
+		uint32_t service_id = route->parts[i].service_id;
+		const struct jt_routed_service *service =
+			jt_routing_service(routing, service_id);
+		const struct jt_service_pool *pool =
+			jt_endpoint_table_pool(table, service_id);
+		const struct jt_incarnation *in = pool ? pool->members : NULL;
+
+		for (; in != NULL && service != NULL; in = in->pool_next) {
+			if (in->state == JT_INCARNATION_READY &&
+			    service->connection_limit > 0 &&
+			    jt_chooser_flows(chooser, in, now_ms) >=
+				    service->connection_limit)
+				return true;
+		}
+	}
+	return false;
+}
+
 struct jt_incarnation *jt_chooser_choose(struct jt_chooser *chooser,
 					 const struct jt_endpoint_table *table,
 					 const struct jt_routing *routing,
 					 const struct jt_route *route,
-					 uint64_t now_ms)
+					 uint64_t now_ms, bool *full)
 {
 	struct jt_split *split = split_find(chooser, route);
 	struct jt_incarnation *chosen = NULL;
 
+	*full = false;
 	if (split == NULL)
 		return NULL;
 	/* A part whose endpoints all seem to have ended gives way to others. */
 	for (int most = WILLING; most < UNWILLING && chosen == NULL; most++)
 		chosen = parts_choose(chooser, table, routing, split,
 				      (enum willingness)most, now_ms);
+	if (chosen == NULL)
+		*full = parts_full(chooser, table, routing, route, now_ms);
 	return chosen;
 }
--- a/src/label/jt_choose.h
+++ b/src/label/jt_choose.h
@@ -10,6 +10,7 @@
 #define JT_CHOOSE_H
 
 #include "jt_endpoint_table.h"
+#include "jt_peer_loads.h"
 #include "jt_random.h"
 
 #include <uthash.h>
@@ -26,18 +27,26 @@
 	struct jt_split *splits;
 	uint32_t zone_id;
 	uint32_t lapsed_grace_ms;
+	const struct jt_peer_loads *peer_loads;
+	uint64_t nodes; /* that share the endpoints, this one too */
 	struct jt_random random;
 	unsigned break_mechanism;
 };
 
 struct jt_chooser *jt_chooser_create(TALLOC_CTX *mem_ctx,
-				     const struct jt_director_options *opts);
-/* NULL when no endpoint of any part may take a new flow. */
+				     const struct jt_director_options *opts,
+				     const struct jt_peer_loads *peer_loads);
+/* NULL when no endpoint of any part may take a new flow; @full is true where
+ * that is for want of connections. */
 struct jt_incarnation *jt_chooser_choose(struct jt_chooser *chooser,
 					 const struct jt_endpoint_table *table,
 					 const struct jt_routing *routing,
 					 const struct jt_route *route,
-					 uint64_t now_ms);
+					 uint64_t now_ms, bool *full);
+/* Flows of all nodes together at the incarnation, as far as is known. */
+double jt_chooser_flows(const struct jt_chooser *chooser,
+			const struct jt_incarnation *incarnation,
+			uint64_t now_ms);
 /* A request of the route went to @service_id on a flow that is open. */
 void jt_chooser_count(struct jt_chooser *chooser, const struct jt_route *route,
 		      uint32_t service_id);
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -45,10 +45,13 @@
 	jt_detector_init(&director->detector, opts);
 	director->endpoints = jt_endpoint_table_create(director);
 	director->flows = jt_flow_cache_create(director, opts->flow_limit);
-	director->chooser = jt_chooser_create(director, opts);
+	director->peer_loads = jt_peer_loads_create(director);
+	director->chooser =
+		jt_chooser_create(director, opts, director->peer_loads);
 	director->latency = jt_latency_create(director);
 	if (director->endpoints == NULL || director->flows == NULL ||
-	    director->chooser == NULL || director->latency == NULL)
+	    director->chooser == NULL || director->latency == NULL ||
+	    director->peer_loads == NULL)
 		TALLOC_FREE(director);
 	return director;
 }
@@ -579,9 +582,15 @@
 		event_identified(director, event->u.identified.id,
 				 event->u.identified.found, now_ms, actions);
 		break;
+	case JT_DIRECTOR_LOADS:
+		jt_peer_loads_take(director->peer_loads, event->u.loads.peer,
+				   event->u.loads.loads, event->u.loads.count,
+				   now_ms);
+		break;
 	case JT_DIRECTOR_TICK:
 		director->nodes =
 			event->u.tick.nodes > 0 ? event->u.tick.nodes : 1;
+		director->chooser->nodes = director->nodes;
 		flows_expire(director, now_ms);
 		openings_tick(director, now_ms, actions);
 		endpoints_tick(director, now_ms, actions);
@@ -637,6 +646,24 @@
 	return count;
 }
 
+size_t jt_director_loads(struct jt_director *director,
+			 struct jt_endpoint_load loads[JT_LOAD_LIMIT])
+{
+	struct jt_incarnation *in =
+		jt_endpoint_table_first(director->endpoints);
+	size_t count = 0, index = 0;
+
+	for (; in != NULL && count < JT_LOAD_LIMIT;
+	     in = jt_endpoint_table_next(in), index++) {
+		if (index < director->loads_told || in->flows == 0)
+			continue;
+		loads[count++] =
+			(struct jt_endpoint_load){in->label, in->flows};
+	}
+	director->loads_told = in != NULL ? index : 0;
+	return count;
+}
+
 bool jt_director_endpoint_at(const struct jt_director *director, size_t index,
 			     struct jt_endpoint_entry *entry,
 			     enum jt_incarnation_state *state)
@@ -668,7 +695,7 @@
 		[JT_DIRECTOR_UNKNOWN_LABEL] = "unknown_label",
 		[JT_DIRECTOR_NO_LABEL] = "no_label",
 		[JT_DIRECTOR_FORGED] = "forged",
-		[JT_DIRECTOR_OVER_SHARE] = "over_share",
+		[JT_DIRECTOR_NO_CAPACITY] = "no_capacity",
 		[JT_DIRECTOR_NOT_STARTED] = "not_started",
 	};
 
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -180,11 +180,14 @@
 {
 	struct jt_incarnation *chosen;
 	struct jt_cached_flow *flow;
+	bool full;
 
 	chosen = jt_chooser_choose(director->chooser, director->endpoints,
-				   director->routing, route, now_ms);
+				   director->routing, route, now_ms, &full);
 	if (chosen == NULL) {
-		add_reset(director, &packet->key, 0, JT_DIRECTOR_NO_ENDPOINT,
+		add_reset(director, &packet->key, 0,
+			  full ? JT_DIRECTOR_NO_CAPACITY
+			       : JT_DIRECTOR_NO_ENDPOINT,
 			  actions);
 		return;
 	}
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -8,6 +8,7 @@
 #include "jt_endpoint_table.h"
 #include "jt_flow_cache.h"
 #include "jt_latency.h"
+#include "jt_peer_loads.h"
 #include "jt_routing.h"
 
 struct jt_director {
@@ -23,6 +24,8 @@
 	struct jt_chooser *chooser;
 	struct jt_detector detector;
 	struct jt_latency *latency;
+	struct jt_peer_loads *peer_loads;
+	size_t loads_told; /* where the next report of loads begins */
 	struct jt_director_counters counters;
 };
 
--- /dev/null
+++ b/src/label/jt_peer_loads.h
@@ -0,0 +1,35 @@
+/*
+ * What peers told of their shares of the endpoints' flows.
+ *
+ * A node balances its own flows plus the mean of its peers': where an endpoint
+ * has less than others by some flows of each node, each node gives it just its
+ * part of the difference, so that late reports make no herd.
+ */
+#ifndef JT_PEER_LOADS_H
+#define JT_PEER_LOADS_H
+
+#include "jaspertrack/director-t.h"
+
+enum { JT_PEER_LOADS_LIMIT = 16 }; /* peers remembered, the newest ones */
+
+struct jt_peer_report {
+	uint64_t peer;
+	uint64_t told_ms;
+	size_t count;
+	struct jt_endpoint_load loads[JT_LOAD_LIMIT]; /* sorted by label */
+};
+
+struct jt_peer_loads {
+	struct jt_peer_report *reports[JT_PEER_LOADS_LIMIT];
+};
+
+struct jt_peer_loads *jt_peer_loads_create(TALLOC_CTX *mem_ctx);
+void jt_peer_loads_take(struct jt_peer_loads *peers, uint64_t peer,
+			const struct jt_endpoint_load *loads, size_t count,
+			uint64_t now_ms);
+/* The mean of the peers' flows at the endpoint, by reports that are not
+ * outdated; 0 when there are none. */
+double jt_peer_loads_mean(const struct jt_peer_loads *peers, uint32_t label,
+			  uint64_t now_ms);
+
+#endif
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -19,6 +19,7 @@
 #define JT_DIRECTOR_MAX_SERVICES 65536
 #define JT_DIRECTOR_MAX_ENTRIES 8192
 #define JT_DIRECTOR_MAX_NAME 63
+#define JT_DIRECTOR_MAX_LOADS 128
 
 struct jt_wire_peer {
 	u_quad_t id;
@@ -47,6 +48,20 @@
 };
 typedef struct jt_wire_suspicion jt_wire_suspicion;
 
+struct jt_wire_load {
+	u_int label;
+	u_int flows;
+};
+typedef struct jt_wire_load jt_wire_load;
+
+struct jt_wire_loads {
+	struct {
+		u_int loads_len;
+		jt_wire_load *loads_val;
+	} loads;
+};
+typedef struct jt_wire_loads jt_wire_loads;
+
 struct jt_wire_part {
 	u_int service_id;
 	u_int weight;
@@ -114,6 +129,7 @@
 	JT_WIRE_DIGEST = 1,
 	JT_WIRE_SUSPICION = 2,
 	JT_WIRE_KNOWLEDGE = 3,
+	JT_WIRE_LOADS = 4,
 };
 typedef enum jt_wire_director_kind jt_wire_director_kind;
 
@@ -123,6 +139,7 @@
 		jt_wire_digest digest;
 		jt_wire_suspicion suspicion;
 		jt_wire_knowledge knowledge;
+		jt_wire_loads loads;
 	} jt_wire_director_body_u;
 };
 typedef struct jt_wire_director_body jt_wire_director_body;
@@ -139,6 +156,8 @@
 extern  bool_t xdr_jt_wire_peer (XDR *, jt_wire_peer*);
 extern  bool_t xdr_jt_wire_digest (XDR *, jt_wire_digest*);
 extern  bool_t xdr_jt_wire_suspicion (XDR *, jt_wire_suspicion*);
+extern  bool_t xdr_jt_wire_load (XDR *, jt_wire_load*);
+extern  bool_t xdr_jt_wire_loads (XDR *, jt_wire_loads*);
 extern  bool_t xdr_jt_wire_part (XDR *, jt_wire_part*);
 extern  bool_t xdr_jt_wire_route (XDR *, jt_wire_route*);
 extern  bool_t xdr_jt_wire_service (XDR *, jt_wire_service*);
@@ -153,6 +172,8 @@
 extern bool_t xdr_jt_wire_peer ();
 extern bool_t xdr_jt_wire_digest ();
 extern bool_t xdr_jt_wire_suspicion ();
+extern bool_t xdr_jt_wire_load ();
+extern bool_t xdr_jt_wire_loads ();
 extern bool_t xdr_jt_wire_part ();
 extern bool_t xdr_jt_wire_route ();
 extern bool_t xdr_jt_wire_service ();
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -12,6 +12,7 @@
 const JT_DIRECTOR_MAX_SERVICES = 65536;
 const JT_DIRECTOR_MAX_ENTRIES = 8192;
 const JT_DIRECTOR_MAX_NAME = 63;
+const JT_DIRECTOR_MAX_LOADS = 128;
 
 struct jt_wire_peer {
 	unsigned hyper id;
@@ -36,6 +37,17 @@
 	unsigned hyper endpoint_id;
 };
 
+struct jt_wire_load {
+	unsigned int label; /* of the endpoint */
+	unsigned int flows; /* open through the sender */
+};
+
+/* The sender's share of the endpoints' flows; endpoints without any are left
+ * out. */
+struct jt_wire_loads {
+	jt_wire_load loads<JT_DIRECTOR_MAX_LOADS>;
+};
+
 struct jt_wire_part {
 	unsigned int service_id;
 	unsigned int weight;
@@ -85,7 +97,8 @@
 enum jt_wire_director_kind {
 	JT_WIRE_DIGEST = 1,
 	JT_WIRE_SUSPICION = 2,
-	JT_WIRE_KNOWLEDGE = 3
+	JT_WIRE_KNOWLEDGE = 3,
+	JT_WIRE_LOADS = 4
 };
 
 union jt_wire_director_body switch (jt_wire_director_kind kind) {
@@ -95,6 +108,8 @@
 	jt_wire_suspicion suspicion;
 case JT_WIRE_KNOWLEDGE:
 	jt_wire_knowledge knowledge;
+case JT_WIRE_LOADS:
+	jt_wire_loads loads;
 };
 
 struct jt_wire_director_message {
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -97,6 +97,29 @@
 	return TRUE;
 }
 
+bool_t
+xdr_jt_wire_load (XDR *xdrs, jt_wire_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->label))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->flows))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_jt_wire_loads (XDR *xdrs, jt_wire_loads *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, JT_DIRECTOR_MAX_LOADS,
+		sizeof (jt_wire_load), (xdrproc_t) xdr_jt_wire_load))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_jt_wire_part (XDR *xdrs, jt_wire_part *objp)
 {
@@ -347,6 +370,10 @@
 		 if (!xdr_jt_wire_knowledge (xdrs, &objp->jt_wire_director_body_u.knowledge))
 			 return FALSE;
 		break;
+	case JT_WIRE_LOADS:
+		 if (!xdr_jt_wire_loads (xdrs, &objp->jt_wire_director_body_u.loads))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
