--- a/fuzz/fuzz_director.c
+++ b/fuzz/fuzz_director.c
@@ -45,6 +45,7 @@
 	enum life life;
 	struct jt_endpoint_entry entry;
 	bool listed;
+	bool slow;
 	unsigned flows;
 	bool told_draining[NODES];
 };
@@ -58,6 +59,7 @@
 	uint32_t sequence;
 	uint32_t acknowledged;
 	uint32_t copies;
+	bool queued;  /* a request waits at a slow endpoint */
 	int endpoint; /* that has it, -1 while it is not open */
 };
 
@@ -193,7 +195,7 @@
 
 	if (endpoint == NULL)
 		return;
-	switch (what % 5) {
+	switch (what % 6) {
 	case 0: /* says that it leaves */
 		if (endpoint->life != ALIVE)
 			return;
@@ -205,7 +207,7 @@
 	case 2: /* ends and says nothing */
 		if (!lives(endpoint))
 			return;
-		endpoint->life = what % 5 == 1 ? ENDED : SILENT_END;
+		endpoint->life = what % 6 == 1 ? ENDED : SILENT_END;
 		endpoint_drop_flows(world, (int)(endpoint - world->endpoints));
 		break;
 	case 3: /* its entry lapses, dead or alive */
@@ -215,6 +217,9 @@
 		if (lives(endpoint) && !endpoint->listed)
 			entry_publish(world, endpoint);
 		break;
+	case 5:
+		endpoint->slow = !endpoint->slow;
+		break;
 	}
 }
 
@@ -466,7 +471,13 @@
 	}
 	if (a->label != flow->label)
 		broken(world, "a flow's packet went to another endpoint");
-	if (flow->endpoint >= 0) {
+	if (flow->endpoint >= 0 && world->endpoints[index].slow &&
+	    !flow->queued) {
+		/* It waits there, and is not acknowledged until it comes
+		 * again. */
+		flow->queued = true;
+	} else if (flow->endpoint >= 0) {
+		flow->queued = false;
 		flow->sequence += 10;
 		flow->acknowledged += 50;
 	} else if (world->endpoints[index].life == ENDED) {
--- a/src/label/jt_detector.c
+++ b/src/label/jt_detector.c
@@ -22,6 +22,7 @@
 	incarnation->progress_ms = now_ms;
 	incarnation->vain_connects = 0;
 	incarnation->suspected_ms = 0;
+	incarnation->flow_dead = false;
 }
 
 /* Twice as long after each first packet without an answer. */
@@ -48,6 +49,8 @@
 		avoid(incarnation, now_ms);
 	else if (incarnation->suspected_ms == 0)
 		incarnation->suspected_ms = now_ms;
+	if (evidence == JT_EVIDENCE_FLOW)
+		incarnation->flow_dead = true;
 	return !incarnation->probing && now_ms >= incarnation->probe_next_ms;
 }
 
@@ -85,7 +88,7 @@
 		return true;
 	if (incarnation->progress_ms >= incarnation->probe_sent_ms)
 		return false;
-	if (incarnation->suspected_ms == 0 && !far_from_full)
+	if (!incarnation->flow_dead && !far_from_full)
 		return false;
 	/* Where nobody answers, this node may be the one that is cut off. */
 	return outcome == JT_PROBE_REFUSED ||
@@ -105,6 +108,7 @@
 	}
 	incarnation->vain_connects++;
 	incarnation->suspected_ms = 0;
+	incarnation->flow_dead = false;
 	return JT_VERDICT_NONE;
 }
 
@@ -154,5 +158,6 @@
 		return JT_VERDICT_DEAD;
 	incarnation->vain_connects = 0;
 	incarnation->suspected_ms = 0;
+	incarnation->flow_dead = false;
 	return dead ? JT_VERDICT_ALIVE : JT_VERDICT_NONE;
 }
--- a/src/label/jt_detector.h
+++ b/src/label/jt_detector.h
@@ -29,7 +29,11 @@
 	/* A first packet has no answer, or the entry went: it may be full, or
 	 * leaving, as well as dead. It is avoided, and probed. */
 	JT_EVIDENCE_OPENING,
-	/* A flow that was open gets nothing any more, here or at a peer. */
+	/* A caller has sent again on an open flow: what it sent may be lost,
+	 * or wait in a queue without having been acknowledged. */
+	JT_EVIDENCE_RESENT,
+	/* It has sent the same once more, and even that was not acknowledged;
+	 * or a peer has found the endpoint dead. */
 	JT_EVIDENCE_FLOW,
 };
 
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -283,6 +283,8 @@
 		sequence_after(packet->acknowledged, flow->acknowledged);
 	const struct jt_route *route;
 
+	if (answered || sequence_after(end, flow->sequence_end))
+		flow->resent = 0;
 	if (answered) {
 		jt_detector_progress(&director->detector, incarnation, now_ms);
 		if (flow->opening_ms != 0)
@@ -306,7 +308,10 @@
 		flow_waits(flow, incarnation, now_ms);
 	} else if (!answered) {
 		director->counters.resent++;
-		jt_director_suspect(director, incarnation, JT_EVIDENCE_FLOW,
+		flow->resent++;
+		jt_director_suspect(director, incarnation,
+				    flow->resent > 1 ? JT_EVIDENCE_FLOW
+						     : JT_EVIDENCE_RESENT,
 				    now_ms, actions);
 	}
 }
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -32,6 +32,7 @@
 	/* The failure detector's view. */
 	uint64_t progress_ms;	 /* last sign of life on a flow */
 	uint64_t suspected_ms;	 /* an open flow gets nothing, since when */
+	bool flow_dead;		 /* surely nothing, not only late */
 	uint32_t unanswered;	 /* first packets without an answer, in a row */
 	uint64_t avoid_until_ms; /* no new flows until then, for that */
 	uint64_t probe_sent_ms;	 /* of the probe under way */
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -11,6 +11,8 @@
 	bench_endpoint(bench, 0x101, SERVICE_BOARD, ZONE_A, 2);
 	bench_endpoint(bench, 0x102, SERVICE_BOARD, ZONE_A, 3);
 	bench_listed(bench, 3);
+	/* Long enough to have seen the flows that were open before. */
+	bench_tick(bench, 20000);
 	return bench;
 }
 
@@ -358,13 +360,52 @@
 	return lives;
 }
 
+/* Failure 26: a request waits in the queue of a full endpoint, and the caller
+ * sends it again before it is acknowledged. */
+static void test_slow_and_full_is_no_dead_one(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	struct caller_flow flow, other;
+
+	(void)state;
+	limit_connections(bench, 20);
+	flow_at_each(bench, &flow, &other);
+	suspect(bench, &flow);
+	bench_probed(bench, 0x101, JT_PROBE_REFUSED);
+	assert_null(bench_find(bench, JT_DIRECTOR_RESET));
+	/* Sent once more: not even the copy was acknowledged. */
+	bench->now_ms += 600;
+	flow_send(bench, &flow, JT_PACKET_ACK, 100);
+	assert_non_null(bench_find(bench, JT_DIRECTOR_PROBE));
+	bench_probed(bench, 0x101, JT_PROBE_REFUSED);
+	assert_int_equal(bench_count(bench, JT_DIRECTOR_RESET), 1);
+	talloc_free(bench);
+}
+
+/* A node that has just started can't know how full endpoints are. */
+static void test_node_just_started_condemns_with_care(void **state)
+{
+	struct bench *bench = bench_create(0);
+	struct caller_flow flow = flow_new(bench, CALLER, BOARD_PORT);
+
+	(void)state;
+	bench_routing(bench, 1, 1, 1);
+	bench_endpoint(bench, 0x101, SERVICE_BOARD, ZONE_A, 2);
+	bench_listed(bench, 2);
+	limit_connections(bench, 2000);
+	flow_open(bench, &flow);
+	bench->now_ms += 10;
+	suspect(bench, &flow);
+	bench_probed(bench, 0x101, JT_PROBE_REFUSED);
+	assert_null(bench_find(bench, JT_DIRECTOR_RESET));
+	talloc_free(bench);
+}
+
 static void test_full_endpoint_is_no_dead_one(void **state)
 {
 	(void)state;
 	assert_true(full_endpoint_lives(0, JT_PROBE_SILENT, 20));
 	assert_true(full_endpoint_lives(0, JT_PROBE_REFUSED, 20));
-	/* A node that has just started can't know how full it is. */
-	assert_true(full_endpoint_lives(0, JT_PROBE_REFUSED, 2000));
 	assert_false(full_endpoint_lives(JT_DIRECTOR_BREAK_GUESS_DEATH,
 					 JT_PROBE_SILENT, 20));
 	assert_false(full_endpoint_lives(JT_DIRECTOR_BREAK_GUESS_DEATH,
@@ -793,6 +834,8 @@
 		cmocka_unit_test(
 			test_a_node_that_reaches_nobody_condemns_nobody),
 		cmocka_unit_test(test_full_endpoint_is_no_dead_one),
+		cmocka_unit_test(test_slow_and_full_is_no_dead_one),
+		cmocka_unit_test(test_node_just_started_condemns_with_care),
 		cmocka_unit_test(test_void_probe_says_nothing),
 		cmocka_unit_test(test_refusal_to_the_caller_is_noticed),
 		cmocka_unit_test(test_dead_endpoint_comes_back),
