A flow that never opened proves nothing against its endpoint

Cause: an endpoint that becomes full between its answer to a first packet and the caller's next one says nothing to that flow, ever. Change: only a flow that has had an answer can prove its endpoint's death where that may be full.

--- a/fuzz/fuzz_director.c
+++ b/fuzz/fuzz_director.c
@@ -59,8 +59,9 @@
 	uint32_t sequence;
 	uint32_t acknowledged;
 	uint32_t copies;
-	bool queued;  /* a request waits at a slow endpoint */
-	int endpoint; /* that has it, -1 while it is not open */
+	bool queued;   /* a request waits at a slow endpoint */
+	int endpoint;  /* that has it, -1 while it is not open */
+	int half_open; /* endpoint that answered the first packet, or -1 */
 };
 
 struct news {
@@ -449,12 +450,28 @@
 		broken(world, "a leaving endpoint got a first packet");
 	if (!lives(endpoint) || endpoint->flows >= FULL_AT)
 		return;
-	flow->endpoint = index;
+	flow->half_open = index;
 	flow->label = jt_flow_label(endpoint->entry.id);
 	flow->open = true;
 	flow->sequence++;
 	flow->acknowledged = OPEN_ACKNOWLEDGED;
+}
+
+/* The caller's packet after the endpoint's answer: the flow opens, unless the
+ * endpoint has become full in between. It says nothing then. */
+static bool flow_opens(struct world *world, struct flow *flow)
+{
+	struct endpoint *endpoint;
+
+	if (flow->half_open < 0)
+		return true;
+	endpoint = &world->endpoints[flow->half_open];
+	if (!lives(endpoint) || endpoint->flows >= FULL_AT)
+		return false;
+	flow->endpoint = flow->half_open;
+	flow->half_open = -1;
 	endpoint->flows++;
+	return true;
 }
 
 static void on_forward(struct world *world, int node,
@@ -471,6 +488,8 @@
 	}
 	if (a->label != flow->label)
 		broken(world, "a flow's packet went to another endpoint");
+	if (!flow_opens(world, flow))
+		return;
 	if (flow->endpoint >= 0 && world->endpoints[index].slow &&
 	    !flow->queued) {
 		/* It waits there, and is not acknowledged until it comes
@@ -619,7 +638,8 @@
 
 	if (flow->used && !flow->over)
 		flow_leave(world, flow);
-	*flow = (struct flow){.used = true, .endpoint = -1, .sequence = 1};
+	*flow = (struct flow){
+		.used = true, .endpoint = -1, .half_open = -1, .sequence = 1};
 	flow->key = (struct jt_flow_key){
 		.source = 0x64400001 + choice % 5,
 		.destination = 0xc6120001,
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -270,6 +270,18 @@
 	place(director, packet, route, reason, now_ms, actions);
 }
 
+/*
+ * What data that comes again says. A flow that has had no answer yet may not
+ * have opened: an endpoint that became full after its answer to the first
+ * packet leaves the rest unanswered.
+ */
+static enum jt_evidence flow_evidence(const struct jt_cached_flow *flow)
+{
+	if (flow->answered && flow->resent > 1)
+		return JT_EVIDENCE_FLOW;
+	return JT_EVIDENCE_RESENT;
+}
+
 /* Learn from a packet what the flow's endpoint has done. */
 static void flow_observe(struct jt_director *director,
 			 struct jt_cached_flow *flow,
@@ -291,6 +303,7 @@
 			jt_detector_opened(incarnation);
 		else
 			flow_answered(director, flow, incarnation, now_ms);
+		flow->answered = flow->answered || flow->opening_ms == 0;
 		flow->acknowledged = packet->acknowledged;
 		jt_flow_cache_opened(director->flows, flow);
 	}
@@ -309,9 +322,7 @@
 	} else if (!answered) {
 		director->counters.resent++;
 		flow->resent++;
-		jt_director_suspect(director, incarnation,
-				    flow->resent > 1 ? JT_EVIDENCE_FLOW
-						     : JT_EVIDENCE_RESENT,
+		jt_director_suspect(director, incarnation, flow_evidence(flow),
 				    now_ms, actions);
 	}
 }
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -370,6 +370,7 @@
 	(void)state;
 	limit_connections(bench, 20);
 	flow_at_each(bench, &flow, &other);
+	flow_request(bench, &flow, 20);
 	suspect(bench, &flow);
 	bench_probed(bench, 0x101, JT_PROBE_REFUSED);
 	assert_null(bench_find(bench, JT_DIRECTOR_RESET));
@@ -383,6 +384,29 @@
 }
 
 /* A node that has just started can't know how full endpoints are. */
+/* Failure 27: an endpoint that became full between its answer to the first
+ * packet and the caller's next one leaves that flow unanswered for good. */
+static void test_flow_that_never_opened_proves_nothing(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	struct caller_flow rests, other, half;
+
+	(void)state;
+	limit_connections(bench, 20);
+	flow_at_each(bench, &rests, &other);
+	do {
+		half = flow_new(bench, CALLER + 5, BOARD_PORT);
+		flow_open(bench, &half);
+	} while (half.endpoint_id != 0x101);
+	for (int i = 0; i < 6; i++) {
+		flow_send(bench, &half, JT_PACKET_ACK, 100);
+		bench->now_ms += 600;
+		bench_probed(bench, 0x101, JT_PROBE_REFUSED);
+		assert_null(bench_find(bench, JT_DIRECTOR_RESET));
+	}
+	talloc_free(bench);
+}
+
 static void test_node_just_started_condemns_with_care(void **state)
 {
 	struct bench *bench = bench_create(0);
@@ -835,6 +859,7 @@
 			test_a_node_that_reaches_nobody_condemns_nobody),
 		cmocka_unit_test(test_full_endpoint_is_no_dead_one),
 		cmocka_unit_test(test_slow_and_full_is_no_dead_one),
+		cmocka_unit_test(test_flow_that_never_opened_proves_nothing),
 		cmocka_unit_test(test_node_just_started_condemns_with_care),
 		cmocka_unit_test(test_void_probe_says_nothing),
 		cmocka_unit_test(test_refusal_to_the_caller_is_noticed),
