Overdue answers to first packets are noticed after four times the usual

Change: overdue after four times the smoothed time to open (20 ms at least), looked for with the packets.

--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -15,10 +15,13 @@
 	 * other nodes may have. */
 	FULL_MARGIN = 4,
 	FULL_MARGIN_FLOWS = 4,
-	/* A first packet without an answer speaks against its endpoint. */
-	OPENING_MS = 60,
+	/* A first packet's answer is overdue after so many times the usual,
+	 * and after so long at the least. */
+	OPENING_TIMES = 4,
+	OPENING_LEAST_MS = 20,
+	OPENING_LOOK_MS = 5,
 	/* Its caller has given up by then: the flow never opened. */
-	OPENING_LIMIT_MS = 3000,
+	OPENING_END_MS = 3000,
 };
 
 void jt_director_options_init(struct jt_director_options *options)
@@ -496,16 +499,29 @@
 	}
 }
 
-/* Flows whose first packet has had no answer for long. */
-static void openings_tick(struct jt_director *director, uint64_t now_ms,
+/* How long a first packet's answer may take before it is overdue. */
+static double opening_limit_ms(const struct jt_director *director)
+{
+	double limit_ms = director->open_ms * OPENING_TIMES;
+
+	return limit_ms > OPENING_LEAST_MS ? limit_ms : OPENING_LEAST_MS;
+}
+
+void jt_director_openings(struct jt_director *director, uint64_t now_ms,
 			  struct jt_director_actions *actions)
 {
 	struct jt_cached_flow *flow = director->flows->opening;
+	double limit_ms = opening_limit_ms(director);
 
-	while (flow != NULL && now_ms - flow->opening_ms >= OPENING_MS) {
+	/* Packets come far more often than answers are overdue. */
+	if (now_ms - director->openings_ms < OPENING_LOOK_MS)
+		return;
+	director->openings_ms = now_ms;
+	while (flow != NULL &&
+	       (double)(now_ms - flow->opening_ms) >= limit_ms) {
 		struct jt_cached_flow *next = flow->opening_next;
 
-		if (now_ms - flow->opening_ms >= OPENING_LIMIT_MS)
+		if (now_ms - flow->opening_ms >= OPENING_END_MS)
 			jt_director_flow_forget(director, flow);
 		else if (!flow->doubted)
 			jt_director_doubt(director, flow, now_ms, actions);
@@ -592,7 +608,7 @@
 			event->u.tick.nodes > 0 ? event->u.tick.nodes : 1;
 		director->chooser->nodes = director->nodes;
 		flows_expire(director, now_ms);
-		openings_tick(director, now_ms, actions);
+		jt_director_openings(director, now_ms, actions);
 		endpoints_tick(director, now_ms, actions);
 		break;
 	}
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -4,6 +4,8 @@
 enum {
 	/* New part of the smoothed latency, in eighths. */
 	LATENCY_EIGHTHS = 2,
+	/* New part of the smoothed time to open: one in so many. */
+	OPEN_PART = 16,
 	/* Flows without an answer that are looked at for each new one. */
 	OPENING_LOOK = 256,
 };
@@ -101,6 +103,16 @@
 				   8);
 }
 
+static void flow_opened(struct jt_director *director,
+			const struct jt_cached_flow *flow,
+			struct jt_incarnation *incarnation, uint64_t now_ms)
+{
+	double took_ms = (double)(now_ms - flow->opening_ms);
+
+	director->open_ms += (took_ms - director->open_ms) / OPEN_PART;
+	jt_detector_opened(incarnation);
+}
+
 static void flow_waits(struct jt_cached_flow *flow,
 		       struct jt_incarnation *incarnation, uint64_t now_ms)
 {
@@ -300,7 +312,7 @@
 	if (answered) {
 		jt_detector_progress(&director->detector, incarnation, now_ms);
 		if (flow->opening_ms != 0)
-			jt_detector_opened(incarnation);
+			flow_opened(director, flow, incarnation, now_ms);
 		else
 			flow_answered(director, flow, incarnation, now_ms);
 		flow->answered = flow->answered || flow->opening_ms == 0;
@@ -403,6 +415,7 @@
 {
 	bool first = packet->flags & JT_PACKET_SYN;
 
+	jt_director_openings(director, now_ms, actions);
 	if (first && packet->flags & JT_PACKET_ACK)
 		add_drop(director, packet, JT_DIRECTOR_FORGED, actions);
 	else if (first)
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -15,10 +15,12 @@
 	struct jt_director_options options;
 	const struct jt_routing *routing; /* talloc child, NULL at first */
 	uint64_t routing_ms;		  /* when it was taken */
-	uint64_t started_ms; /* since when it has known the endpoints */
-	uint64_t nodes;	     /* that share the endpoints, this one too */
-	uint64_t revision;   /* of the newest change known */
-	bool listed;	     /* discovery was told whole at least once */
+	uint64_t started_ms;  /* since when it has known the endpoints */
+	uint64_t openings_ms; /* when overdue answers were last looked for */
+	double open_ms;	      /* smoothed time to a first packet's answer */
+	uint64_t nodes;	      /* that share the endpoints, this one too */
+	uint64_t revision;    /* of the newest change known */
+	bool listed;	      /* discovery was told whole at least once */
 	struct jt_endpoint_table *endpoints;
 	struct jt_flow_cache *flows;
 	struct jt_chooser *chooser;
@@ -53,6 +55,9 @@
 /* Forget @flow and take it out of its endpoint's load. */
 void jt_director_flow_forget(struct jt_director *director,
 			     struct jt_cached_flow *flow);
+/* Suspect the endpoints whose answer to a first packet is long overdue. */
+void jt_director_openings(struct jt_director *director, uint64_t now_ms,
+			  struct jt_director_actions *actions);
 /* The flow's first packet got no answer: suspect its endpoint, once. */
 void jt_director_doubt(struct jt_director *director,
 		       struct jt_cached_flow *flow, uint64_t now_ms,
