A node that starts learns from peers that have started

Cause: with 100 and 300 machines every node listed the store for itself after all had been killed; a page that came late was asked for again from the first one on. Change: pages are resumed; a peer's knowledge ends a list; just started nodes tell and ask ten times a second; the revision a node claims is one up to which it knows all. Tests: test_peers_knowledge_is_as_good_as_a_list, test_revision_is_of_what_is_complete.

--- a/include/jaspertrack/director.h
+++ b/include/jaspertrack/director.h
@@ -38,7 +38,7 @@
 const struct jt_latency *
 jt_director_latency(const struct jt_director *director);
 size_t jt_director_flow_count(const struct jt_director *director);
-/* Of the newest change that is known, from wherever it came. */
+/* All changes up to this revision are known, from wherever they came. */
 uint64_t jt_director_revision(const struct jt_director *director);
 /* How many incarnations are known in @state. */
 size_t jt_director_endpoint_count(const struct jt_director *director,
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -396,6 +396,14 @@
 	}
 }
 
+static void on_caught_up(uint64_t revision, void *private_data)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_CAUGHT_UP};
+
+	event.u.listed.revision = revision;
+	node_event(private_data, &event);
+}
+
 static void on_listing(void *private_data)
 {
 	struct jt_director_event event = {.kind = JT_DIRECTOR_LISTING};
@@ -479,6 +487,7 @@
 		    knowledge->entries.entries_len);
 	event.u.listed.revision = knowledge->revision;
 	node_event(node, &event);
+	jt_directory_sync_informed(node->sync, knowledge->revision);
 	started_look(node);
 }
 
@@ -613,6 +622,7 @@
 {
 	const struct jt_directory_watcher watcher = {
 		.changed = on_change,
+		.caught_up = on_caught_up,
 		.listing = on_listing,
 		.listed = on_listed,
 		.reachable = on_reachable,
--- a/src/director/jt_directory_sync.c
+++ b/src/director/jt_directory_sync.c
@@ -3,7 +3,9 @@
 #include "jt_timer.h"
 
 enum {
-	LIST_TIMEOUT_MS = 2000,
+	/* A page may be long in coming when all nodes ask at once; asking
+	 * again would only make it longer. */
+	LIST_TIMEOUT_MS = 4000,
 	/* How much later than asked for a watch may be answered. */
 	WATCH_SLACK_MS = 500,
 	/* Failures in a row before the store counts as lost. */
@@ -53,6 +55,20 @@
 	}
 }
 
+/* A watch tells changes in order: the last one is the newest. */
+static void tell_caught_up(struct jt_directory_sync *sync,
+			   const struct jt_kv_answer *answer)
+{
+	uint64_t newest = 0;
+
+	for (size_t i = 0; i < answer->change_count; i++) {
+		if (answer->changes[i].revision > newest)
+			newest = answer->changes[i].revision;
+	}
+	if (newest > 0)
+		sync->watcher.caught_up(newest, sync->watcher.private_data);
+}
+
 static struct jt_kv_answer *call_finish(struct jt_directory_sync *sync,
 					struct tevent_req *req)
 {
@@ -76,7 +92,8 @@
 	complete =
 		jt_follower_page(&sync->follower, answer->status,
 				 answer->revision, answer->more, jt_clock_ms());
-	TALLOC_FREE(sync->page_key);
+	if (answer->status == JT_KV_OK)
+		TALLOC_FREE(sync->page_key);
 	if (answer->status == JT_KV_OK && answer->more)
 		sync->page_key = talloc_strdup(sync, answer->last_key);
 	if (complete)
@@ -97,6 +114,7 @@
 		return;
 	sync->counters.watches[answer->status]++;
 	hand_over(sync, answer);
+	tell_caught_up(sync, answer);
 	jt_follower_watched(&sync->follower, answer->status, answer->revision,
 			    answer->change_count > 0, jt_clock_ms());
 	watch_store(sync, answer->status);
@@ -171,6 +189,16 @@
 	return sync;
 }
 
+void jt_directory_sync_informed(struct jt_directory_sync *sync,
+				uint64_t revision)
+{
+	if (!jt_follower_informed(&sync->follower, revision, jt_clock_ms()))
+		return;
+	TALLOC_FREE(sync->call);
+	TALLOC_FREE(sync->page_key);
+	sync_step(sync);
+}
+
 void jt_directory_sync_move(struct jt_directory_sync *sync,
 			    struct jt_address store)
 {
--- a/src/director/jt_directory_sync.h
+++ b/src/director/jt_directory_sync.h
@@ -12,6 +12,8 @@
 struct jt_directory_watcher {
 	/* One change, in the order of the store. */
 	void (*changed)(const struct jt_change *change, void *private_data);
+	/* All changes up to @revision have been handed on. */
+	void (*caught_up)(uint64_t revision, void *private_data);
 	/* A list begins. */
 	void (*listing)(void *private_data);
 	/* A list is complete: what it did not hold is gone as of @revision. */
@@ -35,6 +37,9 @@
 	struct jt_http_client *client, const struct jt_directory *directory,
 	struct jt_address store, const struct jt_directory_watcher *watcher,
 	uint64_t seed);
+/* A peer told all that it knew at @revision: no list is needed. */
+void jt_directory_sync_informed(struct jt_directory_sync *sync,
+				uint64_t revision);
 /* The store's address has changed. */
 void jt_directory_sync_move(struct jt_directory_sync *sync,
 			    struct jt_address store);
--- a/src/director/jt_environment.h
+++ b/src/director/jt_environment.h
@@ -48,6 +48,7 @@
 
 struct jt_change {
 	enum jt_change_kind kind;
+	uint64_t revision;
 	struct jt_routing *routing; /* talloc child of the answer */
 	struct jt_endpoint_entry endpoint;
 	const char *key;   /* JT_CHANGE_INVALID: where */
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -12,6 +12,9 @@
 
 enum {
 	ROUND_MS = 500,
+	/* Just started nodes look for peers that know more, and tell. */
+	ROUND_FAST_MS = 100,
+	ROUND_FAST_FOR_MS = 3000,
 	FETCH_TIMEOUT_MS = 1500,
 	DATAGRAM_MOST = 1400, /* a digest fits into one packet */
 	DATAGRAM_BATCH = 32,
@@ -34,6 +37,7 @@
 	struct tevent_req *fetch;
 	int fd;
 	uint64_t sequence;
+	uint64_t created_ms;
 	struct jt_peer_counters counters;
 };
 
@@ -362,7 +366,10 @@
 			    (unsigned long long)(now_ms - lost->heard_ms));
 	digests_send(exchange, now_ms);
 	fetch_look(exchange, now_ms);
-	jt_timer_set(exchange->timer, ROUND_MS);
+	jt_timer_set(exchange->timer,
+		     now_ms - exchange->created_ms < ROUND_FAST_FOR_MS
+			     ? ROUND_FAST_MS
+			     : ROUND_MS);
 }
 
 void jt_peer_exchange_hurry(struct jt_peer_exchange *exchange)
@@ -431,6 +438,7 @@
 	exchange->log = log;
 	exchange->address = settings->peer;
 	exchange->handler = *handler;
+	exchange->created_ms = jt_clock_ms();
 	randombytes_buf(&id, sizeof(id));
 	exchange->membership = jt_membership_create(
 		exchange, id, settings->peer, jt_name_id(settings->zone));
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -275,7 +275,6 @@
 	struct jt_incarnation *incarnation =
 		jt_endpoint_table_by_id(director->endpoints, id);
 
-	revision_note(director, revision);
 	if (incarnation == NULL ||
 	    revision <= jt_incarnation_revision(incarnation))
 		return;
@@ -324,7 +323,6 @@
 	struct jt_incarnation *incarnation = NULL;
 	enum jt_entry_result result;
 
-	revision_note(director, entry->revision);
 	result = jt_endpoint_table_take(director->endpoints, entry, stale,
 					now_ms, &incarnation);
 	if (incarnation != NULL)
@@ -470,7 +468,6 @@
 {
 	const struct jt_routing *old = director->routing;
 
-	revision_note(director, routing->revision);
 	if (old != NULL && routing->version <= old->version &&
 	    !(director->options.break_mechanism & JT_DIRECTOR_BREAK_VERSION)) {
 		director->counters.routing_refused++;
@@ -582,6 +579,9 @@
 		event_listed(director, event->u.listed.revision, now_ms,
 			     actions);
 		break;
+	case JT_DIRECTOR_CAUGHT_UP:
+		revision_note(director, event->u.listed.revision);
+		break;
 	case JT_DIRECTOR_INFORMED:
 		listed_note(director, now_ms);
 		revision_note(director, event->u.listed.revision);
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -19,7 +19,7 @@
 	uint64_t openings_ms; /* when overdue answers were last looked for */
 	double open_ms;	      /* smoothed time to a first packet's answer */
 	uint64_t nodes;	      /* that share the endpoints, this one too */
-	uint64_t revision;    /* of the newest change known */
+	uint64_t revision;    /* all changes up to it are known */
 	bool listed;	      /* discovery was told whole at least once */
 	struct jt_endpoint_table *endpoints;
 	struct jt_flow_cache *flows;
--- a/src/label/jt_follower.c
+++ b/src/label/jt_follower.c
@@ -71,6 +71,19 @@
 	return true;
 }
 
+bool jt_follower_informed(struct jt_follower *follower, uint64_t revision,
+			  uint64_t now_ms)
+{
+	if (follower->listed)
+		return false;
+	follower->listed = true;
+	follower->paging = false;
+	follower->revision = revision;
+	follower->failures = 0;
+	follower->due_ms = now_ms;
+	return true;
+}
+
 void jt_follower_watched(struct jt_follower *follower, enum jt_kv_status status,
 			 uint64_t at, bool changes, uint64_t now_ms)
 {
--- a/src/label/jt_follower.h
+++ b/src/label/jt_follower.h
@@ -55,6 +55,10 @@
 /* A page of a list; true when it was the last of a complete list. */
 bool jt_follower_page(struct jt_follower *follower, enum jt_kv_status status,
 		      uint64_t at, bool more, uint64_t now_ms);
+/* A peer told all that it knew at @revision: as good as a list. True when the
+ * follower goes on from there. */
+bool jt_follower_informed(struct jt_follower *follower, uint64_t revision,
+			  uint64_t now_ms);
 /* A watch's answer. */
 void jt_follower_watched(struct jt_follower *follower, enum jt_kv_status status,
 			 uint64_t at, bool changes, uint64_t now_ms);
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -274,20 +274,26 @@
 }
 
 /* The live peer that knows most, if that is more than this node knows. */
-static const struct jt_peer *peer_ahead(const struct jt_membership *membership,
+static const struct jt_peer *peer_ahead(struct jt_membership *membership,
 					const struct jt_own_state *own)
 {
 	const struct jt_peer *best = NULL;
+	size_t start = 0;
 
+	/* Any of equals, so that nodes that start together spread out. */
+	if (membership->count > 0)
+		start = jt_random_next(&membership->random) % membership->count;
 	for (size_t i = 0; i < membership->count; i++) {
-		const struct jt_peer *peer = &membership->peers[i];
+		const struct jt_peer *peer =
+			&membership->peers[(start + i) % membership->count];
 
 		if (!peer->heard || peer->lost || !peer->started)
 			continue;
 		if (own->started && peer->revision <= own->revision &&
 		    peer->routing_version <= own->routing_version)
 			continue;
-		if (best == NULL || peer->revision > best->revision)
+		if (best == NULL ||
+		    (own->started && peer->revision > best->revision))
 			best = peer;
 	}
 	return best;
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -658,6 +658,28 @@
 	talloc_free(bench);
 }
 
+/* Failure 28: what a node claims to know must be complete. */
+static void test_revision_is_of_what_is_complete(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	struct jt_director_event event = {.kind = JT_DIRECTOR_LISTING};
+
+	(void)state;
+	assert_int_equal(jt_director_revision(bench->director), 3);
+	/* A page of a new list, with an entry newer than what comes later. */
+	bench_event(bench, &event);
+	bench_endpoint(bench, 0x101, SERVICE_BOARD, ZONE_A, 20);
+	assert_int_equal(jt_director_revision(bench->director), 3);
+	bench_endpoint(bench, 0x102, SERVICE_BOARD, ZONE_A, 15);
+	bench_listed(bench, 20);
+	assert_int_equal(jt_director_revision(bench->director), 20);
+	event.kind = JT_DIRECTOR_CAUGHT_UP;
+	event.u.listed.revision = 23;
+	bench_event(bench, &event);
+	assert_int_equal(jt_director_revision(bench->director), 23);
+	talloc_free(bench);
+}
+
 static void test_parts_are_exact(void **state)
 {
 	struct bench *bench = two_endpoints(0);
@@ -872,6 +894,7 @@
 		cmocka_unit_test(test_leaving_is_heard_after_the_entry_went),
 		cmocka_unit_test(test_routing_never_goes_back),
 		cmocka_unit_test(test_list_tells_what_is_gone),
+		cmocka_unit_test(test_revision_is_of_what_is_complete),
 		cmocka_unit_test(test_parts_are_exact),
 		cmocka_unit_test(test_part_that_seems_dead_gives_way),
 		cmocka_unit_test(
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -29,6 +29,21 @@
 	assert_int_equal(follower.revision, 10);
 }
 
+static void test_peers_knowledge_is_as_good_as_a_list(void **state)
+{
+	struct jt_follower follower;
+
+	(void)state;
+	jt_follower_init(&follower, 1);
+	assert_false(jt_follower_page(&follower, JT_KV_OK, 10, true, 0));
+	assert_true(jt_follower_informed(&follower, 40, 0));
+	assert_int_equal(jt_follower_next(&follower, 0), JT_FOLLOWER_WATCH);
+	assert_int_equal(follower.revision, 40);
+	/* One that follows the store itself goes its own way. */
+	assert_false(jt_follower_informed(&follower, 60, 0));
+	assert_int_equal(follower.revision, 40);
+}
+
 static void test_failed_page_is_asked_for_again(void **state)
 {
 	struct jt_follower follower;
@@ -106,6 +121,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_pages_form_no_snapshot),
+		cmocka_unit_test(test_peers_knowledge_is_as_good_as_a_list),
 		cmocka_unit_test(test_failed_page_is_asked_for_again),
 		cmocka_unit_test(
 			test_lost_answer_resumes_from_the_same_revision),
