Where the store's pages come slowly, most nodes give way to peers

Cause: after 300 machines were killed at once every node listed 2,430 endpoints for itself, and all lists ended together when the store's link had carried them. Change: a page that took 100 ms or more shows that; one node in eight goes on, the others wait 0.3 to 0.9 s for what peers will know. Test: test_slow_pages_make_most_nodes_wait.

--- a/src/director/jt_directory_sync.c
+++ b/src/director/jt_directory_sync.c
@@ -21,6 +21,7 @@
 	struct jt_follower follower;
 	struct jt_timer *timer;
 	struct tevent_req *call; /* the call under way */
+	uint64_t asked_ms;	 /* when the page under way was asked for */
 	char *page_key;		 /* last key of the page before */
 	bool lost;
 	struct jt_directory_counters counters;
@@ -83,15 +84,16 @@
 	struct jt_directory_sync *sync =
 		tevent_req_callback_data(req, struct jt_directory_sync);
 	struct jt_kv_answer *answer = call_finish(sync, req);
+	uint64_t now_ms = jt_clock_ms();
 	bool complete;
 
 	if (answer == NULL)
 		return;
 	sync->counters.lists[answer->status]++;
 	hand_over(sync, answer);
-	complete =
-		jt_follower_page(&sync->follower, answer->status,
-				 answer->revision, answer->more, jt_clock_ms());
+	complete = jt_follower_page(&sync->follower, answer->status,
+				    answer->revision, answer->more,
+				    now_ms - sync->asked_ms, now_ms);
 	if (answer->status == JT_KV_OK)
 		TALLOC_FREE(sync->page_key);
 	if (answer->status == JT_KV_OK && answer->more)
@@ -126,6 +128,7 @@
 {
 	if (!sync->follower.paging)
 		sync->watcher.listing(sync->watcher.private_data);
+	sync->asked_ms = jt_clock_ms();
 	sync->call =
 		sync->directory->list_send(sync, sync->client, sync->store,
 					   sync->page_key, LIST_TIMEOUT_MS);
--- a/src/label/jt_follower.c
+++ b/src/label/jt_follower.c
@@ -6,6 +6,11 @@
 	DEFAULT_RETRY_LEAST_MS = 100,
 	DEFAULT_RETRY_MOST_MS = 1600,
 	DOUBLINGS_MOST = 16,
+	/* A page that took so long shows that many ask at once; then one node
+	 * in so many goes on, and the others give way for about so long. */
+	SLOW_PAGE_MS = 100,
+	GO_ON_ONE_IN = 8,
+	GIVE_WAY_MS = 600,
 };
 
 void jt_follower_init(struct jt_follower *follower, uint64_t seed)
@@ -51,7 +56,7 @@
 }
 
 bool jt_follower_page(struct jt_follower *follower, enum jt_kv_status status,
-		      uint64_t at, bool more, uint64_t now_ms)
+		      uint64_t at, bool more, uint64_t took_ms, uint64_t now_ms)
 {
 	if (status != JT_KV_OK) {
 		back_off(follower, now_ms);
@@ -64,8 +69,14 @@
 		follower->listing = at;
 	follower->paging = more;
 	follower->due_ms = now_ms;
-	if (more)
+	if (more) {
+		if (took_ms >= SLOW_PAGE_MS &&
+		    jt_random_next(&follower->random) % GO_ON_ONE_IN != 0)
+			follower->due_ms =
+				now_ms + GIVE_WAY_MS / 2 +
+				jt_random_next(&follower->random) % GIVE_WAY_MS;
 		return false;
+	}
 	follower->listed = true;
 	follower->revision = follower->listing;
 	return true;
--- a/src/label/jt_follower.h
+++ b/src/label/jt_follower.h
@@ -52,9 +52,12 @@
 void jt_follower_init(struct jt_follower *follower, uint64_t seed);
 enum jt_follower_step jt_follower_next(const struct jt_follower *follower,
 				       uint64_t now_ms);
-/* A page of a list; true when it was the last of a complete list. */
+/* A page of a list, that took @took_ms to come. Where pages come slowly, many
+ * nodes ask at once: most of them wait for what peers will know. True when it
+ * was the last of a complete list. */
 bool jt_follower_page(struct jt_follower *follower, enum jt_kv_status status,
-		      uint64_t at, bool more, uint64_t now_ms);
+		      uint64_t at, bool more, uint64_t took_ms,
+		      uint64_t now_ms);
 /* A peer told all that it knew at @revision: as good as a list. True when the
  * follower goes on from there. */
 bool jt_follower_informed(struct jt_follower *follower, uint64_t revision,
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -9,8 +9,8 @@
 
 	jt_follower_init(&follower, 1);
 	assert_int_equal(jt_follower_next(&follower, now_ms), JT_FOLLOWER_LIST);
-	assert_true(
-		jt_follower_page(&follower, JT_KV_OK, revision, false, now_ms));
+	assert_true(jt_follower_page(&follower, JT_KV_OK, revision, false, 0,
+				     now_ms));
 	assert_int_equal(jt_follower_next(&follower, now_ms),
 			 JT_FOLLOWER_WATCH);
 	return follower;
@@ -22,9 +22,9 @@
 
 	(void)state;
 	jt_follower_init(&follower, 1);
-	assert_false(jt_follower_page(&follower, JT_KV_OK, 10, true, 0));
-	assert_false(jt_follower_page(&follower, JT_KV_OK, 14, true, 0));
-	assert_true(jt_follower_page(&follower, JT_KV_OK, 19, false, 0));
+	assert_false(jt_follower_page(&follower, JT_KV_OK, 10, true, 0, 0));
+	assert_false(jt_follower_page(&follower, JT_KV_OK, 14, true, 0, 0));
+	assert_true(jt_follower_page(&follower, JT_KV_OK, 19, false, 0, 0));
 	/* Whatever changed while the pages came is watched for. */
 	assert_int_equal(follower.revision, 10);
 }
@@ -35,7 +35,7 @@
 
 	(void)state;
 	jt_follower_init(&follower, 1);
-	assert_false(jt_follower_page(&follower, JT_KV_OK, 10, true, 0));
+	assert_false(jt_follower_page(&follower, JT_KV_OK, 10, true, 0, 0));
 	assert_true(jt_follower_informed(&follower, 40, 0));
 	assert_int_equal(jt_follower_next(&follower, 0), JT_FOLLOWER_WATCH);
 	assert_int_equal(follower.revision, 40);
@@ -44,14 +44,32 @@
 	assert_int_equal(follower.revision, 40);
 }
 
+static void test_slow_pages_make_most_nodes_wait(void **state)
+{
+	unsigned waiting = 0;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= 64; seed++) {
+		struct jt_follower follower;
+
+		jt_follower_init(&follower, seed);
+		jt_follower_page(&follower, JT_KV_OK, 10, true, 300, 1000);
+		waiting +=
+			jt_follower_next(&follower, 1000) == JT_FOLLOWER_WAIT;
+		assert_int_equal(jt_follower_next(&follower, 2000),
+				 JT_FOLLOWER_LIST);
+	}
+	assert_in_range(waiting, 45, 63);
+}
+
 static void test_failed_page_is_asked_for_again(void **state)
 {
 	struct jt_follower follower;
 
 	(void)state;
 	jt_follower_init(&follower, 1);
-	assert_false(jt_follower_page(&follower, JT_KV_OK, 10, true, 0));
-	assert_false(jt_follower_page(&follower, JT_KV_LOST, 0, false, 0));
+	assert_false(jt_follower_page(&follower, JT_KV_OK, 10, true, 0, 0));
+	assert_false(jt_follower_page(&follower, JT_KV_LOST, 0, false, 0, 0));
 	assert_int_equal(jt_follower_next(&follower, 0), JT_FOLLOWER_WAIT);
 	assert_int_equal(jt_follower_next(&follower, 5000), JT_FOLLOWER_LIST);
 }
@@ -73,7 +91,7 @@
 	(void)state;
 	jt_follower_watched(&follower, JT_KV_COMPACTED, 0, false, 0);
 	assert_int_equal(jt_follower_next(&follower, 0), JT_FOLLOWER_LIST);
-	assert_true(jt_follower_page(&follower, JT_KV_OK, 30, false, 0));
+	assert_true(jt_follower_page(&follower, JT_KV_OK, 30, false, 0, 0));
 	assert_int_equal(follower.revision, 30);
 }
 
@@ -122,6 +140,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_pages_form_no_snapshot),
 		cmocka_unit_test(test_peers_knowledge_is_as_good_as_a_list),
+		cmocka_unit_test(test_slow_pages_make_most_nodes_wait),
 		cmocka_unit_test(test_failed_page_is_asked_for_again),
 		cmocka_unit_test(
 			test_lost_answer_resumes_from_the_same_revision),
