--- a/src/cli/why.c
+++ b/src/cli/why.c
@@ -33,6 +33,7 @@
 	int64_t first_ms;
 	int64_t last_ms;
 	const struct log_line *decision; /* the last about one of the flows */
+	const struct log_line *death;	 /* of their endpoint, after that */
 };
 
 static bool names_have(const struct names *names, const char *name)
@@ -231,6 +232,27 @@
 			"packet waited for that"},
 };
 
+/* The first time that the endpoint of the last decision was found dead. */
+static void find_death(struct story *story)
+{
+	char *endpoint;
+
+	if (story->decision == NULL)
+		return;
+	endpoint = log_line_field(story->lines, story->decision, "endpoint");
+	for (size_t i = 0; i < story->lines->count; i++) {
+		const struct log_line *line = &story->lines->items[i];
+		char *of = log_line_field(story->lines, line, "endpoint");
+
+		if (event_is(line, "endpoint_dead") && endpoint != NULL &&
+		    of != NULL && strcmp(of, endpoint) == 0 &&
+		    line->time_ms >= story->decision->time_ms) {
+			story->death = line;
+			return;
+		}
+	}
+}
+
 static void print_conclusion(const struct story *story)
 {
 	char *reason;
@@ -248,6 +270,11 @@
 			printf("conclusion: %s: %s.\n", reason,
 			       explanations[i].text);
 	}
+	if (story->death != NULL)
+		printf("then: its endpoint was found dead by %s (cause=%s); a "
+		       "request that was running there ended with it.\n",
+		       log_line_node(story->death),
+		       log_line_field(story->lines, story->death, "cause"));
 }
 
 /* Processes of the story that say nothing more soon after it. */
@@ -302,6 +329,7 @@
 		goto out;
 	}
 	find_involved(&story);
+	find_death(&story);
 	print_story(&story);
 out:
 	talloc_free(story.lines);
