--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -11,6 +11,9 @@
 step "format and lint"
 scripts/lint.sh || failed=1
 
+step "platform names"
+scripts/platform-names.sh || failed=1
+
 step "model"
 scripts/model.sh || failed=1
 
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -329,7 +329,7 @@
 	bench_event(bench, &event);
 }
 
-/* Failure 23: whether an endpoint that takes no more flows keeps those it
+/* Failure 25: whether an endpoint that takes no more flows keeps those it
  * has. It is silent to first packets and refuses connections. */
 static bool full_endpoint_lives(unsigned break_mechanism,
 				enum jt_probe_outcome outcome, uint32_t limit)
@@ -360,7 +360,7 @@
 	return lives;
 }
 
-/* Failure 26: a request waits in the queue of a full endpoint, and the caller
+/* Failure 28: a request waits in the queue of a full endpoint, and the caller
  * sends it again before it is acknowledged. */
 static void test_slow_and_full_is_no_dead_one(void **state)
 {
@@ -384,7 +384,7 @@
 }
 
 /* A node that has just started can't know how full endpoints are. */
-/* Failure 27: an endpoint that became full between its answer to the first
+/* Failure 29: an endpoint that became full between its answer to the first
  * packet and the caller's next one leaves that flow unanswered for good. */
 static void test_flow_that_never_opened_proves_nothing(void **state)
 {
@@ -546,7 +546,7 @@
 	talloc_free(bench);
 }
 
-/* Failure 22: the former endpoint's entry went after its successor had come;
+/* Failure 24: the former endpoint's entry went after its successor had come;
  * told by a peer, it must not end the successor. */
 static void test_peers_news_of_a_former_endpoint(void **state)
 {
@@ -606,7 +606,7 @@
 	assert_false(late_news_is_refused(JT_DIRECTOR_BREAK_STALE_ENTRY));
 }
 
-/* Failure 24: what an endpoint said before its entry went, told afterwards. */
+/* Failure 26: what an endpoint said before its entry went, told afterwards. */
 static void test_leaving_is_heard_after_the_entry_went(void **state)
 {
 	struct bench *bench = two_endpoints(0);
@@ -658,7 +658,7 @@
 	talloc_free(bench);
 }
 
-/* Failure 28: what a node claims to know must be complete. */
+/* Failure 30: what a node claims to know must be complete. */
 static void test_revision_is_of_what_is_complete(void **state)
 {
 	struct bench *bench = two_endpoints(0);
@@ -698,7 +698,7 @@
 	talloc_free(bench);
 }
 
-/* Failure 25: all endpoints of one part have crashed. */
+/* Failure 27: all endpoints of one part have crashed. */
 static void test_part_that_seems_dead_gives_way(void **state)
 {
 	struct bench *bench = two_endpoints(0);
