The cell's nodes keep time by the monotonic clock as well

tevent's timers follow the time of day: a jump back stopped a node's ticks, its heartbeats and its leave. They are jt_timer now.

--- a/src/daemon/jt_node.c
+++ b/src/daemon/jt_node.c
@@ -4,6 +4,7 @@
 #include "jt_health_probe.h"
 #include "jt_witness.h"
 #include "jt_net.h"
+#include "jt_timer.h"
 #include "jt_resource.h"
 
 #include <errno.h>
@@ -501,22 +502,17 @@
 	}
 }
 
-static void on_tick(struct tevent_context *loop, struct tevent_timer *timer,
-		    struct timeval now, void *private_data)
+static void on_tick(void *private_data)
 {
 	struct jt_node *node = private_data;
 	struct jt_event event = {.kind = JT_EVENT_TICK};
 
-	(void)timer;
-	(void)now;
 	jt_node_event(node, &event);
 	watch_ready(node);
 	jt_config_sync_tick(node->sync);
 	jt_health_probe_tick(node->probe);
 	jt_api_tick(node->api);
-	tevent_add_timer(loop, node,
-			 tevent_timeval_current_ofs(0, TICK_MS * 1000), on_tick,
-			 node);
+	jt_timer_set(node->tick, TICK_MS);
 }
 
 bool jt_node_ready(const struct jt_node *node)
@@ -525,16 +521,11 @@
 }
 
 /* The rest of the cell can't let this node go, or is gone itself. */
-static void on_leave_limit(struct tevent_context *loop,
-			   struct tevent_timer *timer, struct timeval now,
-			   void *private_data)
+static void on_leave_limit(void *private_data)
 {
 	struct jt_node *node = private_data;
 	void (*callback)(struct jt_node *) = node->on_left;
 
-	(void)loop;
-	(void)timer;
-	(void)now;
 	if (callback == NULL)
 		return;
 	jt_log_line(node->log, LOG_WARNING, "event=leave_unconfirmed");
@@ -542,14 +533,10 @@
 	callback(node);
 }
 
-static void on_leave(struct tevent_context *loop, struct tevent_timer *timer,
-		     struct timeval now, void *private_data)
+static void on_leave(void *private_data)
 {
 	struct jt_event event = {.kind = JT_EVENT_LEAVE};
 
-	(void)loop;
-	(void)timer;
-	(void)now;
 	jt_node_event(private_data, &event);
 }
 
@@ -561,14 +548,8 @@
 		return;
 	node->draining = true;
 	jt_log_line(node->log, LOG_NOTICE, "event=leaving delay_ms=%u", delay);
-	tevent_add_timer(
-		node->loop, node,
-		tevent_timeval_current_ofs(delay / 1000, delay % 1000 * 1000),
-		on_leave, node);
-	tevent_add_timer(
-		node->loop, node,
-		tevent_timeval_current_ofs(delay / 1000 + LEAVE_LIMIT_S, 0),
-		on_leave_limit, node);
+	jt_timer_set(node->leave, delay);
+	jt_timer_set(node->leave_limit, delay + LEAVE_LIMIT_S * 1000);
 }
 
 static int node_destructor(struct jt_node *node)
@@ -650,10 +631,18 @@
 		*error = talloc_strdup(mem_ctx, "out of memory");
 		goto fail;
 	}
+	node->tick = jt_timer_create(node, loop, on_tick, node);
+	node->leave = jt_timer_create(node, loop, on_leave, node);
+	node->leave_limit = jt_timer_create(node, loop, on_leave_limit, node);
+	if (node->tick == NULL || node->leave == NULL ||
+	    node->leave_limit == NULL) {
+		*error = talloc_strdup(mem_ctx, "descriptors run out");
+		goto fail;
+	}
 	node_seeds(node);
 	tevent_add_fd(loop, node, node->wake_fd, TEVENT_FD_READ, on_wake, node);
 	tevent_add_fd(loop, node, node->peer_fd, TEVENT_FD_READ, on_peer, node);
-	tevent_add_timer(loop, node, tevent_timeval_current(), on_tick, node);
+	jt_timer_set(node->tick, 0);
 	return node;
 fail:
 	talloc_free(node);
--- a/src/daemon/jt_node.h
+++ b/src/daemon/jt_node.h
@@ -19,6 +19,7 @@
 struct jt_health_probe;
 struct jt_witness;
 struct jt_api;
+struct jt_timer;
 
 /* A configuration as text, as it goes to peers and the store. */
 struct jt_document {
@@ -44,6 +45,9 @@
 	struct tevent_context *loop;
 	const struct jt_log *log;
 	struct jt_settings *settings;
+	struct jt_timer *tick;
+	struct jt_timer *leave;	      /* until the fabric has stopped */
+	struct jt_timer *leave_limit; /* a leave that nobody confirms */
 	struct jt_core *core;
 	struct jt_actions *actions;
 	struct jt_traffic *traffic;
