--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -1,12 +1,12 @@
-#include "jt_director_node.h"
+#include "jt_director_node_private.h"
 #include "jaspertrack/director.h"
 #include "jt_directory_sync.h"
 #include "jt_director_log.h"
 #include "jt_director_pages.h"
+#include "jt_endpoint_probes.h"
 #include "jt_knowledge.h"
 #include "jt_net.h"
 #include "jt_peer_exchange.h"
-#include "jt_prober.h"
 #include "jt_routing.h"
 #include "jt_timer.h"
 
@@ -21,48 +21,12 @@
 	TICK_MS = 100,
 	PACKET_BATCH = 64, /* datagrams before other events get a turn */
 	HELD_LIMIT = 1024, /* packets that wait for the node's start */
-	PROBE_TIMEOUT_MS = 250,
-	IDENTIFY_TIMEOUT_MS = 500,
 	/* A leaving node ends so long before its limit. */
 	LEAVE_MARGIN_MS = 400,
 	/* Part of the drain limit for which a lapsed endpoint may be used. */
 	LAPSED_PERCENT = 60,
 };
 
-/* A packet that came before the node had started. */
-struct held_packet {
-	STAILQ_ENTRY(held_packet) next;
-	size_t length;
-	uint8_t data[];
-};
-
-struct jt_director_node {
-	struct tevent_context *loop;
-	const struct jt_log *log;
-	struct jt_director_settings *settings;
-	const struct jt_environment *environment;
-	struct jt_director *director;
-	struct jt_director_actions *actions;
-	struct jt_http_client *client;
-	struct jt_directory_sync *sync;
-	struct jt_peer_exchange *peers;
-	struct jt_director_pages *pages;
-	struct jt_timer *tick;
-	int data_fd;
-	uint8_t buffer[JT_HEADROOM_MAX + JT_DATAGRAM_MAX];
-	size_t packet_length; /* of the packet in hand */
-	uint64_t event_ms;    /* when the event in hand came */
-	uint64_t leaving_ms;  /* since when, 0: not leaving */
-	bool was_ready;
-	STAILQ_HEAD(held_queue, held_packet) held;
-	size_t held_count;
-	struct jt_director_traffic traffic;
-	void (*on_left)(void *private_data);
-	void *private_data;
-};
-
-static void node_event(struct jt_director_node *node,
-		       struct jt_director_event *event);
 static void watch_ready(struct jt_director_node *node);
 
 /* Actions */
@@ -127,54 +91,24 @@
 	node->traffic.resets++;
 }
 
-struct probe_call {
-	struct jt_director_node *node;
-	uint64_t endpoint_id;
-};
-
-static void on_probed(struct tevent_req *req)
+static void on_probed(uint64_t endpoint_id, enum jt_probe_outcome outcome,
+		      void *private_data)
 {
-	struct probe_call *call =
-		tevent_req_callback_data(req, struct probe_call);
 	struct jt_director_event event = {.kind = JT_DIRECTOR_PROBED};
-	struct jt_director_node *node = call->node;
 
-	event.u.probed.id = call->endpoint_id;
-	event.u.probed.outcome = jt_probe_recv(req);
-	talloc_free(call);
-	node_event(node, &event);
+	event.u.probed.id = endpoint_id;
+	event.u.probed.outcome = outcome;
+	jt_director_node_event(private_data, &event);
 }
 
-static void act_probe(struct jt_director_node *node,
-		      const struct jt_director_action *action)
+static void on_identified(uint64_t endpoint_id, uint64_t found,
+			  void *private_data)
 {
-	struct probe_call *call = talloc_zero(node, struct probe_call);
-	struct tevent_req *req;
-
-	if (call == NULL)
-		return;
-	call->node = node;
-	call->endpoint_id = action->endpoint_id;
-	req = jt_probe_send(call, node->loop, action->address,
-			    PROBE_TIMEOUT_MS);
-	if (req == NULL) {
-		talloc_free(call);
-		return;
-	}
-	tevent_req_set_callback(req, on_probed, call);
-}
-
-static void on_identified(struct tevent_req *req)
-{
-	struct probe_call *call =
-		tevent_req_callback_data(req, struct probe_call);
 	struct jt_director_event event = {.kind = JT_DIRECTOR_IDENTIFIED};
-	struct jt_director_node *node = call->node;
 
-	event.u.identified.id = call->endpoint_id;
-	event.u.identified.found = node->environment->identity->recv(req);
-	talloc_free(call);
-	node_event(node, &event);
+	event.u.identified.id = endpoint_id;
+	event.u.identified.found = found;
+	jt_director_node_event(private_data, &event);
 }
 
 static void act_identify(struct jt_director_node *node,
@@ -182,21 +116,10 @@
 {
 	const struct jt_routed_service *service = jt_routing_service(
 		jt_director_routing(node->director), action->service_id);
-	struct probe_call *call = talloc_zero(node, struct probe_call);
-	struct tevent_req *req;
 
-	if (call == NULL)
-		return;
-	call->node = node;
-	call->endpoint_id = action->endpoint_id;
-	req = node->environment->identity->send(
-		call, node->client, action->address,
-		service ? service->health_path : "/", IDENTIFY_TIMEOUT_MS);
-	if (req == NULL) {
-		talloc_free(call);
-		return;
-	}
-	tevent_req_set_callback(req, on_identified, call);
+	jt_endpoint_probes_identify(node->probes, action->endpoint_id,
+				    action->address,
+				    service ? service->health_path : "/");
 }
 
 static void act_hold(struct jt_director_node *node)
@@ -249,7 +172,8 @@
 		act_reset(node, action);
 		break;
 	case JT_DIRECTOR_PROBE:
-		act_probe(node, action);
+		jt_endpoint_probes_connect(node->probes, action->endpoint_id,
+					   action->address);
 		break;
 	case JT_DIRECTOR_IDENTIFY:
 		act_identify(node, action);
@@ -275,8 +199,8 @@
 	}
 }
 
-static void node_event(struct jt_director_node *node,
-		       struct jt_director_event *event)
+void jt_director_node_event(struct jt_director_node *node,
+			    struct jt_director_event *event)
 {
 	event->now_ms = jt_clock_ms();
 	node->event_ms = event->now_ms;
@@ -298,7 +222,7 @@
 		return;
 	}
 	node->packet_length = length;
-	node_event(node, &event);
+	jt_director_node_event(node, &event);
 }
 
 /* Offer held packets again once the node has started. */
@@ -337,187 +261,13 @@
 	}
 }
 
-/* The store */
-
-static void routing_take(struct jt_director_node *node,
-			 struct jt_routing *routing, const char *source)
-{
-	struct jt_director_event event = {.kind = JT_DIRECTOR_ROUTING};
-
-	event.u.routing = routing;
-	node_event(node, &event);
-	if (jt_director_routing(node->director) != routing)
-		return;
-	jt_log_line(node->log, LOG_NOTICE,
-		    "event=routing version=%llu routes=%zu source=%s",
-		    (unsigned long long)routing->version, routing->route_count,
-		    source);
-	jt_peer_exchange_hurry(node->peers);
-}
-
-static void endpoint_take(struct jt_director_node *node,
-			  const struct jt_endpoint_entry *entry)
-{
-	struct jt_director_event event = {.kind = JT_DIRECTOR_ENDPOINT};
-
-	event.u.endpoint = *entry;
-	node_event(node, &event);
-}
-
-static void gone_take(struct jt_director_node *node, uint64_t id,
-		      uint64_t revision)
-{
-	struct jt_director_event event = {.kind = JT_DIRECTOR_GONE};
-
-	event.u.gone.id = id;
-	event.u.gone.revision = revision;
-	node_event(node, &event);
-}
-
-static void on_change(const struct jt_change *change, void *private_data)
-{
-	struct jt_director_node *node = private_data;
-
-	switch (change->kind) {
-	case JT_CHANGE_ROUTING:
-		routing_take(node, change->routing, "store");
-		break;
-	case JT_CHANGE_ENDPOINT:
-		endpoint_take(node, &change->endpoint);
-		break;
-	case JT_CHANGE_GONE:
-		gone_take(node, change->endpoint.id, change->endpoint.revision);
-		break;
-	case JT_CHANGE_INVALID:
-		jt_log_line(node->log, LOG_ERR,
-			    "event=entry_refused key=%s field=%s reason=\"%s\"",
-			    change->key, change->field, change->reason);
-		break;
-	}
-}
-
-static void on_caught_up(uint64_t revision, void *private_data)
-{
-	struct jt_director_event event = {.kind = JT_DIRECTOR_CAUGHT_UP};
-
-	event.u.listed.revision = revision;
-	node_event(private_data, &event);
-}
-
-static void on_listing(void *private_data)
-{
-	struct jt_director_event event = {.kind = JT_DIRECTOR_LISTING};
-
-	node_event(private_data, &event);
-}
-
 /* The node may have started just now. */
-static void started_look(struct jt_director_node *node)
+void jt_director_node_started_look(struct jt_director_node *node)
 {
 	watch_ready(node);
 	held_release(node);
 }
 
-static void on_listed(uint64_t revision, void *private_data)
-{
-	struct jt_director_node *node = private_data;
-	struct jt_director_event event = {.kind = JT_DIRECTOR_LISTED};
-
-	event.u.listed.revision = revision;
-	node_event(node, &event);
-	started_look(node);
-	jt_log_line(node->log, LOG_NOTICE, "event=store_listed revision=%llu",
-		    (unsigned long long)revision);
-}
-
-static void on_reachable(bool reachable, enum jt_kv_status status,
-			 void *private_data)
-{
-	struct jt_director_node *node = private_data;
-
-	jt_log_line(node->log, reachable ? LOG_NOTICE : LOG_WARNING,
-		    "event=%s status=%s",
-		    reachable ? "store_regained" : "store_lost",
-		    jt_kv_status_name(status));
-}
-
-/* Peers */
-
-static void on_own_state(struct jt_own_state *own, void *private_data)
-{
-	const struct jt_director_node *node = private_data;
-	const struct jt_routing *routing = jt_director_routing(node->director);
-
-	own->routing_version = routing ? routing->version : 0;
-	own->revision = jt_director_revision(node->director);
-	own->started = jt_director_started(node->director);
-	own->leaving = node->leaving_ms != 0;
-}
-
-static bool on_knowledge(TALLOC_CTX *mem_ctx, jt_wire_knowledge *knowledge,
-			 void *private_data)
-{
-	const struct jt_director_node *node = private_data;
-
-	return jt_knowledge_write(mem_ctx, node->director, knowledge);
-}
-
-/* A peer's knowledge is complete up to its revision, what is gone included. */
-static void on_learned(const jt_wire_knowledge *knowledge, void *private_data)
-{
-	struct jt_director_node *node = private_data;
-	struct jt_director_event event = {.kind = JT_DIRECTOR_INFORMED};
-	struct jt_routing *routing =
-		jt_knowledge_routing(node, &knowledge->routing);
-
-	if (routing != NULL)
-		routing_take(node, routing, "peer");
-	if (routing != NULL && jt_director_routing(node->director) != routing)
-		talloc_free(routing);
-	for (u_int i = 0; i < knowledge->entries.entries_len; i++) {
-		struct jt_director_event told;
-
-		if (jt_knowledge_entry(&knowledge->entries.entries_val[i],
-				       &told))
-			node_event(node, &told);
-	}
-	jt_log_line(node->log, LOG_NOTICE,
-		    "event=knowledge_learned revision=%llu entries=%u",
-		    (unsigned long long)knowledge->revision,
-		    knowledge->entries.entries_len);
-	event.u.listed.revision = knowledge->revision;
-	node_event(node, &event);
-	jt_directory_sync_informed(node->sync, knowledge->revision);
-	started_look(node);
-}
-
-static size_t on_own_loads(struct jt_endpoint_load loads[JT_LOAD_LIMIT],
-			   void *private_data)
-{
-	struct jt_director_node *node = private_data;
-
-	return jt_director_loads(node->director, loads);
-}
-
-static void on_loads(uint64_t peer, const struct jt_endpoint_load *loads,
-		     size_t count, void *private_data)
-{
-	struct jt_director_event event = {.kind = JT_DIRECTOR_LOADS};
-
-	event.u.loads.peer = peer;
-	event.u.loads.loads = loads;
-	event.u.loads.count = count;
-	node_event(private_data, &event);
-}
-
-static void on_suspicion(uint64_t endpoint_id, void *private_data)
-{
-	struct jt_director_event event = {.kind = JT_DIRECTOR_SUSPICION};
-
-	event.u.suspicion.id = endpoint_id;
-	node_event(private_data, &event);
-}
-
 /* Readiness and the end */
 
 static bool node_ready(void *private_data)
@@ -564,7 +314,7 @@
 	struct jt_director_event event = {.kind = JT_DIRECTOR_TICK};
 
 	event.u.tick.nodes = jt_peer_exchange_live(node->peers) + 1;
-	node_event(node, &event);
+	jt_director_node_event(node, &event);
 	watch_ready(node);
 	watch_leave(node, event.now_ms);
 	jt_director_log_flush(node->log, event.now_ms);
@@ -620,28 +370,23 @@
 static bool start_parts(struct jt_director_node *node, uint64_t seed,
 			char **error)
 {
-	const struct jt_directory_watcher watcher = {
-		.changed = on_change,
-		.caught_up = on_caught_up,
-		.listing = on_listing,
-		.listed = on_listed,
-		.reachable = on_reachable,
-		.private_data = node,
-	};
-
-	const struct jt_peer_handler handler = {
-		.own_state = on_own_state,
-		.knowledge = on_knowledge,
-		.learned = on_learned,
-		.own_loads = on_own_loads,
-		.loads = on_loads,
-		.suspicion = on_suspicion,
+	const struct jt_probe_handler probe_handler = {
+		.probed = on_probed,
+		.identified = on_identified,
 		.private_data = node,
 	};
+	struct jt_directory_watcher watcher;
+	struct jt_peer_handler handler;
 
+	jt_director_node_handlers(node, &watcher, &handler);
 	node->client = jt_http_client_create(node, node->loop);
 	if (node->client == NULL)
 		return false;
+	node->probes = jt_endpoint_probes_create(node, node->loop, node->client,
+						 node->environment->identity,
+						 &probe_handler);
+	if (node->probes == NULL)
+		return false;
 	node->peers = jt_peer_exchange_create(node, node->loop, node->client,
 					      node->log, node->settings,
 					      &handler, error);
--- /dev/null
+++ b/src/director/jt_director_node_news.c
@@ -0,0 +1,200 @@
+/* What a director node hears from the store and from its peers. */
+#include "jt_director_node_private.h"
+#include "jt_knowledge.h"
+
+/* The store */
+
+static void routing_take(struct jt_director_node *node,
+			 struct jt_routing *routing, const char *source)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_ROUTING};
+
+	event.u.routing = routing;
+	jt_director_node_event(node, &event);
+	if (jt_director_routing(node->director) != routing)
+		return;
+	jt_log_line(node->log, LOG_NOTICE,
+		    "event=routing version=%llu routes=%zu source=%s",
+		    (unsigned long long)routing->version, routing->route_count,
+		    source);
+	jt_peer_exchange_hurry(node->peers);
+}
+
+static void endpoint_take(struct jt_director_node *node,
+			  const struct jt_endpoint_entry *entry)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_ENDPOINT};
+
+	event.u.endpoint = *entry;
+	jt_director_node_event(node, &event);
+}
+
+static void gone_take(struct jt_director_node *node, uint64_t id,
+		      uint64_t revision)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_GONE};
+
+	event.u.gone.id = id;
+	event.u.gone.revision = revision;
+	jt_director_node_event(node, &event);
+}
+
+static void on_change(const struct jt_change *change, void *private_data)
+{
+	struct jt_director_node *node = private_data;
+
+	switch (change->kind) {
+	case JT_CHANGE_ROUTING:
+		routing_take(node, change->routing, "store");
+		break;
+	case JT_CHANGE_ENDPOINT:
+		endpoint_take(node, &change->endpoint);
+		break;
+	case JT_CHANGE_GONE:
+		gone_take(node, change->endpoint.id, change->endpoint.revision);
+		break;
+	case JT_CHANGE_INVALID:
+		jt_log_line(node->log, LOG_ERR,
+			    "event=entry_refused key=%s field=%s reason=\"%s\"",
+			    change->key, change->field, change->reason);
+		break;
+	}
+}
+
+static void on_caught_up(uint64_t revision, void *private_data)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_CAUGHT_UP};
+
+	event.u.listed.revision = revision;
+	jt_director_node_event(private_data, &event);
+}
+
+static void on_listing(void *private_data)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_LISTING};
+
+	jt_director_node_event(private_data, &event);
+}
+
+static void on_listed(uint64_t revision, void *private_data)
+{
+	struct jt_director_node *node = private_data;
+	struct jt_director_event event = {.kind = JT_DIRECTOR_LISTED};
+
+	event.u.listed.revision = revision;
+	jt_director_node_event(node, &event);
+	jt_director_node_started_look(node);
+	jt_log_line(node->log, LOG_NOTICE, "event=store_listed revision=%llu",
+		    (unsigned long long)revision);
+}
+
+static void on_reachable(bool reachable, enum jt_kv_status status,
+			 void *private_data)
+{
+	struct jt_director_node *node = private_data;
+
+	jt_log_line(node->log, reachable ? LOG_NOTICE : LOG_WARNING,
+		    "event=%s status=%s",
+		    reachable ? "store_regained" : "store_lost",
+		    jt_kv_status_name(status));
+}
+
+/* Peers */
+
+static void on_own_state(struct jt_own_state *own, void *private_data)
+{
+	const struct jt_director_node *node = private_data;
+	const struct jt_routing *routing = jt_director_routing(node->director);
+
+	own->routing_version = routing ? routing->version : 0;
+	own->revision = jt_director_revision(node->director);
+	own->started = jt_director_started(node->director);
+	own->leaving = node->leaving_ms != 0;
+}
+
+static bool on_knowledge(TALLOC_CTX *mem_ctx, jt_wire_knowledge *knowledge,
+			 void *private_data)
+{
+	const struct jt_director_node *node = private_data;
+
+	return jt_knowledge_write(mem_ctx, node->director, knowledge);
+}
+
+/* A peer's knowledge is complete up to its revision, what is gone included. */
+static void on_learned(const jt_wire_knowledge *knowledge, void *private_data)
+{
+	struct jt_director_node *node = private_data;
+	struct jt_director_event event = {.kind = JT_DIRECTOR_INFORMED};
+	struct jt_routing *routing =
+		jt_knowledge_routing(node, &knowledge->routing);
+
+	if (routing != NULL)
+		routing_take(node, routing, "peer");
+	if (routing != NULL && jt_director_routing(node->director) != routing)
+		talloc_free(routing);
+	for (u_int i = 0; i < knowledge->entries.entries_len; i++) {
+		struct jt_director_event told;
+
+		if (jt_knowledge_entry(&knowledge->entries.entries_val[i],
+				       &told))
+			jt_director_node_event(node, &told);
+	}
+	jt_log_line(node->log, LOG_NOTICE,
+		    "event=knowledge_learned revision=%llu entries=%u",
+		    (unsigned long long)knowledge->revision,
+		    knowledge->entries.entries_len);
+	event.u.listed.revision = knowledge->revision;
+	jt_director_node_event(node, &event);
+	jt_directory_sync_informed(node->sync, knowledge->revision);
+	jt_director_node_started_look(node);
+}
+
+static size_t on_own_loads(struct jt_endpoint_load loads[JT_LOAD_LIMIT],
+			   void *private_data)
+{
+	struct jt_director_node *node = private_data;
+
+	return jt_director_loads(node->director, loads);
+}
+
+static void on_loads(uint64_t peer, const struct jt_endpoint_load *loads,
+		     size_t count, void *private_data)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_LOADS};
+
+	event.u.loads.peer = peer;
+	event.u.loads.loads = loads;
+	event.u.loads.count = count;
+	jt_director_node_event(private_data, &event);
+}
+
+static void on_suspicion(uint64_t endpoint_id, void *private_data)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_SUSPICION};
+
+	event.u.suspicion.id = endpoint_id;
+	jt_director_node_event(private_data, &event);
+}
+
+void jt_director_node_handlers(struct jt_director_node *node,
+			       struct jt_directory_watcher *watcher,
+			       struct jt_peer_handler *handler)
+{
+	*watcher = (struct jt_directory_watcher){
+		.changed = on_change,
+		.caught_up = on_caught_up,
+		.listing = on_listing,
+		.listed = on_listed,
+		.reachable = on_reachable,
+		.private_data = node,
+	};
+	*handler = (struct jt_peer_handler){
+		.own_state = on_own_state,
+		.knowledge = on_knowledge,
+		.learned = on_learned,
+		.suspicion = on_suspicion,
+		.own_loads = on_own_loads,
+		.loads = on_loads,
+		.private_data = node,
+	};
+}
--- /dev/null
+++ b/src/director/jt_director_node_private.h
@@ -0,0 +1,59 @@
+/* The state of a director node and what its files share. */
+#ifndef JT_DIRECTOR_NODE_PRIVATE_H
+#define JT_DIRECTOR_NODE_PRIVATE_H
+
+#include "jaspertrack/director.h"
+#include "jt_director_node.h"
+#include "jt_director_pages.h"
+#include "jt_directory_sync.h"
+#include "jt_endpoint_probes.h"
+#include "jt_peer_exchange.h"
+
+#include <sys/queue.h>
+
+struct jt_timer;
+
+/* A packet that came before the node had started. */
+struct held_packet {
+	STAILQ_ENTRY(held_packet) next;
+	size_t length;
+	uint8_t data[];
+};
+
+struct jt_director_node {
+	struct tevent_context *loop;
+	const struct jt_log *log;
+	struct jt_director_settings *settings;
+	const struct jt_environment *environment;
+	struct jt_director *director;
+	struct jt_director_actions *actions;
+	struct jt_http_client *client;
+	struct jt_directory_sync *sync;
+	struct jt_endpoint_probes *probes;
+	struct jt_peer_exchange *peers;
+	struct jt_director_pages *pages;
+	struct jt_timer *tick;
+	int data_fd;
+	uint8_t buffer[JT_HEADROOM_MAX + JT_DATAGRAM_MAX];
+	size_t packet_length; /* of the packet in hand */
+	uint64_t event_ms;    /* when the event in hand came */
+	uint64_t leaving_ms;  /* since when, 0: not leaving */
+	bool was_ready;
+	STAILQ_HEAD(held_queue, held_packet) held;
+	size_t held_count;
+	struct jt_director_traffic traffic;
+	void (*on_left)(void *private_data);
+	void *private_data;
+};
+
+/* Give @event to the decision library and do what it says. */
+void jt_director_node_event(struct jt_director_node *node,
+			    struct jt_director_event *event);
+/* The node may have started just now. */
+void jt_director_node_started_look(struct jt_director_node *node);
+/* What the store and peers tell goes to these (jt_director_node_news.c). */
+void jt_director_node_handlers(struct jt_director_node *node,
+			       struct jt_directory_watcher *watcher,
+			       struct jt_peer_handler *handler);
+
+#endif
--- /dev/null
+++ b/src/director/jt_endpoint_probes.h
@@ -0,0 +1,35 @@
+/*
+ * Probes of endpoints as a director asks for them: a connection, or the
+ * question who answers.
+ */
+#ifndef JT_ENDPOINT_PROBES_H
+#define JT_ENDPOINT_PROBES_H
+
+#include "jt_environment.h"
+
+/* What the owner of the probes is told. */
+struct jt_probe_handler {
+	void (*probed)(uint64_t endpoint_id, enum jt_probe_outcome outcome,
+		       void *private_data);
+	/* @found is 0 when nobody said. */
+	void (*identified)(uint64_t endpoint_id, uint64_t found,
+			   void *private_data);
+	void *private_data;
+};
+
+struct jt_endpoint_probes;
+
+struct jt_endpoint_probes *
+jt_endpoint_probes_create(TALLOC_CTX *mem_ctx, struct tevent_context *loop,
+			  struct jt_http_client *client,
+			  const struct jt_identity *identity,
+			  const struct jt_probe_handler *handler);
+void jt_endpoint_probes_connect(struct jt_endpoint_probes *probes,
+				uint64_t endpoint_id,
+				struct jt_address address);
+void jt_endpoint_probes_identify(struct jt_endpoint_probes *probes,
+				 uint64_t endpoint_id,
+				 struct jt_address address,
+				 const char *health_path);
+
+#endif
--- /dev/null
+++ b/tests/test_director_settings.c
@@ -0,0 +1,126 @@
+/* Settings of director nodes: the platform's template, filled in, is right; a
+ * wrong setting is named with file, line, key and what is allowed. */
+#include "test.h"
+
+#include "jt_director_settings.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+static char name[] = "/tmp/jaspertrack-director-XXXXXX";
+
+static const char example[] =
+	"placement = \"label\";\n"
+	"environment = \"platform\";\n"
+	"node = { name = \"edge-1\"; zone = \"scl-renca\"; };\n"
+	"listen = {\n"
+	"  data = \"10.1.0.10:8172\";\n"
+	"  readiness = \"10.1.0.10:8167\";\n"
+	"  peer = \"10.1.0.10:7720\";\n"
+	"};\n"
+	"store = \"10.200.1.7:8169\";\n"
+	"seeds = ( \"10.1.0.10:8166\", \"10.2.0.40:8166\" );\n"
+	"keys = ( { id = 1; secret = \"6a6173706572747261636b2d706c6174666f726"
+	"d2d706565722d6b65792d3031\"; } );\n"
+	"limits = { drain_ms = 3000; leave_s = 2.5; flow_age_s = 60; };\n";
+
+/* The example with @from replaced by @to. */
+static struct jt_director_settings *load(const char *from, const char *to,
+					 char **error)
+{
+	const char *at = from != NULL ? strstr(example, from) : NULL;
+	FILE *file = fopen(name, "w");
+
+	assert_non_null(file);
+	if (from != NULL) {
+		assert_non_null(at);
+		fwrite(example, 1, (size_t)(at - example), file);
+		fputs(to, file);
+		fputs(at + strlen(from), file);
+	} else {
+		fputs(example, file);
+	}
+	fclose(file);
+	return jt_director_settings_load(NULL, name, error);
+}
+
+static void expect_error(const char *from, const char *to, const char *part)
+{
+	char *error;
+
+	assert_null(load(from, to, &error));
+	assert_non_null(strstr(error, name));
+	if (strstr(error, part) == NULL)
+		fail_msg("no '%s' in '%s'", part, error);
+	talloc_free(error);
+}
+
+static void test_example(void **state)
+{
+	struct jt_director_settings *settings;
+	char *error;
+
+	(void)state;
+	settings = load(NULL, NULL, &error);
+	assert_non_null(settings);
+	assert_true(jt_director_settings_wanted(name));
+	assert_int_equal(settings->leave_limit_ms, 2500);
+	assert_int_equal(settings->drain_limit_ms, 3000);
+	assert_int_equal(settings->flow_age_limit_ms, 60000);
+	assert_int_equal(settings->seed_count, 2);
+	assert_int_equal(settings->metrics.port, 0);
+	talloc_free(settings);
+}
+
+static void test_errors(void **state)
+{
+	(void)state;
+	expect_error("drain_ms = 3000", "drain = 3000", ":12: drain: unknown");
+	expect_error("drain_ms = 3000", "drain_ms = -1",
+		     "drain_ms: is -1, allowed are 0 to");
+	expect_error("leave_s = 2.5", "leave_s = \"soon\"",
+		     "leave_s: must be a number");
+	expect_error("10.1.0.10:8172", "10.1.0.10", "data: must be");
+	expect_error("store = \"10.200.1.7:8169\";\n", "", "store: is missing");
+	expect_error("\"10.2.0.40:8166\"", "\"x\"", "seeds: each must be");
+	expect_error("6a6173", "6a61", "secret: must be 64");
+	expect_error("environment = \"platform\";\n", "",
+		     "environment: is missing");
+	expect_error("node = {", "node = [", "syntax error");
+}
+
+static void test_what_can_not_change(void **state)
+{
+	struct jt_director_settings *settings, *changed;
+	char *error;
+
+	(void)state;
+	settings = load(NULL, NULL, &error);
+	changed = load("10.200.1.7:8169", "10.200.1.8:8169", &error);
+	assert_null(jt_director_settings_fixed_difference(settings, changed));
+	talloc_free(changed);
+	changed = load("10.1.0.10:7720", "10.1.0.10:7721", &error);
+	assert_string_equal(
+		jt_director_settings_fixed_difference(settings, changed),
+		"listen.peer");
+	talloc_free(changed);
+	talloc_free(settings);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_example),
+		cmocka_unit_test(test_errors),
+		cmocka_unit_test(test_what_can_not_change),
+	};
+	int result;
+
+	if (sodium_init() < 0 || mkstemp(name) < 0)
+		return 1;
+	result = cmocka_run_group_tests(tests, NULL, NULL);
+	unlink(name);
+	return result;
+}
