lab: placement by label beside owner-and-records and the baselines

Each emulated node is a director on the same fabric, callers and endpoints; it is told discovery late, probes, and its peers' loads.

--- a/scripts/experiments.sh
+++ b/scripts/experiments.sh
@@ -5,7 +5,7 @@
 top=$(cd "$(dirname "$0")/.." && pwd)
 lab=${BUILD:-$top/build}/jaspertrack-lab
 seeds=${1:-10}
-policies=${2:-jaspertrack modulo maglev full-relay}
+policies=${2:-jaspertrack label modulo maglev full-relay}
 shift 2 2>/dev/null || shift $#
 [ $# -gt 0 ] || set -- "$top"/scenarios/*.cfg
 for scenario in "$@"; do
--- a/src/lab/baseline.c
+++ b/src/lab/baseline.c
@@ -75,6 +75,10 @@
 
 struct baseline *baseline_create(struct world *world)
 {
+	if (world->options.policy == POLICY_LABEL) {
+		label_create(world);
+		return NULL;
+	}
 	world->baseline = talloc_zero(world, struct baseline);
 	look(world, 0);
 	return world->baseline;
@@ -82,8 +86,13 @@
 
 void baseline_start(struct world *world, uint16_t index)
 {
-	struct baseline_node *node = &world->baseline->nodes[index];
+	struct baseline_node *node;
 
+	if (world->options.policy == POLICY_LABEL) {
+		label_start(world, index);
+		return;
+	}
+	node = &world->baseline->nodes[index];
 	if (node->running)
 		return;
 	TALLOC_FREE(node->flows);
@@ -97,24 +106,37 @@
 
 void baseline_stop(struct world *world, uint16_t index)
 {
+	if (world->options.policy == POLICY_LABEL) {
+		label_stop(world, index);
+		return;
+	}
 	world->baseline->nodes[index].running = false;
 	world->baseline->nodes[index].stopped_us = world_now(world);
 }
 
 void baseline_pause(struct world *world, uint16_t index, bool paused)
 {
+	if (world->options.policy == POLICY_LABEL) {
+		label_pause(world, index, paused);
+		return;
+	}
 	world->baseline->nodes[index].paused = paused;
 }
 
 bool baseline_ready(const struct world *world, uint16_t index)
 {
-	const struct baseline_node *node = &world->baseline->nodes[index];
+	const struct baseline_node *node;
 
+	if (world->options.policy == POLICY_LABEL)
+		return label_ready(world, index);
+	node = &world->baseline->nodes[index];
 	return node->running && !node->paused;
 }
 
 uint64_t baseline_bytes(const struct world *world, uint16_t index)
 {
+	if (world->options.policy == POLICY_LABEL)
+		return label_bytes(world, index);
 	return world->baseline->nodes[index].bytes;
 }
 
@@ -289,9 +311,14 @@
 		     const struct jt_flow_key *key, uint8_t tcp_flags,
 		     uint64_t packet)
 {
-	struct baseline_node *node = &world->baseline->nodes[index];
+	struct baseline_node *node;
 	uint16_t owner;
 
+	if (world->options.policy == POLICY_LABEL) {
+		label_packet(world, index, key, tcp_flags, packet);
+		return;
+	}
+	node = &world->baseline->nodes[index];
 	if (!node->running || node->paused)
 		return;
 	switch (world->options.policy) {
--- a/src/lab/flows.c
+++ b/src/lab/flows.c
@@ -314,6 +314,7 @@
 		return;
 	flow->step = FLOW_OPEN;
 	flow->endpoint = endpoint;
+	flow->label_incarnation = world->endpoints[endpoint]->incarnation;
 	demand_of(world, flow)->open++;
 	world->figures.flows_opened++;
 	new_message(world, flow);
--- a/src/lab/run.c
+++ b/src/lab/run.c
@@ -44,7 +44,7 @@
 	struct arg_int *seed = arg_int0(NULL, "seed", "N", "default 1");
 	struct arg_str *policy =
 		arg_str0(NULL, "policy", "NAME",
-			 "jaspertrack, modulo, maglev or full-relay");
+			 "jaspertrack, label, modulo, maglev or full-relay");
 	struct arg_lit *json =
 		arg_lit0(NULL, "json", "one JSON object (always)");
 	struct arg_file *timeline = arg_file0(NULL, "timeline", "FILE",
--- a/src/lab/world.c
+++ b/src/lab/world.c
@@ -19,6 +19,7 @@
 	[POLICY_MODULO] = "modulo",
 	[POLICY_MAGLEV] = "maglev",
 	[POLICY_FULL_RELAY] = "full-relay",
+	[POLICY_LABEL] = "label",
 };
 
 const char *policy_name(enum policy_kind policy)
--- a/src/lab/world_private.h
+++ b/src/lab/world_private.h
@@ -5,6 +5,7 @@
  * flows.c     callers and their flows
  * endpoints.c back ends
  * baseline.c  the policies that are compared with
+ * label.c     placement by flow label
  * oracle.c    what must hold, and the figures
  */
 #ifndef WORLD_PRIVATE_H
@@ -93,6 +94,7 @@
 	uint32_t parts_acked;
 	bool cut;
 	uint32_t endpoint; /* where it was established, UINT32_MAX: nowhere */
+	uint32_t label_incarnation; /* of that endpoint, then */
 	struct flow_seen seen[FLOW_SEEN];
 	unsigned seen_count;
 };
@@ -136,6 +138,7 @@
 };
 
 struct baseline;
+struct label_world;
 
 struct world {
 	const struct scenario *scenario;
@@ -143,6 +146,7 @@
 	struct jt_scheduler *scheduler;
 	struct jt_cluster *cluster; /* NULL with a baseline */
 	struct baseline *baseline;
+	struct label_world *label;
 	gsl_rng *random;
 	struct endpoint **endpoints;
 	size_t endpoint_count;
@@ -235,6 +239,17 @@
 bool baseline_ready(const struct world *world, uint16_t node);
 uint64_t baseline_bytes(const struct world *world, uint16_t node);
 
+/* label.c */
+void label_create(struct world *world);
+void label_packet(struct world *world, uint16_t node,
+		  const struct jt_flow_key *key, uint8_t tcp_flags,
+		  uint64_t packet);
+void label_start(struct world *world, uint16_t node);
+void label_stop(struct world *world, uint16_t node);
+void label_pause(struct world *world, uint16_t node, bool paused);
+bool label_ready(const struct world *world, uint16_t node);
+uint64_t label_bytes(const struct world *world, uint16_t node);
+
 /* oracle.c */
 __attribute__((format(printf, 3, 4))) void
 oracle_violation(struct world *world, const char *property, const char *format,
