--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -399,8 +399,9 @@
 	if (node->sync == NULL || node->tick == NULL)
 		return false;
 	node->pages = jt_director_pages_create(
-		node, node->loop, node->settings, node->director, node->sync,
-		node->peers, &node->traffic, node_ready, node, error);
+		node, node->loop, node->log, node->settings, node->director,
+		node->sync, node->peers, &node->traffic, node_ready, node,
+		error);
 	return node->pages != NULL;
 }
 
--- a/src/director/jt_director_pages.c
+++ b/src/director/jt_director_pages.c
@@ -11,6 +11,7 @@
 	const struct jt_director *director;
 	const struct jt_directory_sync *sync;
 	const struct jt_peer_exchange *peers;
+	const struct jt_log *log;
 	const struct jt_director_traffic *traffic;
 	struct jt_http_server *readiness;
 	struct jt_http_server *metrics;
@@ -40,7 +41,7 @@
 		return;
 	}
 	text = jt_director_metrics(pages, pages->director, pages->sync,
-				   pages->peers, pages->traffic);
+				   pages->peers, pages->traffic, pages->log);
 	jt_http_reply(request, 200, "text/plain; version=0.0.4",
 		      text ? text : "");
 	talloc_free(text);
@@ -198,11 +199,30 @@
 	return text;
 }
 
+static char *add_log(char *text, const struct jt_log *log)
+{
+	const struct jt_log_counters *counters;
+
+	if (log->sink == NULL)
+		return text;
+	counters = jt_log_sink_counters(log->sink);
+	text = add_metric(text, "log_lines_total", "counter",
+			  counters->written);
+	text = add_type(text, "log_lines_left_out_total", "counter");
+	text = add_label(text, "log_lines_left_out_total", "class", "unusual",
+			 counters->left_out[JT_LOG_UNUSUAL]);
+	text = add_label(text, "log_lines_left_out_total", "class", "ordinary",
+			 counters->left_out[JT_LOG_ORDINARY]);
+	return add_metric(text, "log_lines_lost_total", "counter",
+			  counters->lost);
+}
+
 char *jt_director_metrics(TALLOC_CTX *mem_ctx,
 			  const struct jt_director *director,
 			  const struct jt_directory_sync *sync,
 			  const struct jt_peer_exchange *peers,
-			  const struct jt_director_traffic *traffic)
+			  const struct jt_director_traffic *traffic,
+			  const struct jt_log *log)
 {
 	char *text = talloc_strdup(mem_ctx, "");
 
@@ -211,18 +231,18 @@
 	text = add_latency(text, jt_director_latency(director));
 	text = add_beliefs(text, director, sync);
 	text = add_store_calls(text, sync);
-	return add_peers(text, peers);
+	text = add_peers(text, peers);
+	return add_log(text, log);
 }
 
-struct jt_director_pages *
-jt_director_pages_create(TALLOC_CTX *mem_ctx, struct tevent_context *loop,
-			 const struct jt_director_settings *settings,
-			 const struct jt_director *director,
-			 const struct jt_directory_sync *sync,
-			 const struct jt_peer_exchange *peers,
-			 const struct jt_director_traffic *traffic,
-			 bool (*ready)(void *private_data), void *private_data,
-			 char **error)
+struct jt_director_pages *jt_director_pages_create(
+	TALLOC_CTX *mem_ctx, struct tevent_context *loop,
+	const struct jt_log *log, const struct jt_director_settings *settings,
+	const struct jt_director *director,
+	const struct jt_directory_sync *sync,
+	const struct jt_peer_exchange *peers,
+	const struct jt_director_traffic *traffic,
+	bool (*ready)(void *private_data), void *private_data, char **error)
 {
 	struct jt_director_pages *pages =
 		talloc_zero(mem_ctx, struct jt_director_pages);
@@ -234,6 +254,7 @@
 	pages->director = director;
 	pages->sync = sync;
 	pages->peers = peers;
+	pages->log = log;
 	pages->traffic = traffic;
 	pages->ready = ready;
 	pages->private_data = private_data;
--- a/src/director/jt_director_pages.h
+++ b/src/director/jt_director_pages.h
@@ -4,6 +4,7 @@
 
 #include "jt_director_settings.h"
 #include "jt_directory_sync.h"
+#include "jt_log.h"
 #include "jt_peer_exchange.h"
 
 struct jt_director;
@@ -21,21 +22,21 @@
 
 /* NULL with a line in @error when the readiness address can't be used. A
  * metrics address that can't be used is done without. */
-struct jt_director_pages *
-jt_director_pages_create(TALLOC_CTX *mem_ctx, struct tevent_context *loop,
-			 const struct jt_director_settings *settings,
-			 const struct jt_director *director,
-			 const struct jt_directory_sync *sync,
-			 const struct jt_peer_exchange *peers,
-			 const struct jt_director_traffic *traffic,
-			 bool (*ready)(void *private_data), void *private_data,
-			 char **error);
+struct jt_director_pages *jt_director_pages_create(
+	TALLOC_CTX *mem_ctx, struct tevent_context *loop,
+	const struct jt_log *log, const struct jt_director_settings *settings,
+	const struct jt_director *director,
+	const struct jt_directory_sync *sync,
+	const struct jt_peer_exchange *peers,
+	const struct jt_director_traffic *traffic,
+	bool (*ready)(void *private_data), void *private_data, char **error);
 
 /* Counters in the Prometheus text format 0.0.4, below @mem_ctx. */
 char *jt_director_metrics(TALLOC_CTX *mem_ctx,
 			  const struct jt_director *director,
 			  const struct jt_directory_sync *sync,
 			  const struct jt_peer_exchange *peers,
-			  const struct jt_director_traffic *traffic);
+			  const struct jt_director_traffic *traffic,
+			  const struct jt_log *log);
 
 #endif
--- a/src/lab/label.c
+++ b/src/lab/label.c
@@ -198,7 +198,7 @@
 /* Each node tells two others its share of the endpoints' flows. */
 static void loads_tell(struct world *world)
 {
-	uint32_t count = world->scenario->node_count;
+	uint16_t count = (uint16_t)world->scenario->node_count;
 	struct label_world *label = world->label;
 
 	for (uint16_t n = 0; n < count; n++) {
