--- a/src/lab/label.c
+++ b/src/lab/label.c
@@ -360,15 +360,21 @@
 	       a->destination_port == b->destination_port;
 }
 
-/* A reset of a flow that is not the packet in hand. */
-static void reset_other(struct world *world, const struct jt_flow_key *key)
+/*
+ * A reset of a flow that is not the packet in hand. A caller takes one of an
+ * open flow only near what it has acknowledged: a reset meant for its first
+ * packet, which went to another endpoint than the one that answered, is not.
+ */
+static void reset_other(struct world *world, const struct jt_flow_key *key,
+			uint32_t sequence)
 {
 	for (size_t i = 0; i < world->flow_count; i++) {
 		struct flow *flow = world->flows[i];
 
-		if ((flow->step == FLOW_CONNECTING ||
-		     flow->step == FLOW_OPEN) &&
-		    same_key(&flow->key, key))
+		if (!same_key(&flow->key, key))
+			continue;
+		if (flow->step == FLOW_CONNECTING ||
+		    (flow->step == FLOW_OPEN && sequence != 0))
 			flow_reset(world, flow);
 	}
 }
@@ -401,7 +407,8 @@
 		if (in_hand)
 			verdict_tell(world, JT_VERDICT_REFUSE, action->address);
 		else
-			reset_other(world, &action->key);
+			reset_other(world, &action->key,
+				    action->reset_sequence);
 		break;
 	case JT_DIRECTOR_PROBE:
 	case JT_DIRECTOR_IDENTIFY:
@@ -466,9 +473,11 @@
 		.label = flow_label(world, flow),
 		.sequence =
 			tcp_flags & JT_TCP_SYN ? 0 : message * MESSAGE_SPAN + 1,
-		.acknowledged =
-			(message - (flow->awaiting && data)) * MESSAGE_SPAN +
-			flow->parts + 1,
+		.acknowledged = tcp_flags & JT_TCP_SYN
+					? 0
+					: (message - (flow->awaiting && data)) *
+							  MESSAGE_SPAN +
+						  flow->parts + 1,
 		.length = data ? 100 : 0,
 	};
 	label->node = index;
