--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -1,19 +1,12 @@
 #include "jt_director_node_private.h"
-#include "jaspertrack/director.h"
-#include "jt_directory_sync.h"
 #include "jt_director_log.h"
-#include "jt_director_pages.h"
-#include "jt_endpoint_probes.h"
-#include "jt_knowledge.h"
 #include "jt_net.h"
-#include "jt_peer_exchange.h"
 #include "jt_routing.h"
 #include "jt_timer.h"
 
 #include <errno.h>
 #include <sodium.h>
 #include <string.h>
-#include <sys/queue.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
