review: one address comparison, one "full" test, dead state out

A reading of the whole change found logic standing twice and work done more often than needed. Behaviour is meant to stay as it is; no test was touched.

- incarnation_full() serves both the ranking of an endpoint and the question whether a service is full.
- jt_peer_lives() is shared with the peer exchange, which spelled it out.
- director.routing_ms was written and never read: gone.
- A comment said that opening flows are not reset; they are.

--- a/include/jaspertrack/types-t.h
+++ b/include/jaspertrack/types-t.h
@@ -34,6 +34,12 @@
 	uint16_t port;
 };
 
+/* Field by field: the padding is not compared. */
+static inline bool jt_address_same(struct jt_address a, struct jt_address b)
+{
+	return a.ip == b.ip && a.port == b.port;
+}
+
 /* The 5-tuple of a flow as the caller's packets carry it. */
 struct jt_flow_key {
 	uint32_t source;
--- a/src/core/jt_coordinate.c
+++ b/src/core/jt_coordinate.c
@@ -158,8 +158,7 @@
 			config_endpoint(config, endpoint->id);
 
 		if (entry != NULL &&
-		    entry->address.ip == endpoint->address.ip &&
-		    entry->address.port == endpoint->address.port &&
+		    jt_address_same(entry->address, endpoint->address) &&
 		    config->services[entry->service].id == endpoint->service_id)
 			continue;
 		if (removed_expired(core, endpoint))
@@ -231,8 +230,7 @@
 		const struct jt_member *joiner = &core->joiners[i];
 
 		if (joiner_ready(core, i) &&
-		    joiner->address.ip == member->address.ip &&
-		    joiner->address.port == member->address.port)
+		    jt_address_same(joiner->address, member->address))
 			return true;
 	}
 	return false;
--- a/src/core/jt_members.c
+++ b/src/core/jt_members.c
@@ -287,8 +287,7 @@
 
 static bool own_address(const struct jt_core *core, struct jt_address address)
 {
-	return address.ip == core->options.address.ip &&
-	       address.port == core->options.address.port;
+	return jt_address_same(address, core->options.address);
 }
 
 /* The next node to ask: known members first, then the candidates. */
--- a/src/director/jt_directory_sync.c
+++ b/src/director/jt_directory_sync.c
@@ -205,7 +205,7 @@
 void jt_directory_sync_move(struct jt_directory_sync *sync,
 			    struct jt_address store)
 {
-	if (sync->store.ip == store.ip && sync->store.port == store.port)
+	if (jt_address_same(sync->store, store))
 		return;
 	sync->store = store;
 	TALLOC_FREE(sync->call);
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -129,7 +129,7 @@
 	message.body.jt_wire_director_body_u.suspicion.endpoint_id =
 		endpoint_id;
 	for (size_t i = 0; i < membership->count; i++) {
-		if (membership->peers[i].id != 0 && !membership->peers[i].lost)
+		if (jt_peer_lives(&membership->peers[i]))
 			message_send(exchange, membership->peers[i].address,
 				     &message);
 	}
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -120,6 +120,16 @@
 	return incarnation->flows + mean * (double)(chooser->nodes - 1);
 }
 
+/* Whether a ready incarnation holds as many flows, by this node's count of all
+ * nodes', as its service allows; a limit of 0 allows any number. */
+static bool incarnation_full(const struct jt_chooser *chooser,
+			     const struct jt_incarnation *in,
+			     uint32_t connection_limit, uint64_t now_ms)
+{
+	return connection_limit > 0 && in->state == JT_INCARNATION_READY &&
+	       jt_chooser_flows(chooser, in, now_ms) >= connection_limit;
+}
+
 /* How willing an incarnation is to take a new flow; lower is better. */
 enum willingness { WILLING, SUSPECTED, FULL, LAST_RESORT, UNWILLING };
 
@@ -128,8 +138,7 @@
 					    uint32_t connection_limit,
 					    uint64_t now_ms)
 {
-	if (connection_limit > 0 && in->state == JT_INCARNATION_READY &&
-	    jt_chooser_flows(chooser, in, now_ms) >= connection_limit)
+	if (incarnation_full(chooser, in, connection_limit, now_ms))
 		return now_ms < in->avoid_until_ms ||
 				       in->flows >= connection_limit
 			       ? UNWILLING
@@ -326,10 +335,8 @@
 		const struct jt_incarnation *in = pool ? pool->members : NULL;
 
 		for (; in != NULL && service != NULL; in = in->pool_next) {
-			if (in->state == JT_INCARNATION_READY &&
-			    service->connection_limit > 0 &&
-			    jt_chooser_flows(chooser, in, now_ms) >=
-				    service->connection_limit)
+			if (incarnation_full(chooser, in,
+					     service->connection_limit, now_ms))
 				return true;
 		}
 	}
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -107,8 +107,7 @@
 	while (flow != NULL) {
 		struct jt_cached_flow *newer = flow->newer;
 
-		/* A caller that has not opened its flow asks again; one that
-		 * has closed it needs no reset. */
+		/* A caller that has closed its flow needs no reset. */
 		if (flow->label == incarnation->label && !flow->closing)
 			jt_director_flow_reset(director, flow, incarnation,
 					       now_ms, actions);
@@ -194,8 +193,8 @@
 
 	for (other = jt_endpoint_table_first(director->endpoints);
 	     other != NULL; other = jt_endpoint_table_next(other)) {
-		if (other->entry.address.ip != taken->entry.address.ip ||
-		    other->entry.address.port != taken->entry.address.port)
+		if (!jt_address_same(other->entry.address,
+				     taken->entry.address))
 			continue;
 		if (other->entry.revision > newest->entry.revision)
 			newest = other;
@@ -203,8 +202,7 @@
 	for (other = jt_endpoint_table_first(director->endpoints);
 	     other != NULL; other = jt_endpoint_table_next(other)) {
 		if (other != newest &&
-		    other->entry.address.ip == taken->entry.address.ip &&
-		    other->entry.address.port == taken->entry.address.port)
+		    jt_address_same(other->entry.address, taken->entry.address))
 			incarnation_dies(director, other, JT_DEATH_REPLACED,
 					 now_ms, actions);
 	}
@@ -406,7 +404,7 @@
 }
 
 static void event_routing(struct jt_director *director,
-			  const struct jt_routing *routing, uint64_t now_ms)
+			  const struct jt_routing *routing)
 {
 	const struct jt_routing *old = director->routing;
 
@@ -416,7 +414,6 @@
 		return;
 	}
 	director->routing = talloc_steal(director, routing);
-	director->routing_ms = now_ms;
 	jt_chooser_prune(director->chooser, routing);
 	talloc_free((void *)old);
 }
@@ -505,7 +502,7 @@
 		jt_director_packet(director, &event->u.packet, now_ms, actions);
 		break;
 	case JT_DIRECTOR_ROUTING:
-		event_routing(director, event->u.routing, now_ms);
+		event_routing(director, event->u.routing);
 		break;
 	case JT_DIRECTOR_ENDPOINT:
 		event_endpoint(director, &event->u.endpoint, now_ms, actions);
--- a/src/label/jt_knowledge.c
+++ b/src/label/jt_knowledge.c
@@ -1,5 +1,5 @@
 #include "jt_knowledge.h"
-#include "jt_routing.h"
+#include "jt_director_private.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -60,8 +60,7 @@
 			  const struct jt_director *director,
 			  jt_wire_knowledge *knowledge)
 {
-	struct jt_endpoint_entry entry;
-	enum jt_incarnation_state state;
+	const struct jt_incarnation *in;
 	jt_wire_entry *entries;
 	size_t count = 0;
 
@@ -69,19 +68,22 @@
 				    JT_DIRECTOR_MAX_ENTRIES);
 	if (entries == NULL)
 		return false;
-	while (count < JT_DIRECTOR_MAX_ENTRIES &&
-	       jt_director_endpoint_at(director, count, &entry, &state)) {
+	for (in = jt_endpoint_table_first(director->endpoints);
+	     in != NULL && count < JT_DIRECTOR_MAX_ENTRIES;
+	     in = jt_endpoint_table_next(in)) {
+		const struct jt_endpoint_entry *entry = &in->entry;
+
 		entries[count++] = (jt_wire_entry){
-			.id = entry.id,
-			.service_id = entry.service_id,
-			.zone_id = entry.zone_id,
-			.address = entry.address.ip,
-			.port = entry.address.port,
-			.capacity = entry.capacity,
-			.cold_left_ms = entry.cold_left_ms,
-			.revision = entry.revision,
-			.draining = entry.draining,
-			.gone_revision = entry.gone_revision,
+			.id = entry->id,
+			.service_id = entry->service_id,
+			.zone_id = entry->zone_id,
+			.address = entry->address.ip,
+			.port = entry->address.port,
+			.capacity = entry->capacity,
+			.cold_left_ms = entry->cold_left_ms,
+			.revision = entry->revision,
+			.draining = entry->draining,
+			.gone_revision = entry->gone_revision,
 		};
 	}
 	knowledge->entries.entries_val = entries;
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -28,16 +28,11 @@
 	return membership;
 }
 
-static bool same_address(struct jt_address a, struct jt_address b)
-{
-	return a.ip == b.ip && a.port == b.port;
-}
-
 static struct jt_peer *peer_find(struct jt_membership *membership,
 				 struct jt_address address)
 {
 	for (size_t i = 0; i < membership->count; i++) {
-		if (same_address(membership->peers[i].address, address))
+		if (jt_address_same(membership->peers[i].address, address))
 			return &membership->peers[i];
 	}
 	return NULL;
@@ -87,7 +82,7 @@
 void jt_membership_seed(struct jt_membership *membership,
 			struct jt_address address)
 {
-	if (!same_address(address, membership->address) &&
+	if (!jt_address_same(address, membership->address) &&
 	    peer_find(membership, address) == NULL)
 		peer_add(membership, address);
 }
@@ -101,7 +96,7 @@
 	struct jt_peer *peer;
 
 	if (told->id == membership->id || told->port > UINT16_MAX ||
-	    same_address(address, membership->address) ||
+	    jt_address_same(address, membership->address) ||
 	    told->age_ms >= PEER_LOST_MS)
 		return;
 	peer = peer_find(membership, address);
@@ -130,7 +125,7 @@
 	bool news;
 
 	if (from == membership->id ||
-	    same_address(address, membership->address))
+	    jt_address_same(address, membership->address))
 		return false;
 	peer = peer_find(membership, address);
 	if (peer == NULL)
@@ -152,12 +147,6 @@
 	return news;
 }
 
-/* Whether the peer was heard lately, by this node or by another. */
-static bool peer_lives(const struct jt_peer *peer)
-{
-	return peer->id != 0 && !peer->lost;
-}
-
 /* A peer at random: one that lives, or any when @any. */
 static const struct jt_peer *peer_pick(struct jt_membership *membership,
 				       bool any)
@@ -171,7 +160,7 @@
 		const struct jt_peer *peer =
 			&membership->peers[(start + i) % membership->count];
 
-		if (any || peer_lives(peer))
+		if (any || jt_peer_lives(peer))
 			return peer;
 	}
 	return NULL;
@@ -183,7 +172,7 @@
 	if (peer == NULL)
 		return count;
 	for (size_t i = 0; i < count; i++) {
-		if (same_address(targets[i], peer->address))
+		if (jt_address_same(targets[i], peer->address))
 			return count;
 	}
 	targets[count] = peer->address;
@@ -232,7 +221,7 @@
 		const struct jt_peer *peer =
 			&membership->peers[(start + i) % membership->count];
 
-		if (!peer_lives(peer))
+		if (!jt_peer_lives(peer))
 			continue;
 		peers[told++] = (jt_wire_peer){
 			.id = peer->id,
@@ -260,7 +249,7 @@
 		struct jt_peer *peer = &membership->peers[i];
 		uint64_t silent_ms = now_ms - peer->heard_ms;
 
-		if (peer_lives(peer) && silent_ms >= PEER_LOST_MS) {
+		if (jt_peer_lives(peer) && silent_ms >= PEER_LOST_MS) {
 			peer->lost = true;
 			peer->heard = false;
 			return peer;
@@ -333,7 +322,7 @@
 	size_t live = 0;
 
 	for (size_t i = 0; i < membership->count; i++) {
-		if (peer_lives(&membership->peers[i]))
+		if (jt_peer_lives(&membership->peers[i]))
 			live++;
 	}
 	return live;
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -36,6 +36,12 @@
 	bool lost;
 };
 
+/* Whether the peer was heard lately, by this node or by another. */
+static inline bool jt_peer_lives(const struct jt_peer *peer)
+{
+	return peer->id != 0 && !peer->lost;
+}
+
 /* What this node tells of itself. */
 struct jt_own_state {
 	uint64_t routing_version;
--- a/src/resource/jt_resource.c
+++ b/src/resource/jt_resource.c
@@ -274,11 +274,6 @@
 	return 0;
 }
 
-static bool same_address(struct jt_address a, struct jt_address b)
-{
-	return a.ip == b.ip && a.port == b.port;
-}
-
 static int check_endpoint_unique(struct builder *b,
 				 const struct jt_endpoint_config *endpoint)
 {
@@ -290,7 +285,7 @@
 		if (other->id == endpoint->id)
 			return fail(b, "name", "taken by endpoint '%s'",
 				    other->name);
-		if (same_address(other->address, endpoint->address))
+		if (jt_address_same(other->address, endpoint->address))
 			return fail(b, "address",
 				    "used by endpoint '%s' of service '%s'",
 				    other->name,
@@ -345,7 +340,7 @@
 
 		if (strcmp(other->name, address->name) == 0)
 			return fail(b, "name", "stands twice");
-		if (same_address(other->address, address->address))
+		if (jt_address_same(other->address, address->address))
 			return fail(b, "address", "used by address '%s'",
 				    other->name);
 	}
--- a/src/settings/jt_director_settings.c
+++ b/src/settings/jt_director_settings.c
@@ -130,11 +130,6 @@
 	return settings;
 }
 
-static bool same_address(struct jt_address a, struct jt_address b)
-{
-	return a.ip == b.ip && a.port == b.port;
-}
-
 const char *
 jt_director_settings_fixed_difference(const struct jt_director_settings *a,
 				      const struct jt_director_settings *b)
@@ -145,13 +140,13 @@
 		return "node.zone";
 	if (strcmp(a->environment, b->environment) != 0)
 		return "environment";
-	if (!same_address(a->data, b->data))
+	if (!jt_address_same(a->data, b->data))
 		return "listen.data";
-	if (!same_address(a->readiness, b->readiness))
+	if (!jt_address_same(a->readiness, b->readiness))
 		return "listen.readiness";
-	if (!same_address(a->peer, b->peer))
+	if (!jt_address_same(a->peer, b->peer))
 		return "listen.peer";
-	if (!same_address(a->metrics, b->metrics))
+	if (!jt_address_same(a->metrics, b->metrics))
 		return "listen.metrics";
 	if (a->flow_limit != b->flow_limit)
 		return "limits.flows";
--- a/src/settings/jt_settings.c
+++ b/src/settings/jt_settings.c
@@ -262,11 +262,6 @@
 	return r.settings;
 }
 
-static bool same_address(struct jt_address a, struct jt_address b)
-{
-	return a.ip == b.ip && a.port == b.port;
-}
-
 const char *jt_settings_fixed_difference(const struct jt_settings *current,
 					 const struct jt_settings *changed)
 {
@@ -276,11 +271,11 @@
 		return "node.zone";
 	if (strcmp(current->cell, changed->cell) != 0)
 		return "node.cell";
-	if (!same_address(current->data, changed->data))
+	if (!jt_address_same(current->data, changed->data))
 		return "listen.data";
-	if (!same_address(current->peer, changed->peer))
+	if (!jt_address_same(current->peer, changed->peer))
 		return "listen.peer";
-	if (!same_address(current->api, changed->api))
+	if (!jt_address_same(current->api, changed->api))
 		return "listen.api";
 	if (current->traffic_threads != changed->traffic_threads)
 		return "traffic_threads";
