--- a/fuzz/fuzz_director.c
+++ b/fuzz/fuzz_director.c
@@ -379,7 +379,8 @@
 	struct jt_routing *routing;
 
 	if (node == from || !jt_director_started(world->directors[from]) ||
-	    !jt_knowledge_write(frame, world->directors[from], &knowledge))
+	    !jt_knowledge_write(frame, world->directors[from], 0, 0,
+				&knowledge))
 		goto out;
 	routing = jt_knowledge_routing(world, &knowledge.routing);
 	if (routing != NULL)
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -309,6 +309,7 @@
 	event.u.tick.nodes = jt_peer_exchange_live(node->peers) + 1;
 	jt_director_node_event(node, &event);
 	watch_ready(node);
+	jt_director_node_reader_look(node, event.now_ms);
 	watch_leave(node, event.now_ms);
 	jt_director_log_flush(node->log, event.now_ms);
 	jt_timer_set(node->tick, TICK_MS);
@@ -330,6 +331,7 @@
 	struct jt_director_settings *old = node->settings;
 
 	node->settings = talloc_steal(node, settings);
+	node->reader.limit_ms = settings->store_age_limit_ms;
 	jt_directory_sync_move(node->sync, settings->store);
 	jt_peer_exchange_reload(node->peers, settings);
 	talloc_free(old);
@@ -431,6 +433,8 @@
 	options.lapsed_grace_ms =
 		settings->drain_limit_ms / 100 * LAPSED_PERCENT;
 	randombytes_buf(&options.seed, sizeof(options.seed));
+	jt_reader_init(&node->reader, settings->store_age_limit_ms,
+		       options.seed);
 	node->director = jt_director_create(node, &options);
 	node->actions = jt_director_actions_create(node);
 	if (node->director == NULL || node->actions == NULL ||
--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -17,7 +17,7 @@
 		    "event=routing version=%llu routes=%zu source=%s",
 		    (unsigned long long)routing->version, routing->route_count,
 		    source);
-	jt_peer_exchange_hurry(node->peers);
+	jt_peer_exchange_news(node->peers);
 }
 
 static void endpoint_take(struct jt_director_node *node,
@@ -61,12 +61,22 @@
 	}
 }
 
-static void on_caught_up(uint64_t revision, void *private_data)
+/* All changes up to @revision are known. */
+static void revision_take(struct jt_director_node *node,
+			  enum jt_director_event_kind kind, uint64_t revision)
 {
-	struct jt_director_event event = {.kind = JT_DIRECTOR_CAUGHT_UP};
+	struct jt_director_event event = {.kind = kind};
+	uint64_t before = jt_director_revision(node->director);
 
 	event.u.listed.revision = revision;
-	jt_director_node_event(private_data, &event);
+	jt_director_node_event(node, &event);
+	if (revision > before)
+		jt_peer_exchange_news(node->peers);
+}
+
+static void on_caught_up(uint64_t revision, void *private_data)
+{
+	revision_take(private_data, JT_DIRECTOR_CAUGHT_UP, revision);
 }
 
 static void on_listing(void *private_data)
@@ -79,10 +89,8 @@
 static void on_listed(uint64_t revision, void *private_data)
 {
 	struct jt_director_node *node = private_data;
-	struct jt_director_event event = {.kind = JT_DIRECTOR_LISTED};
 
-	event.u.listed.revision = revision;
-	jt_director_node_event(node, &event);
+	revision_take(node, JT_DIRECTOR_LISTED, revision);
 	jt_director_node_started_look(node);
 	jt_log_line(node->log, LOG_NOTICE, "event=store_listed revision=%llu",
 		    (unsigned long long)revision);
@@ -99,6 +107,39 @@
 		    jt_kv_status_name(status));
 }
 
+/* Reading the store, or leaving it to peers */
+
+/* How able this node is to read the store; 0: not now. */
+static uint32_t reader_weight(const struct jt_director_node *node)
+{
+	if (!jt_director_started(node->director) || node->leaving_ms != 0 ||
+	    jt_directory_sync_lost(node->sync))
+		return 0;
+	return node->settings->reader_weight;
+}
+
+void jt_director_node_reader_look(struct jt_director_node *node,
+				  uint64_t now_ms)
+{
+	bool was = node->reader.reading;
+	bool first =
+		jt_peer_exchange_reads_first(node->peers, reader_weight(node));
+	bool reading;
+
+	jt_reader_read(&node->reader, jt_directory_sync_as_of_ms(node->sync));
+	reading = jt_reader_decide(&node->reader, first,
+				   jt_director_started(node->director), now_ms);
+	if (reading == was)
+		return;
+	jt_log_line(node->log, LOG_NOTICE,
+		    "event=%s first=%d heard_age_ms=%llu revision=%llu",
+		    reading ? "reader_begins" : "reader_ends", first,
+		    (unsigned long long)(now_ms - node->reader.heard_ms),
+		    (unsigned long long)jt_director_revision(node->director));
+	jt_directory_sync_follow(node->sync, reading,
+				 jt_director_revision(node->director));
+}
+
 /* Peers */
 
 static void on_own_state(struct jt_own_state *own, void *private_data)
@@ -110,21 +151,40 @@
 	own->revision = jt_director_revision(node->director);
 	own->started = jt_director_started(node->director);
 	own->leaving = node->leaving_ms != 0;
+	own->reading = node->reader.reading;
+	own->weight = reader_weight(node);
+	own->store_as_of_ms =
+		jt_reader_as_of(&node->reader, jt_peer_exchange_id(node->peers),
+				&own->store_reader);
 }
 
-static bool on_knowledge(TALLOC_CTX *mem_ctx, jt_wire_knowledge *knowledge,
-			 void *private_data)
+static bool on_knowledge(TALLOC_CTX *mem_ctx, uint64_t since, uint64_t version,
+			 jt_wire_knowledge *knowledge, void *private_data)
 {
 	const struct jt_director_node *node = private_data;
 
-	return jt_knowledge_write(mem_ctx, node->director, knowledge);
+	return jt_knowledge_write(mem_ctx, node->director, since, version,
+				  knowledge);
 }
 
-/* A peer's knowledge is complete up to its revision, what is gone included. */
+static void entries_take(struct jt_director_node *node,
+			 const jt_wire_entry *entries, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		struct jt_director_event event;
+
+		if (jt_knowledge_entry(&entries[i], &event))
+			jt_director_node_event(node, &event);
+	}
+}
+
+/*
+ * A peer's knowledge is complete up to its revision, what is gone included,
+ * but for what it took this node to know.
+ */
 static void on_learned(const jt_wire_knowledge *knowledge, void *private_data)
 {
 	struct jt_director_node *node = private_data;
-	struct jt_director_event event = {.kind = JT_DIRECTOR_INFORMED};
 	struct jt_routing *routing =
 		jt_knowledge_routing(node, &knowledge->routing);
 
@@ -132,23 +192,42 @@
 		routing_take(node, routing, "peer");
 	if (routing != NULL && jt_director_routing(node->director) != routing)
 		talloc_free(routing);
-	for (u_int i = 0; i < knowledge->entries.entries_len; i++) {
-		struct jt_director_event told;
-
-		if (jt_knowledge_entry(&knowledge->entries.entries_val[i],
-				       &told))
-			jt_director_node_event(node, &told);
-	}
+	entries_take(node, knowledge->entries.entries_val,
+		     knowledge->entries.entries_len);
 	jt_log_line(node->log, LOG_NOTICE,
-		    "event=knowledge_learned revision=%llu entries=%u",
+		    "event=knowledge_learned since=%llu revision=%llu "
+		    "entries=%u",
+		    (unsigned long long)knowledge->since,
 		    (unsigned long long)knowledge->revision,
 		    knowledge->entries.entries_len);
-	event.u.listed.revision = knowledge->revision;
-	jt_director_node_event(node, &event);
+	revision_take(node, JT_DIRECTOR_INFORMED, knowledge->revision);
 	jt_directory_sync_informed(node->sync, knowledge->revision);
 	jt_director_node_started_look(node);
 }
 
+/* News is complete only for a node that knows all up to where it begins. */
+static void on_news(const jt_wire_news *news, void *private_data)
+{
+	struct jt_director_node *node = private_data;
+
+	if (!jt_director_started(node->director))
+		return;
+	entries_take(node, news->entries.entries_val,
+		     news->entries.entries_len);
+	if (news->since <= jt_director_revision(node->director) &&
+	    news->digest.revision > jt_director_revision(node->director))
+		revision_take(node, JT_DIRECTOR_CAUGHT_UP,
+			      news->digest.revision);
+}
+
+static void on_store_heard(uint64_t as_of_ms, uint64_t reader,
+			   void *private_data)
+{
+	struct jt_director_node *node = private_data;
+
+	jt_reader_heard(&node->reader, as_of_ms, reader);
+}
+
 static size_t on_own_loads(struct jt_endpoint_load loads[JT_LOAD_LIMIT],
 			   void *private_data)
 {
@@ -192,6 +271,8 @@
 		.own_state = on_own_state,
 		.knowledge = on_knowledge,
 		.learned = on_learned,
+		.news = on_news,
+		.store_heard = on_store_heard,
 		.suspicion = on_suspicion,
 		.own_loads = on_own_loads,
 		.loads = on_loads,
--- a/src/director/jt_director_node_private.h
+++ b/src/director/jt_director_node_private.h
@@ -8,6 +8,7 @@
 #include "jt_directory_sync.h"
 #include "jt_endpoint_probes.h"
 #include "jt_peer_exchange.h"
+#include "jt_reader.h"
 
 #include <sys/queue.h>
 
@@ -32,6 +33,7 @@
 	struct jt_endpoint_probes *probes;
 	struct jt_peer_exchange *peers;
 	struct jt_director_pages *pages;
+	struct jt_reader reader;
 	struct jt_timer *tick;
 	int data_fd;
 	uint8_t buffer[JT_HEADROOM_MAX + JT_DATAGRAM_MAX];
@@ -49,6 +51,9 @@
 /* Give @event to the decision library and do what it says. */
 void jt_director_node_event(struct jt_director_node *node,
 			    struct jt_director_event *event);
+/* Read the store, or leave it to peers, as the reader decides. */
+void jt_director_node_reader_look(struct jt_director_node *node,
+				  uint64_t now_ms);
 /* The node may have started just now. */
 void jt_director_node_started_look(struct jt_director_node *node);
 /* What the store and peers tell goes to these (jt_director_node_news.c). */
--- a/src/director/jt_director_pages.c
+++ b/src/director/jt_director_pages.c
@@ -170,6 +170,12 @@
 	for (int i = 0; i < JT_KV_STATUSES; i++)
 		text = add_label(text, "store_watches_total", "status",
 				 jt_kv_status_name(i), counters->watches[i]);
+	text = add_type(text, "store_checks_total", "counter");
+	for (int i = 0; i < JT_KV_STATUSES; i++)
+		text = add_label(text, "store_checks_total", "status",
+				 jt_kv_status_name(i), counters->checks[i]);
+	text = add_metric(text, "store_watches_given_up_total", "counter",
+			  counters->watches_given_up);
 	return add_metric(text, "store_items_invalid_total", "counter",
 			  counters->invalid_items);
 }
@@ -184,6 +190,10 @@
 			  counters->digests_sent);
 	text = add_metric(text, "peer_digests_received_total", "counter",
 			  counters->digests_received);
+	text = add_metric(text, "peer_news_sent_total", "counter",
+			  counters->news_sent);
+	text = add_metric(text, "peer_news_received_total", "counter",
+			  counters->news_received);
 	text = add_metric(text, "peer_bytes_sent_total", "counter",
 			  counters->bytes_sent);
 	text = add_metric(text, "knowledge_fetches_total", "counter",
--- a/src/director/jt_directory_sync.c
+++ b/src/director/jt_directory_sync.c
@@ -10,6 +10,11 @@
 	WATCH_SLACK_MS = 500,
 	/* Failures in a row before the store counts as lost. */
 	FAILURES_LOST = 2,
+	/* While a watch is held, a short call shows that the store answers. */
+	CHECK_MS = 500,
+	CHECK_TIMEOUT_MS = 800,
+	/* A node that leaves the store to peers looks if it is back. */
+	LOST_CHECK_MS = 2500,
 };
 
 struct jt_directory_sync {
@@ -20,9 +25,14 @@
 	struct jt_directory_watcher watcher;
 	struct jt_follower follower;
 	struct jt_timer *timer;
-	struct tevent_req *call; /* the call under way */
-	uint64_t asked_ms;	 /* when the page under way was asked for */
-	char *page_key;		 /* last key of the page before */
+	struct jt_timer *check_timer;
+	struct tevent_req *call;  /* the list or watch under way */
+	struct tevent_req *check; /* the check under way */
+	uint64_t watch_ms;	  /* when the watch under way began */
+	bool watching;		  /* the call under way is a watch */
+	bool following;
+	uint64_t asked_ms; /* when the page under way was asked for */
+	char *page_key;	   /* last key of the page before */
 	bool lost;
 	struct jt_directory_counters counters;
 };
@@ -76,9 +86,18 @@
 	struct jt_kv_answer *answer = sync->directory->recv(req, sync);
 
 	TALLOC_FREE(sync->call);
+	sync->watching = false;
 	return answer;
 }
 
+static void calls_end(struct jt_directory_sync *sync)
+{
+	TALLOC_FREE(sync->call);
+	TALLOC_FREE(sync->check);
+	sync->watching = false;
+	jt_timer_stop(sync->check_timer);
+}
+
 static void on_page(struct tevent_req *req)
 {
 	struct jt_directory_sync *sync =
@@ -124,6 +143,75 @@
 	sync_step(sync);
 }
 
+/* Checks */
+
+/* The watch that is held says no more than a lost answer. */
+static void watch_give_up(struct jt_directory_sync *sync,
+			  enum jt_kv_status status)
+{
+	TALLOC_FREE(sync->call);
+	sync->watching = false;
+	sync->counters.watches_given_up++;
+	jt_follower_watched(&sync->follower, status, 0, false, jt_clock_ms());
+	watch_store(sync, status);
+	sync_step(sync);
+}
+
+/* What a check says to a node that leaves the store to peers. */
+static void check_take_idle(struct jt_directory_sync *sync,
+			    enum jt_kv_status status)
+{
+	if (status == JT_KV_OK)
+		sync->follower.failures = 0;
+	watch_store(sync, status);
+}
+
+static void on_checked(struct tevent_req *req)
+{
+	struct jt_directory_sync *sync =
+		tevent_req_callback_data(req, struct jt_directory_sync);
+	struct jt_kv_answer *answer = sync->directory->recv(req, sync);
+	enum jt_kv_status status;
+	uint64_t at;
+
+	TALLOC_FREE(sync->check);
+	if (answer == NULL)
+		return;
+	status = answer->status;
+	at = answer->revision;
+	talloc_free(answer);
+	sync->counters.checks[status]++;
+	if (!sync->following)
+		check_take_idle(sync, status);
+	else if (sync->watching &&
+		 jt_follower_checked(&sync->follower, status, at,
+				     sync->watch_ms, jt_clock_ms()))
+		watch_give_up(sync, status == JT_KV_OK ? JT_KV_LOST : status);
+}
+
+static void check_start(struct jt_directory_sync *sync)
+{
+	sync->check = sync->directory->check_send(
+		sync, sync->client, sync->store, CHECK_TIMEOUT_MS);
+	if (sync->check != NULL)
+		tevent_req_set_callback(sync->check, on_checked, sync);
+}
+
+static void on_check_due(void *private_data)
+{
+	struct jt_directory_sync *sync = private_data;
+
+	if (sync->following && sync->watching) {
+		jt_timer_set(sync->check_timer, CHECK_MS);
+	} else if (!sync->following && sync->lost) {
+		jt_timer_set(sync->check_timer, LOST_CHECK_MS);
+	} else {
+		return;
+	}
+	if (sync->check == NULL)
+		check_start(sync);
+}
+
 static void list_start(struct jt_directory_sync *sync)
 {
 	if (!sync->follower.paging)
@@ -138,8 +226,11 @@
 
 static void watch_start(struct jt_directory_sync *sync)
 {
-	uint32_t wait_ms = sync->follower.wait_ms;
+	uint32_t wait_ms = jt_follower_wait_ms(&sync->follower);
 
+	sync->watching = true;
+	sync->watch_ms = jt_clock_ms();
+	jt_timer_set(sync->check_timer, CHECK_MS);
 	sync->call = sync->directory->watch_send(
 		sync, sync->client, sync->store, sync->follower.revision,
 		wait_ms, wait_ms + WATCH_SLACK_MS);
@@ -151,7 +242,7 @@
 {
 	uint64_t now_ms = jt_clock_ms();
 
-	if (sync->call != NULL)
+	if (sync->call != NULL || !sync->following)
 		return;
 	switch (jt_follower_next(&sync->follower, now_ms)) {
 	case JT_FOLLOWER_LIST:
@@ -183,8 +274,10 @@
 	sync->store = store;
 	sync->watcher = *watcher;
 	jt_follower_init(&sync->follower, seed);
+	sync->following = true;
 	sync->timer = jt_timer_create(sync, loop, on_due, sync);
-	if (sync->timer == NULL) {
+	sync->check_timer = jt_timer_create(sync, loop, on_check_due, sync);
+	if (sync->timer == NULL || sync->check_timer == NULL) {
 		talloc_free(sync);
 		return NULL;
 	}
@@ -197,18 +290,48 @@
 {
 	if (!jt_follower_informed(&sync->follower, revision, jt_clock_ms()))
 		return;
-	TALLOC_FREE(sync->call);
+	calls_end(sync);
 	TALLOC_FREE(sync->page_key);
 	sync_step(sync);
 }
 
+void jt_directory_sync_follow(struct jt_directory_sync *sync, bool follow,
+			      uint64_t revision)
+{
+	if (follow == sync->following)
+		return;
+	sync->following = follow;
+	calls_end(sync);
+	if (follow) {
+		jt_follower_resume(&sync->follower, revision, jt_clock_ms());
+		sync_step(sync);
+		return;
+	}
+	/* A list that is broken off begins anew. */
+	sync->follower.paging = false;
+	TALLOC_FREE(sync->page_key);
+	jt_timer_stop(sync->timer);
+	if (sync->lost)
+		jt_timer_set(sync->check_timer, LOST_CHECK_MS);
+}
+
+bool jt_directory_sync_lost(const struct jt_directory_sync *sync)
+{
+	return sync->lost;
+}
+
+uint64_t jt_directory_sync_as_of_ms(const struct jt_directory_sync *sync)
+{
+	return sync->follower.as_of_ms;
+}
+
 void jt_directory_sync_move(struct jt_directory_sync *sync,
 			    struct jt_address store)
 {
 	if (jt_address_same(sync->store, store))
 		return;
 	sync->store = store;
-	TALLOC_FREE(sync->call);
+	calls_end(sync);
 	sync_step(sync);
 }
 
--- a/src/director/jt_directory_sync.h
+++ b/src/director/jt_directory_sync.h
@@ -27,6 +27,8 @@
 struct jt_directory_counters {
 	uint64_t lists[JT_KV_STATUSES];
 	uint64_t watches[JT_KV_STATUSES];
+	uint64_t checks[JT_KV_STATUSES]; /* of a store whose watch is held */
+	uint64_t watches_given_up;
 	uint64_t invalid_items;
 };
 
@@ -40,6 +42,14 @@
 /* A peer told all that it knew at @revision: no list is needed. */
 void jt_directory_sync_informed(struct jt_directory_sync *sync,
 				uint64_t revision);
+/* Follow the store, or leave it to peers; all changes up to @revision are
+ * known. One that had lost the store looks now and then if it is back. */
+void jt_directory_sync_follow(struct jt_directory_sync *sync, bool follow,
+			      uint64_t revision);
+/* Whether the store does not answer this node. */
+bool jt_directory_sync_lost(const struct jt_directory_sync *sync);
+/* When this node last knew all that the store had; 0: never. */
+uint64_t jt_directory_sync_as_of_ms(const struct jt_directory_sync *sync);
 /* The store's address has changed. */
 void jt_directory_sync_move(struct jt_directory_sync *sync,
 			    struct jt_address store);
--- a/src/director/jt_environment.h
+++ b/src/director/jt_environment.h
@@ -77,6 +77,12 @@
 					 struct jt_address store,
 					 uint64_t revision, uint32_t wait_ms,
 					 uint32_t timeout_ms);
+	/* A cheap call that tells only the store's revision, which may be
+	 * somewhat old. */
+	struct tevent_req *(*check_send)(TALLOC_CTX *mem_ctx,
+					 struct jt_http_client *client,
+					 struct jt_address store,
+					 uint32_t timeout_ms);
 	/* Never NULL unless memory runs out. */
 	struct jt_kv_answer *(*recv)(struct tevent_req *req,
 				     TALLOC_CTX *mem_ctx);
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -6,6 +6,7 @@
 
 #include <errno.h>
 #include <sodium.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -19,7 +20,8 @@
 	DATAGRAM_MOST = 1400, /* a digest fits into one packet */
 	DATAGRAM_BATCH = 32,
 	KNOWLEDGE_MOST = 8 << 20,
-	HURRY_MS = 20, /* changes that come together are told together */
+	NEWS_MS = 10,	    /* changes that come together are told together */
+	FETCH_LOOK_MS = 70, /* a node that is behind looks again after that */
 };
 
 #define KNOWLEDGE_PATH "/knowledge"
@@ -34,6 +36,10 @@
 	struct jt_membership *membership;
 	struct jt_http_server *server;
 	struct jt_timer *timer;
+	struct jt_timer *news_timer;
+	struct jt_timer *fetch_timer;
+	bool news_due;
+	uint64_t told_revision; /* up to which news was sent on */
 	struct tevent_req *fetch;
 	int fd;
 	uint64_t sequence;
@@ -117,6 +123,62 @@
 	talloc_free(frame);
 }
 
+/* News */
+
+static void news_entries(struct jt_peer_exchange *exchange, TALLOC_CTX *frame,
+			 const struct jt_own_state *own, jt_wire_news *news)
+{
+	jt_wire_knowledge knowledge = {0};
+
+	/* Without entries it makes the others fetch. */
+	news->since = own->revision;
+	if (exchange->told_revision == 0 ||
+	    !exchange->handler.knowledge(frame, exchange->told_revision,
+					 own->routing_version, &knowledge,
+					 exchange->handler.private_data) ||
+	    knowledge.since != exchange->told_revision ||
+	    knowledge.entries.entries_len > JT_DIRECTOR_MAX_NEWS)
+		return;
+	news->since = knowledge.since;
+	news->entries.entries_val = knowledge.entries.entries_val;
+	news->entries.entries_len = knowledge.entries.entries_len;
+}
+
+static void on_news_due(void *private_data)
+{
+	struct jt_peer_exchange *exchange = private_data;
+	struct jt_address targets[JT_NEWS_FANOUT];
+	size_t count =
+		jt_membership_news_targets(exchange->membership, targets);
+	jt_wire_director_message message = {
+		.from = exchange->membership->id,
+		.body.kind = JT_WIRE_NEWS,
+	};
+	jt_wire_news *news = &message.body.jt_wire_director_body_u.news;
+	TALLOC_CTX *frame = talloc_new(exchange);
+	struct jt_own_state own = {0};
+
+	exchange->news_due = false;
+	exchange->handler.own_state(&own, exchange->handler.private_data);
+	jt_membership_own_state(exchange->membership, &own, jt_clock_ms(),
+				&news->digest);
+	news_entries(exchange, frame, &own, news);
+	exchange->told_revision = own.revision;
+	for (size_t i = 0; i < count; i++) {
+		message_send(exchange, targets[i], &message);
+		exchange->counters.news_sent++;
+	}
+	talloc_free(frame);
+}
+
+void jt_peer_exchange_news(struct jt_peer_exchange *exchange)
+{
+	if (exchange->news_due)
+		return;
+	exchange->news_due = true;
+	jt_timer_set(exchange->news_timer, NEWS_MS);
+}
+
 void jt_peer_exchange_suspect(struct jt_peer_exchange *exchange,
 			      uint64_t endpoint_id)
 {
@@ -191,6 +253,7 @@
 	char from[JT_ADDRESS_TEXT], to[JT_ADDRESS_TEXT];
 	struct jt_http_call call = {.method = "GET",
 				    .timeout_ms = FETCH_TIMEOUT_MS};
+	struct jt_own_state own = {0};
 	char *url;
 
 	exchange->counters.fetches++;
@@ -199,8 +262,13 @@
 		    jt_address_format(peer->address, to),
 		    (unsigned long long)peer->revision,
 		    (unsigned long long)peer->routing_version);
-	url = talloc_asprintf(exchange, "http://%s" KNOWLEDGE_PATH "?to=%s", to,
-			      jt_address_format(exchange->address, from));
+	exchange->handler.own_state(&own, exchange->handler.private_data);
+	url = talloc_asprintf(
+		exchange,
+		"http://%s" KNOWLEDGE_PATH "?to=%s&since=%llu&version=%llu", to,
+		jt_address_format(exchange->address, from),
+		own.started ? (unsigned long long)own.revision : 0,
+		(unsigned long long)own.routing_version);
 	if (url != NULL) {
 		call.url = url;
 		exchange->fetch =
@@ -213,6 +281,15 @@
 		tevent_req_set_callback(exchange->fetch, on_fetched, exchange);
 }
 
+/* What a peer knows already, as its request says; 0 where it does not. */
+static uint64_t query_number(const struct jt_http_request *request,
+			     const char *name)
+{
+	const char *text = jt_http_query(request, name);
+
+	return text != NULL ? strtoull(text, NULL, 10) : 0;
+}
+
 static void knowledge_reply(struct jt_peer_exchange *exchange,
 			    struct jt_http_request *request,
 			    struct jt_address to)
@@ -227,7 +304,9 @@
 	size_t room, length = 0;
 
 	if (exchange->handler.knowledge(
-		    frame, &message.body.jt_wire_director_body_u.knowledge,
+		    frame, query_number(request, "since"),
+		    query_number(request, "version"),
+		    &message.body.jt_wire_director_body_u.knowledge,
 		    exchange->handler.private_data)) {
 		room = xdr_sizeof(encode, &message) + JT_FRAME_HEADER +
 		       JT_TAG_BYTES;
@@ -271,28 +350,57 @@
 	peer = jt_membership_fetch(exchange->membership, &own, now_ms);
 	if (peer != NULL)
 		fetch_start(exchange, peer);
+	else if (exchange->membership->behind_ms != 0)
+		jt_timer_set(exchange->fetch_timer, FETCH_LOOK_MS);
+}
+
+static void on_fetch_due(void *private_data)
+{
+	fetch_look(private_data, jt_clock_ms());
 }
 
 /* Datagrams */
 
+static void digest_take(struct jt_peer_exchange *exchange, uint64_t peer,
+			struct jt_address from, const jt_wire_digest *digest)
+{
+	char text[JT_ADDRESS_TEXT];
+	struct jt_own_state own = {0};
+	uint64_t now_ms = jt_clock_ms();
+
+	if (jt_membership_digest(exchange->membership, peer, from, digest,
+				 now_ms))
+		jt_log_line(exchange->log, LOG_NOTICE,
+			    "event=peer_seen peer=%s",
+			    jt_address_format(from, text));
+	exchange->handler.own_state(&own, exchange->handler.private_data);
+	if (digest->revision <= own.revision &&
+	    digest->routing_version <= own.routing_version &&
+	    digest->store_reader != exchange->membership->id &&
+	    digest->store_age_ms < now_ms)
+		exchange->handler.store_heard(now_ms - digest->store_age_ms,
+					      digest->store_reader,
+					      exchange->handler.private_data);
+	fetch_look(exchange, now_ms);
+}
+
 static void message_take(struct jt_peer_exchange *exchange,
 			 struct jt_address from,
 			 const jt_wire_director_message *message)
 {
-	char text[JT_ADDRESS_TEXT];
-	uint64_t now_ms = jt_clock_ms();
+	const jt_wire_news *news;
 
 	switch (message->body.kind) {
 	case JT_WIRE_DIGEST:
 		exchange->counters.digests_received++;
-		if (jt_membership_digest(
-			    exchange->membership, message->from, from,
-			    &message->body.jt_wire_director_body_u.digest,
-			    now_ms))
-			jt_log_line(exchange->log, LOG_NOTICE,
-				    "event=peer_seen peer=%s",
-				    jt_address_format(from, text));
-		fetch_look(exchange, now_ms);
+		digest_take(exchange, message->from, from,
+			    &message->body.jt_wire_director_body_u.digest);
+		break;
+	case JT_WIRE_NEWS:
+		exchange->counters.news_received++;
+		news = &message->body.jt_wire_director_body_u.news;
+		exchange->handler.news(news, exchange->handler.private_data);
+		digest_take(exchange, message->from, from, &news->digest);
 		break;
 	case JT_WIRE_LOADS:
 		loads_take(exchange, message->from,
@@ -372,11 +480,6 @@
 			     : ROUND_MS);
 }
 
-void jt_peer_exchange_hurry(struct jt_peer_exchange *exchange)
-{
-	jt_timer_set(exchange->timer, HURRY_MS);
-}
-
 /* Start */
 
 static int exchange_destructor(struct jt_peer_exchange *exchange)
@@ -443,7 +546,12 @@
 	exchange->membership = jt_membership_create(
 		exchange, id, settings->peer, jt_name_id(settings->zone));
 	exchange->timer = jt_timer_create(exchange, loop, on_round, exchange);
-	if (exchange->membership == NULL || exchange->timer == NULL)
+	exchange->news_timer =
+		jt_timer_create(exchange, loop, on_news_due, exchange);
+	exchange->fetch_timer =
+		jt_timer_create(exchange, loop, on_fetch_due, exchange);
+	if (exchange->membership == NULL || exchange->timer == NULL ||
+	    exchange->news_timer == NULL || exchange->fetch_timer == NULL)
 		goto fail;
 	if (!listen_start(exchange)) {
 		*error = talloc_asprintf(
@@ -460,6 +568,17 @@
 	return NULL;
 }
 
+bool jt_peer_exchange_reads_first(const struct jt_peer_exchange *exchange,
+				  uint32_t own_weight)
+{
+	return jt_membership_reads_first(exchange->membership, own_weight);
+}
+
+uint64_t jt_peer_exchange_id(const struct jt_peer_exchange *exchange)
+{
+	return exchange->membership->id;
+}
+
 size_t jt_peer_exchange_live(const struct jt_peer_exchange *exchange)
 {
 	return jt_membership_live(exchange->membership);
--- a/src/director/jt_peer_exchange.h
+++ b/src/director/jt_peer_exchange.h
@@ -1,6 +1,6 @@
 /*
- * Talks with other director nodes: digests and suspicions in datagrams, all
- * knowledge over HTTP, both at the peer address.
+ * Talks with other director nodes: digests, news and suspicions in datagrams,
+ * what does not fit there over HTTP, both at the peer address.
  */
 #ifndef JT_PEER_EXCHANGE_H
 #define JT_PEER_EXCHANGE_H
@@ -14,11 +14,18 @@
 /* What the owner of a peer exchange provides and is told. */
 struct jt_peer_handler {
 	void (*own_state)(struct jt_own_state *own, void *private_data);
-	/* All that this node knows, below @mem_ctx. */
-	bool (*knowledge)(TALLOC_CTX *mem_ctx, jt_wire_knowledge *knowledge,
-			  void *private_data);
+	/* What this node knows and one that knows all up to @since, and has
+	 * routing @version, does not; below @mem_ctx. */
+	bool (*knowledge)(TALLOC_CTX *mem_ctx, uint64_t since, uint64_t version,
+			  jt_wire_knowledge *knowledge, void *private_data);
 	/* What a peer knows. */
 	void (*learned)(const jt_wire_knowledge *knowledge, void *private_data);
+	/* What has just changed. */
+	void (*news)(const jt_wire_news *news, void *private_data);
+	/* A peer that knows no more than this node has all that the store had
+	 * at @as_of_ms, when @reader read it. */
+	void (*store_heard)(uint64_t as_of_ms, uint64_t reader,
+			    void *private_data);
 	/* This node's share of the endpoints' flows. */
 	size_t (*own_loads)(struct jt_endpoint_load loads[JT_LOAD_LIMIT],
 			    void *private_data);
@@ -33,6 +40,8 @@
 struct jt_peer_counters {
 	uint64_t digests_sent;
 	uint64_t digests_received;
+	uint64_t news_sent;
+	uint64_t news_received;
 	uint64_t bytes_sent;
 	uint64_t rejected[JT_CODEC_SIZE + 1];
 	uint64_t fetches;
@@ -51,11 +60,17 @@
 /* Tell every peer that is heard. */
 void jt_peer_exchange_suspect(struct jt_peer_exchange *exchange,
 			      uint64_t endpoint_id);
-/* Tell what has changed without waiting for the next round. */
-void jt_peer_exchange_hurry(struct jt_peer_exchange *exchange);
+/* This node has learned something: send it on, soon. */
+void jt_peer_exchange_news(struct jt_peer_exchange *exchange);
 /* Settings were read again: keys and seeds may have changed. */
 void jt_peer_exchange_reload(struct jt_peer_exchange *exchange,
 			     const struct jt_director_settings *settings);
+/* Whether this node, of weight @own_weight, is among the first that read the
+ * store. */
+bool jt_peer_exchange_reads_first(const struct jt_peer_exchange *exchange,
+				  uint32_t own_weight);
+/* The id of this process among its peers. */
+uint64_t jt_peer_exchange_id(const struct jt_peer_exchange *exchange);
 size_t jt_peer_exchange_live(const struct jt_peer_exchange *exchange);
 const struct jt_peer_counters *
 jt_peer_exchange_counters(const struct jt_peer_exchange *exchange);
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -474,6 +474,16 @@
 		       director->options.flow_age_limit_ms;
 }
 
+static void incarnation_forget(struct jt_director *director,
+			       struct jt_incarnation *incarnation)
+{
+	uint64_t revision = jt_incarnation_revision(incarnation);
+
+	if (revision > director->forgotten_revision)
+		director->forgotten_revision = revision;
+	jt_endpoint_table_remove(director->endpoints, incarnation);
+}
+
 static void endpoints_tick(struct jt_director *director, uint64_t now_ms,
 			   struct jt_director_actions *actions)
 {
@@ -486,8 +496,7 @@
 					  now_ms))
 			probe_send(director, incarnation, now_ms, actions);
 		if (incarnation_outdated(director, incarnation, now_ms))
-			jt_endpoint_table_remove(director->endpoints,
-						 incarnation);
+			incarnation_forget(director, incarnation);
 	}
 }
 
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -19,7 +19,8 @@
 	double open_ms;	      /* smoothed time to a first packet's answer */
 	uint64_t nodes;	      /* that share the endpoints, this one too */
 	uint64_t revision;    /* all changes up to it are known */
-	bool listed;	      /* discovery was told whole at least once */
+	uint64_t forgotten_revision; /* the newest of a forgotten entry */
+	bool listed; /* discovery was told whole at least once */
 	struct jt_endpoint_table *endpoints;
 	struct jt_flow_cache *flows;
 	struct jt_chooser *chooser;
--- a/src/label/jt_follower.c
+++ b/src/label/jt_follower.c
@@ -1,7 +1,10 @@
 #include "jt_follower.h"
 
 enum {
-	DEFAULT_WAIT_MS = 2500,
+	DEFAULT_WAIT_MS = 15000,
+	DEFAULT_RETRY_WAIT_MS = 500,
+	/* A watch tells a change within this time, or has missed it. */
+	WATCH_TELLS_MS = 500,
 	DEFAULT_PAUSE_MS = 400,
 	DEFAULT_RETRY_LEAST_MS = 100,
 	DEFAULT_RETRY_MOST_MS = 1600,
@@ -17,6 +20,7 @@
 {
 	*follower = (struct jt_follower){
 		.wait_ms = DEFAULT_WAIT_MS,
+		.retry_wait_ms = DEFAULT_RETRY_WAIT_MS,
 		.pause_ms = DEFAULT_PAUSE_MS,
 		.retry_least_ms = DEFAULT_RETRY_LEAST_MS,
 		.retry_most_ms = DEFAULT_RETRY_MOST_MS,
@@ -32,6 +36,47 @@
 	return follower->listed ? JT_FOLLOWER_WATCH : JT_FOLLOWER_LIST;
 }
 
+uint32_t jt_follower_wait_ms(const struct jt_follower *follower)
+{
+	return follower->failures > 0 ? follower->retry_wait_ms
+				      : follower->wait_ms;
+}
+
+void jt_follower_resume(struct jt_follower *follower, uint64_t revision,
+			uint64_t now_ms)
+{
+	if (revision > follower->revision)
+		follower->revision = revision;
+	follower->missed = 0;
+	if (follower->due_ms < now_ms)
+		follower->due_ms = now_ms;
+}
+
+/* The store has answered. */
+static void answered(struct jt_follower *follower, uint64_t now_ms)
+{
+	follower->failures = 0;
+	follower->answered_ms = now_ms;
+	follower->missed = 0;
+}
+
+bool jt_follower_checked(struct jt_follower *follower, enum jt_kv_status status,
+			 uint64_t at, uint64_t watch_ms, uint64_t now_ms)
+{
+	if (status != JT_KV_OK)
+		return true;
+	follower->answered_ms = now_ms;
+	if (at <= follower->revision) {
+		follower->as_of_ms = now_ms;
+		return false;
+	}
+	if (follower->missed != 0 && follower->missed <= at &&
+	    now_ms - watch_ms >= WATCH_TELLS_MS)
+		return true;
+	follower->missed = at;
+	return false;
+}
+
 /* Wait twice as long after each failure, between a half and the whole. */
 static void back_off(struct jt_follower *follower, uint64_t now_ms)
 {
@@ -62,8 +107,7 @@
 		back_off(follower, now_ms);
 		return false;
 	}
-	follower->failures = 0;
-	follower->answered_ms = now_ms;
+	answered(follower, now_ms);
 	/* Pages form no snapshot: watch from the first one's revision. */
 	if (!follower->paging)
 		follower->listing = at;
@@ -100,8 +144,8 @@
 {
 	switch (status) {
 	case JT_KV_OK:
-		follower->failures = 0;
-		follower->answered_ms = now_ms;
+		answered(follower, now_ms);
+		follower->as_of_ms = now_ms;
 		if (at > follower->revision)
 			follower->revision = at;
 		follower->due_ms = now_ms + (changes ? follower->pause_ms : 0);
--- a/src/label/jt_follower.h
+++ b/src/label/jt_follower.h
@@ -34,7 +34,8 @@
 };
 
 struct jt_follower {
-	uint32_t wait_ms;  /* how long the store may hold a watch */
+	uint32_t wait_ms;	/* how long the store may hold a watch */
+	uint32_t retry_wait_ms; /* the same after a failure */
 	uint32_t pause_ms; /* between a watch's answer and the next watch, so
 			    * that changes come together */
 	uint32_t retry_least_ms;
@@ -46,12 +47,28 @@
 	uint32_t failures; /* in a row */
 	uint64_t due_ms;
 	uint64_t answered_ms; /* last answer that made sense */
+	uint64_t as_of_ms;    /* all that the store had then is known */
+	uint64_t missed;      /* a revision that the watch has not told yet */
 	struct jt_random random;
 };
 
 void jt_follower_init(struct jt_follower *follower, uint64_t seed);
 enum jt_follower_step jt_follower_next(const struct jt_follower *follower,
 				       uint64_t now_ms);
+/* How long the next watch may be held: briefly after a failure, so that the
+ * way back shows soon. */
+uint32_t jt_follower_wait_ms(const struct jt_follower *follower);
+/* Go on after a while without following; all changes up to @revision are
+ * known from elsewhere. */
+void jt_follower_resume(struct jt_follower *follower, uint64_t revision,
+			uint64_t now_ms);
+/*
+ * A short call beside a watch that is held came to @status, and told the
+ * store's revision @at; the watch began at @watch_ms. True: the watch is not
+ * to be trusted: give it up.
+ */
+bool jt_follower_checked(struct jt_follower *follower, enum jt_kv_status status,
+			 uint64_t at, uint64_t watch_ms, uint64_t now_ms);
 /* A page of a list, that took @took_ms to come. Where pages come slowly, many
  * nodes ask at once: most of them wait for what peers will know. True when it
  * was the last of a complete list. */
--- a/src/label/jt_knowledge.c
+++ b/src/label/jt_knowledge.c
@@ -65,7 +65,7 @@
 	size_t count = 0;
 
 	entries = talloc_zero_array(mem_ctx, jt_wire_entry,
-				    JT_DIRECTOR_MAX_ENTRIES);
+				    director->endpoints->count + 1);
 	if (entries == NULL)
 		return false;
 	for (in = jt_endpoint_table_first(director->endpoints);
@@ -73,6 +73,8 @@
 	     in = jt_endpoint_table_next(in)) {
 		const struct jt_endpoint_entry *entry = &in->entry;
 
+		if (jt_incarnation_revision(in) <= knowledge->since)
+			continue;
 		entries[count++] = (jt_wire_entry){
 			.id = entry->id,
 			.service_id = entry->service_id,
@@ -92,13 +94,17 @@
 }
 
 bool jt_knowledge_write(TALLOC_CTX *mem_ctx, const struct jt_director *director,
+			uint64_t since, uint64_t version,
 			jt_wire_knowledge *knowledge)
 {
 	const struct jt_routing *routing = jt_director_routing(director);
 
 	memset(knowledge, 0, sizeof(*knowledge));
 	knowledge->revision = jt_director_revision(director);
-	if (routing != NULL &&
+	/* Entries that were forgotten since then would be missing. */
+	if (since >= director->forgotten_revision)
+		knowledge->since = since;
+	if (routing != NULL && routing->version > version &&
 	    !routing_write(mem_ctx, routing, &knowledge->routing))
 		return false;
 	return entries_write(mem_ctx, director, knowledge);
--- a/src/label/jt_knowledge.h
+++ b/src/label/jt_knowledge.h
@@ -5,8 +5,14 @@
 #include "jaspertrack/director.h"
 #include "jt_director_proto.h"
 
-/* All that @director knows; below @mem_ctx. False when memory runs out. */
+/*
+ * What @director knows and one that knows all up to revision @since and has
+ * routing @version does not; below @mem_ctx. All entries where what changed
+ * since then is not known any more, which @knowledge says. False when memory
+ * runs out.
+ */
 bool jt_knowledge_write(TALLOC_CTX *mem_ctx, const struct jt_director *director,
+			uint64_t since, uint64_t version,
 			jt_wire_knowledge *knowledge);
 
 /* The routing of @wire as a talloc child of @mem_ctx; NULL when it has none
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -5,9 +5,14 @@
 enum {
 	PEER_LOST_MS = 4000,	/* silent for so long */
 	PEER_FORGET_MS = 60000, /* and forgotten after so long */
-	/* How long the store may take to tell what a peer knows already. */
-	BEHIND_MS = 900,
-	FETCH_PAUSE_MS = 500,
+	/* How long the store may take to tell what a peer knows already, and
+	 * how long news of it may be under way to a node that does not read. */
+	BEHIND_READING_MS = 900,
+	BEHIND_MS = 60,
+	FETCH_PAUSE_MS = 100,
+	FETCH_FAILED_PAUSE_MS = 500,
+	/* Readers of the store there are at the least, over all zones. */
+	READERS_LEAST = 3,
 	/* One round in so many also tries a seed, or a peer that was lost. */
 	RETRY_ROUNDS = 4,
 };
@@ -113,6 +118,8 @@
 	}
 	if (heard_ms <= peer->heard_ms)
 		return;
+	if (peer->id == told->id)
+		peer->weight = told->weight;
 	peer->heard_ms = heard_ms;
 	peer->lost = false;
 }
@@ -142,6 +149,7 @@
 	peer->revision = digest->revision;
 	peer->started = digest->started;
 	peer->leaving = digest->leaving;
+	peer->weight = digest->weight;
 	for (u_int i = 0; i < digest->peers.peers_len; i++)
 		peer_hearsay(membership, &digest->peers.peers_val[i], now_ms);
 	return news;
@@ -198,13 +206,85 @@
 	return count;
 }
 
-void jt_membership_own_digest(struct jt_membership *membership,
-			      TALLOC_CTX *mem_ctx,
-			      const struct jt_own_state *own, uint64_t now_ms,
-			      jt_wire_digest *digest)
+/* A peer of the own zone at random, any when there is none. */
+static const struct jt_peer *peer_pick_near(struct jt_membership *membership)
 {
-	size_t start, told = 0;
-	jt_wire_peer *peers;
+	size_t start;
+
+	if (membership->count == 0)
+		return NULL;
+	start = jt_random_next(&membership->random) % membership->count;
+	for (size_t i = 0; i < membership->count; i++) {
+		const struct jt_peer *peer =
+			&membership->peers[(start + i) % membership->count];
+
+		if (jt_peer_lives(peer) && peer->zone_id == membership->zone_id)
+			return peer;
+	}
+	return peer_pick(membership, false);
+}
+
+size_t jt_membership_news_targets(struct jt_membership *membership,
+				  struct jt_address targets[JT_NEWS_FANOUT])
+{
+	/* One that may be of any zone, so that news crosses over. */
+	size_t count = target_add(targets, 0, peer_pick(membership, false));
+
+	/* A draw that comes twice is a target less: gossip may miss some. */
+	for (int i = 1; i < JT_NEWS_FANOUT; i++)
+		count = target_add(targets, count, peer_pick_near(membership));
+	return count;
+}
+
+/* Zones that have a node that can read the store, this node's own included,
+ * as far as they matter. */
+static size_t reading_zones(const struct jt_membership *membership)
+{
+	uint32_t zones[READERS_LEAST] = {membership->zone_id};
+	size_t count = 1;
+
+	for (size_t i = 0; i < membership->count && count < READERS_LEAST;
+	     i++) {
+		const struct jt_peer *peer = &membership->peers[i];
+		bool known = false;
+
+		if (!jt_peer_lives(peer) || peer->weight == 0)
+			continue;
+		for (size_t zone = 0; zone < count; zone++)
+			known = known || zones[zone] == peer->zone_id;
+		if (!known)
+			zones[count++] = peer->zone_id;
+	}
+	return count;
+}
+
+bool jt_membership_reads_first(const struct jt_membership *membership,
+			       uint32_t own_weight)
+{
+	size_t zones = reading_zones(membership);
+	size_t readers = (READERS_LEAST + zones - 1) / zones;
+	size_t before = 0;
+
+	if (own_weight == 0)
+		return false;
+	for (size_t i = 0; i < membership->count; i++) {
+		const struct jt_peer *peer = &membership->peers[i];
+
+		if (!jt_peer_lives(peer) || peer->weight == 0 ||
+		    peer->zone_id != membership->zone_id)
+			continue;
+		if (peer->weight > own_weight ||
+		    (peer->weight == own_weight && peer->id < membership->id))
+			before++;
+	}
+	return before < readers;
+}
+
+void jt_membership_own_state(const struct jt_membership *membership,
+			     const struct jt_own_state *own, uint64_t now_ms,
+			     jt_wire_digest *digest)
+{
+	uint64_t store_age_ms = now_ms - own->store_as_of_ms;
 
 	memset(digest, 0, sizeof(*digest));
 	digest->zone = membership->zone_id;
@@ -212,6 +292,21 @@
 	digest->revision = own->revision;
 	digest->started = own->started;
 	digest->leaving = own->leaving;
+	digest->weight = own->weight;
+	digest->store_age_ms =
+		store_age_ms < UINT32_MAX ? (uint32_t)store_age_ms : UINT32_MAX;
+	digest->store_reader = own->store_reader;
+}
+
+void jt_membership_own_digest(struct jt_membership *membership,
+			      TALLOC_CTX *mem_ctx,
+			      const struct jt_own_state *own, uint64_t now_ms,
+			      jt_wire_digest *digest)
+{
+	size_t start, told = 0;
+	jt_wire_peer *peers;
+
+	jt_membership_own_state(membership, own, now_ms, digest);
 	peers = talloc_zero_array(mem_ctx, jt_wire_peer, JT_DIRECTOR_MAX_PEERS);
 	if (peers == NULL || membership->count == 0)
 		return;
@@ -229,6 +324,7 @@
 			.port = peer->address.port,
 			.zone = peer->zone_id,
 			.age_ms = (uint32_t)(now_ms - peer->heard_ms),
+			.weight = peer->weight,
 		};
 	}
 	digest->peers.peers_val = peers;
@@ -262,14 +358,14 @@
 	return NULL;
 }
 
-/* The live peer that knows most, if that is more than this node knows. */
+/* A live peer that knows more than this node: any of them, so that those that
+ * know most are not asked by all; of the own zone rather than of another. */
 static const struct jt_peer *peer_ahead(struct jt_membership *membership,
 					const struct jt_own_state *own)
 {
-	const struct jt_peer *best = NULL;
+	const struct jt_peer *found = NULL;
 	size_t start = 0;
 
-	/* Any of equals, so that nodes that start together spread out. */
 	if (membership->count > 0)
 		start = jt_random_next(&membership->random) % membership->count;
 	for (size_t i = 0; i < membership->count; i++) {
@@ -281,11 +377,12 @@
 		if (own->started && peer->revision <= own->revision &&
 		    peer->routing_version <= own->routing_version)
 			continue;
-		if (best == NULL ||
-		    (own->started && peer->revision > best->revision))
-			best = peer;
+		if (peer->zone_id == membership->zone_id)
+			return peer;
+		if (found == NULL)
+			found = peer;
 	}
-	return best;
+	return found;
 }
 
 const struct jt_peer *jt_membership_fetch(struct jt_membership *membership,
@@ -302,7 +399,9 @@
 		membership->behind_ms = now_ms;
 	if (membership->fetching || now_ms < membership->fetch_next_ms)
 		return NULL;
-	if (own->started && now_ms - membership->behind_ms < BEHIND_MS)
+	if (own->started &&
+	    now_ms - membership->behind_ms <
+		    (own->reading ? BEHIND_READING_MS : BEHIND_MS))
 		return NULL;
 	membership->fetching = true;
 	return peer;
@@ -312,7 +411,8 @@
 			   uint64_t now_ms)
 {
 	membership->fetching = false;
-	membership->fetch_next_ms = now_ms + FETCH_PAUSE_MS;
+	membership->fetch_next_ms =
+		now_ms + (worked ? FETCH_PAUSE_MS : FETCH_FAILED_PAUSE_MS);
 	if (worked)
 		membership->behind_ms = 0;
 }
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -21,12 +21,14 @@
 enum {
 	JT_PEER_LIMIT = 512,  /* peers known at once */
 	JT_DIGEST_FANOUT = 2, /* peers told in each round */
+	JT_NEWS_FANOUT = 4,   /* peers that news is sent on to at once */
 };
 
 struct jt_peer {
 	uint64_t id; /* of the process; 0: a seed that was not heard yet */
 	struct jt_address address;
 	uint32_t zone_id;
+	uint32_t weight;   /* as a reader of the store; 0: not now */
 	uint64_t heard_ms; /* by anybody */
 	uint64_t routing_version;
 	uint64_t revision;
@@ -48,6 +50,10 @@
 	uint64_t revision;
 	bool started;
 	bool leaving;
+	bool reading;		 /* the store tells it of changes */
+	uint32_t weight;	 /* as a reader of the store; 0: not now */
+	uint64_t store_as_of_ms; /* all that the store had then is known */
+	uint64_t store_reader;	 /* the node that read it */
 };
 
 struct jt_membership {
@@ -78,6 +84,18 @@
  */
 size_t jt_membership_round(struct jt_membership *membership,
 			   struct jt_address targets[JT_DIGEST_FANOUT]);
+/* Choose whom to send news on to, most of them in this node's zone; returns
+ * how many of @targets were set. */
+size_t jt_membership_news_targets(struct jt_membership *membership,
+				  struct jt_address targets[JT_NEWS_FANOUT]);
+/* What a digest tells of this node itself. */
+void jt_membership_own_state(const struct jt_membership *membership,
+			     const struct jt_own_state *own, uint64_t now_ms,
+			     jt_wire_digest *digest);
+/* Whether this node is among the first of its zone that can read the store.
+ * There are three such nodes in all, and one in each zone, at the least. */
+bool jt_membership_reads_first(const struct jt_membership *membership,
+			       uint32_t own_weight);
 /* The digest for this round; its peers are talloc children of @mem_ctx. */
 void jt_membership_own_digest(struct jt_membership *membership,
 			      TALLOC_CTX *mem_ctx,
--- /dev/null
+++ b/src/label/jt_reader.c
@@ -0,0 +1,77 @@
+#include "jt_reader.h"
+
+enum {
+	/* The jitter is at most this part of the limit. */
+	JITTER_PART = 4,
+	/* Knowledge is fresh again when it is younger than this part. */
+	FRESH_PART = 2,
+	/* A node that has begun to read does so for a while. */
+	HOLD_MS = 1000,
+};
+
+/* A new jitter for each time that this node steps in. */
+static void jitter_draw(struct jt_reader *reader)
+{
+	reader->jitter_ms = jt_random_next(&reader->random) %
+			    (reader->limit_ms / JITTER_PART + 1);
+}
+
+void jt_reader_init(struct jt_reader *reader, uint64_t limit_ms, uint64_t seed)
+{
+	*reader = (struct jt_reader){
+		.limit_ms = limit_ms,
+		.random = {.seed = seed},
+	};
+	jitter_draw(reader);
+}
+
+void jt_reader_read(struct jt_reader *reader, uint64_t as_of_ms)
+{
+	if (as_of_ms > reader->own_ms)
+		reader->own_ms = as_of_ms;
+}
+
+void jt_reader_heard(struct jt_reader *reader, uint64_t as_of_ms, uint64_t from)
+{
+	if (as_of_ms <= reader->heard_ms)
+		return;
+	reader->heard_ms = as_of_ms;
+	reader->heard_from = from;
+}
+
+static bool wanted(const struct jt_reader *reader, bool first, bool started,
+		   uint64_t now_ms)
+{
+	uint64_t age_ms = now_ms - reader->heard_ms;
+
+	if (first || !started)
+		return true;
+	if (!reader->reading)
+		return age_ms > reader->limit_ms + reader->jitter_ms;
+	return age_ms > reader->limit_ms / FRESH_PART ||
+	       now_ms - reader->began_ms < HOLD_MS;
+}
+
+bool jt_reader_decide(struct jt_reader *reader, bool first, bool started,
+		      uint64_t now_ms)
+{
+	bool reading = wanted(reader, first, started, now_ms);
+
+	if (reading && !reader->reading) {
+		reader->began_ms = now_ms;
+		jitter_draw(reader);
+	}
+	reader->reading = reading;
+	return reading;
+}
+
+uint64_t jt_reader_as_of(const struct jt_reader *reader, uint64_t own_id,
+			 uint64_t *from)
+{
+	if (reader->own_ms >= reader->heard_ms) {
+		*from = own_id;
+		return reader->own_ms;
+	}
+	*from = reader->heard_from;
+	return reader->heard_ms;
+}
--- /dev/null
+++ b/src/label/jt_reader.h
@@ -0,0 +1,51 @@
+/*
+ * Which nodes read the store, without any agreement on it.
+ *
+ * A few nodes of each zone read the store and tell the others (news at once,
+ * digests for whoever missed them). Every node decides for itself, from what
+ * it believes of its peers, so two nodes that believe different things are
+ * two readers for a while, which does no harm: revisions order everything.
+ *
+ * Each node also knows how old its knowledge is: a reader tells when the store
+ * last answered it, and that time travels with the digests. A node whose
+ * knowledge grows too old, for whatever reason, reads the store itself.
+ *
+ * Pure: the driver reports and asks.
+ */
+#ifndef JT_READER_H
+#define JT_READER_H
+
+#include "jt_random.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct jt_reader {
+	uint64_t limit_ms;   /* older knowledge makes a node read by itself */
+	uint64_t jitter_ms;  /* of this node, so that not all begin at once */
+	uint64_t own_ms;     /* all that the store had then was read here */
+	uint64_t heard_ms;   /* all that it had then is known from peers */
+	uint64_t heard_from; /* the node that read it */
+	uint64_t began_ms;   /* since when this node reads */
+	bool reading;
+	struct jt_random random;
+};
+
+/* Knowledge older than @limit_ms is too old. */
+void jt_reader_init(struct jt_reader *reader, uint64_t limit_ms, uint64_t seed);
+/* This node has read all that the store had at @as_of_ms. */
+void jt_reader_read(struct jt_reader *reader, uint64_t as_of_ms);
+/* A peer that knows no more than this node has all that @from read then. */
+void jt_reader_heard(struct jt_reader *reader, uint64_t as_of_ms,
+		     uint64_t from);
+/*
+ * Whether to read the store now. @first: this node is among the first of its
+ * zone that can; @started: it knows routing and endpoints.
+ */
+bool jt_reader_decide(struct jt_reader *reader, bool first, bool started,
+		      uint64_t now_ms);
+/* As of when the store is known, and by whose reading. */
+uint64_t jt_reader_as_of(const struct jt_reader *reader, uint64_t own_id,
+			 uint64_t *from);
+
+#endif
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -20,6 +20,7 @@
 #define JT_DIRECTOR_MAX_ENTRIES 8192
 #define JT_DIRECTOR_MAX_NAME 63
 #define JT_DIRECTOR_MAX_LOADS 128
+#define JT_DIRECTOR_MAX_NEWS 20
 
 struct jt_wire_peer {
 	u_quad_t id;
@@ -27,6 +28,7 @@
 	u_int port;
 	u_int zone;
 	u_int age_ms;
+	u_int weight;
 };
 typedef struct jt_wire_peer jt_wire_peer;
 
@@ -36,6 +38,9 @@
 	u_quad_t revision;
 	bool_t started;
 	bool_t leaving;
+	u_int weight;
+	u_int store_age_ms;
+	u_quad_t store_reader;
 	struct {
 		u_int peers_len;
 		jt_wire_peer *peers_val;
@@ -115,7 +120,18 @@
 };
 typedef struct jt_wire_entry jt_wire_entry;
 
+struct jt_wire_news {
+	jt_wire_digest digest;
+	u_quad_t since;
+	struct {
+		u_int entries_len;
+		jt_wire_entry *entries_val;
+	} entries;
+};
+typedef struct jt_wire_news jt_wire_news;
+
 struct jt_wire_knowledge {
+	u_quad_t since;
 	u_quad_t revision;
 	jt_wire_routing routing;
 	struct {
@@ -130,6 +146,7 @@
 	JT_WIRE_SUSPICION = 2,
 	JT_WIRE_KNOWLEDGE = 3,
 	JT_WIRE_LOADS = 4,
+	JT_WIRE_NEWS = 5,
 };
 typedef enum jt_wire_director_kind jt_wire_director_kind;
 
@@ -140,6 +157,7 @@
 		jt_wire_suspicion suspicion;
 		jt_wire_knowledge knowledge;
 		jt_wire_loads loads;
+		jt_wire_news news;
 	} jt_wire_director_body_u;
 };
 typedef struct jt_wire_director_body jt_wire_director_body;
@@ -163,6 +181,7 @@
 extern  bool_t xdr_jt_wire_service (XDR *, jt_wire_service*);
 extern  bool_t xdr_jt_wire_routing (XDR *, jt_wire_routing*);
 extern  bool_t xdr_jt_wire_entry (XDR *, jt_wire_entry*);
+extern  bool_t xdr_jt_wire_news (XDR *, jt_wire_news*);
 extern  bool_t xdr_jt_wire_knowledge (XDR *, jt_wire_knowledge*);
 extern  bool_t xdr_jt_wire_director_kind (XDR *, jt_wire_director_kind*);
 extern  bool_t xdr_jt_wire_director_body (XDR *, jt_wire_director_body*);
@@ -179,6 +198,7 @@
 extern bool_t xdr_jt_wire_service ();
 extern bool_t xdr_jt_wire_routing ();
 extern bool_t xdr_jt_wire_entry ();
+extern bool_t xdr_jt_wire_news ();
 extern bool_t xdr_jt_wire_knowledge ();
 extern bool_t xdr_jt_wire_director_kind ();
 extern bool_t xdr_jt_wire_director_body ();
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -13,6 +13,7 @@
 const JT_DIRECTOR_MAX_ENTRIES = 8192;
 const JT_DIRECTOR_MAX_NAME = 63;
 const JT_DIRECTOR_MAX_LOADS = 128;
+const JT_DIRECTOR_MAX_NEWS = 20; /* entries that fit into one datagram */
 
 struct jt_wire_peer {
 	unsigned hyper id;
@@ -20,6 +21,7 @@
 	unsigned int port;
 	unsigned int zone;
 	unsigned int age_ms; /* since it was last heard, by the sender */
+	unsigned int weight; /* as a reader of the store; 0: not now */
 };
 
 /* Sent to a few peers several times a second. */
@@ -29,6 +31,9 @@
 	unsigned hyper revision;        /* of the newest change it knows */
 	bool started;
 	bool leaving;
+	unsigned int weight;         /* as a reader of the store; 0: not now */
+	unsigned int store_age_ms;   /* all that the store had then is known */
+	unsigned hyper store_reader; /* the node that read it */
 	jt_wire_peer peers<JT_DIRECTOR_MAX_PEERS>;
 };
 
@@ -87,8 +92,23 @@
 	bool draining;
 };
 
-/* All that a node knows, fetched by a peer that is behind. */
+/*
+ * Sent on by each node that learns of it: all entries that changed after
+ * `since`, up to the digest's revision. Whoever knows less than `since`, or an
+ * older routing, fetches what it lacks.
+ */
+struct jt_wire_news {
+	jt_wire_digest digest; /* without peers */
+	unsigned hyper since;
+	jt_wire_entry entries<JT_DIRECTOR_MAX_NEWS>;
+};
+
+/*
+ * What a peer that is behind fetches: the entries that changed after `since`
+ * (0: all), and the routing unless the peer has it.
+ */
 struct jt_wire_knowledge {
+	unsigned hyper since;
 	unsigned hyper revision;
 	jt_wire_routing routing;
 	jt_wire_entry entries<JT_DIRECTOR_MAX_ENTRIES>;
@@ -98,7 +118,8 @@
 	JT_WIRE_DIGEST = 1,
 	JT_WIRE_SUSPICION = 2,
 	JT_WIRE_KNOWLEDGE = 3,
-	JT_WIRE_LOADS = 4
+	JT_WIRE_LOADS = 4,
+	JT_WIRE_NEWS = 5
 };
 
 union jt_wire_director_body switch (jt_wire_director_kind kind) {
@@ -110,6 +131,8 @@
 	jt_wire_knowledge knowledge;
 case JT_WIRE_LOADS:
 	jt_wire_loads loads;
+case JT_WIRE_NEWS:
+	jt_wire_news news;
 };
 
 struct jt_wire_director_message {
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -14,7 +14,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->id))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->address))
 				 return FALSE;
@@ -24,17 +24,20 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->age_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->weight))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->address);
 			IXDR_PUT_U_LONG(buf, objp->port);
 			IXDR_PUT_U_LONG(buf, objp->zone);
 			IXDR_PUT_U_LONG(buf, objp->age_ms);
+			IXDR_PUT_U_LONG(buf, objp->weight);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->id))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->address))
 				 return FALSE;
@@ -44,11 +47,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->age_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->weight))
+				 return FALSE;
 		} else {
 			objp->address = IXDR_GET_U_LONG(buf);
 			objp->port = IXDR_GET_U_LONG(buf);
 			objp->zone = IXDR_GET_U_LONG(buf);
 			objp->age_ms = IXDR_GET_U_LONG(buf);
+			objp->weight = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
 	}
@@ -63,6 +69,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->weight))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -71,6 +79,69 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_int (xdrs, &objp->zone))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->routing_version))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->started))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->weight))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->store_age_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->started);
+		IXDR_PUT_BOOL(buf, objp->leaving);
+		IXDR_PUT_U_LONG(buf, objp->weight);
+		IXDR_PUT_U_LONG(buf, objp->store_age_ms);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->store_reader))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->peers.peers_val, (u_int *) &objp->peers.peers_len, JT_DIRECTOR_MAX_PEERS,
+			sizeof (jt_wire_peer), (xdrproc_t) xdr_jt_wire_peer))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_int (xdrs, &objp->zone))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->routing_version))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->started))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->weight))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->store_age_ms))
+				 return FALSE;
+
+		} else {
+		objp->started = IXDR_GET_BOOL(buf);
+		objp->leaving = IXDR_GET_BOOL(buf);
+		objp->weight = IXDR_GET_U_LONG(buf);
+		objp->store_age_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->store_reader))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->peers.peers_val, (u_int *) &objp->peers.peers_len, JT_DIRECTOR_MAX_PEERS,
+			sizeof (jt_wire_peer), (xdrproc_t) xdr_jt_wire_peer))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->zone))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->routing_version))
@@ -81,6 +152,12 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->weight))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->store_age_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store_reader))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->peers.peers_val, (u_int *) &objp->peers.peers_len, JT_DIRECTOR_MAX_PEERS,
 		sizeof (jt_wire_peer), (xdrproc_t) xdr_jt_wire_peer))
 		 return FALSE;
@@ -325,11 +402,28 @@
 	return TRUE;
 }
 
+bool_t
+xdr_jt_wire_news (XDR *xdrs, jt_wire_news *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_jt_wire_digest (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->since))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, JT_DIRECTOR_MAX_NEWS,
+		sizeof (jt_wire_entry), (xdrproc_t) xdr_jt_wire_entry))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_jt_wire_knowledge (XDR *xdrs, jt_wire_knowledge *objp)
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->since))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
 	 if (!xdr_jt_wire_routing (xdrs, &objp->routing))
@@ -374,6 +468,10 @@
 		 if (!xdr_jt_wire_loads (xdrs, &objp->jt_wire_director_body_u.loads))
 			 return FALSE;
 		break;
+	case JT_WIRE_NEWS:
+		 if (!xdr_jt_wire_news (xdrs, &objp->jt_wire_director_body_u.news))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/settings/jt_director_settings.c
+++ b/src/settings/jt_director_settings.c
@@ -12,17 +12,29 @@
 	DEFAULT_LEAVE_S = 5,
 	DEFAULT_FLOW_AGE_S = 3600,
 	DEFAULT_FLOW_LIMIT = 1 << 16,
+	DEFAULT_CONFIG_MS = 3000,
+	CORES_MOST = 4096,
+	DEFAULT_CORES = 1,
+	/* A node's weight as a reader: thousandths of a core. */
+	WEIGHT_OF_A_CORE = 1000,
+	/* Knowledge may be as old as this part of the time in which a change
+	 * must be in force; the rest is for reading and telling. */
+	STORE_AGE_PART = 2,
 };
 
 static int read_node(struct jt_settings_reader *r, const config_setting_t *root,
 		     struct jt_director_settings *s)
 {
-	static const char *const known[] = {"name", "zone", NULL};
+	static const char *const known[] = {"name", "zone", "cores", NULL};
 	const config_setting_t *node = jt_settings_need_group(r, root, "node");
+	double cores = 0;
 
 	if (node == NULL || jt_settings_check_keys(r, node, known) != 0 ||
-	    jt_settings_read_text(r, node, "name", true, &s->name) != 0)
+	    jt_settings_read_text(r, node, "name", true, &s->name) != 0 ||
+	    jt_settings_read_real(r, node, "cores", 0, CORES_MOST,
+				  DEFAULT_CORES, &cores) != 0)
 		return -1;
+	s->reader_weight = (uint32_t)(cores * WEIGHT_OF_A_CORE) + 1;
 	return jt_settings_read_text(r, node, "zone", true, &s->zone);
 }
 
@@ -50,15 +62,18 @@
 		       const config_setting_t *root,
 		       struct jt_director_settings *s)
 {
-	static const char *const known[] = {"drain_ms", "leave_s", "flow_age_s",
-					    "flows", NULL};
+	static const char *const known[] = {"drain_ms", "config_ms",
+					    "leave_s",	"flow_age_s",
+					    "flows",	NULL};
 	const config_setting_t *limits =
 		jt_settings_need_group(r, root, "limits");
-	double drain_ms = 0, leave_s = 0, flow_age_s = 0;
+	double drain_ms = 0, config_ms = 0, leave_s = 0, flow_age_s = 0;
 
 	if (limits == NULL || jt_settings_check_keys(r, limits, known) != 0 ||
 	    jt_settings_read_real(r, limits, "drain_ms", 0, MOST_S * 1000.0,
 				  DEFAULT_DRAIN_MS, &drain_ms) != 0 ||
+	    jt_settings_read_real(r, limits, "config_ms", 0, MOST_S * 1000.0,
+				  DEFAULT_CONFIG_MS, &config_ms) != 0 ||
 	    jt_settings_read_real(r, limits, "leave_s", 0, MOST_S,
 				  DEFAULT_LEAVE_S, &leave_s) != 0 ||
 	    jt_settings_read_real(r, limits, "flow_age_s", 0, MOST_S,
@@ -67,6 +82,9 @@
 				    DEFAULT_FLOW_LIMIT, &s->flow_limit) != 0)
 		return -1;
 	s->drain_limit_ms = (uint32_t)drain_ms;
+	s->store_age_limit_ms =
+		(uint32_t)(drain_ms < config_ms ? drain_ms : config_ms) /
+		STORE_AGE_PART;
 	s->leave_limit_ms = (uint32_t)(leave_s * 1000);
 	s->flow_age_limit_ms = (uint32_t)(flow_age_s * 1000);
 	return 0;
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -559,7 +559,8 @@
 	entry.address = entry_of(0x101, 0, 0, 0).address;
 	bench_entry(bench, entry);
 	bench_gone(bench, 0x101, 12);
-	assert_true(jt_knowledge_write(bench, bench->director, &knowledge));
+	assert_true(
+		jt_knowledge_write(bench, bench->director, 0, 0, &knowledge));
 	for (int pass = 0; pass < 2; pass++) {
 		for (u_int i = 0; i < knowledge.entries.entries_len; i++) {
 			u_int at = pass == 0 ? i
@@ -579,6 +580,55 @@
 	talloc_free(bench);
 }
 
+/* The entries that a node which knows all up to @since is told. */
+static u_int entries_since(struct bench *bench, uint64_t since,
+			   jt_wire_knowledge *knowledge)
+{
+	assert_true(jt_knowledge_write(bench, bench->director, since, 0,
+				       knowledge));
+	return knowledge->entries.entries_len;
+}
+
+static void test_knowledge_is_what_has_changed_since(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	uint64_t version = jt_director_routing(bench->director)->version;
+	jt_wire_knowledge knowledge;
+
+	(void)state;
+	bench_endpoint(bench, 0x101, SERVICE_BOARD, ZONE_A, 20);
+	bench_gone(bench, 0x102, 30);
+	assert_int_equal(entries_since(bench, 0, &knowledge), 2);
+	assert_int_equal(entries_since(bench, 20, &knowledge), 1);
+	assert_int_equal(knowledge.since, 20);
+	assert_int_equal(knowledge.entries.entries_val[0].gone_revision, 30);
+	assert_int_equal(entries_since(bench, 30, &knowledge), 0);
+	/* The routing comes only where it is news. */
+	assert_int_equal(knowledge.routing.number, version);
+	assert_true(jt_knowledge_write(bench, bench->director, 30, version,
+				       &knowledge));
+	assert_int_equal(knowledge.routing.number, 0);
+	talloc_free(bench);
+}
+
+/* A node that has forgotten what went tells all, and says so. */
+static void test_forgotten_entries_make_knowledge_whole(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	struct jt_director_event tick = {.kind = JT_DIRECTOR_TICK};
+	jt_wire_knowledge knowledge;
+
+	(void)state;
+	bench_gone(bench, 0x102, 30);
+	bench->now_ms += 2 * 3600 * 1000;
+	bench_event(bench, &tick);
+	assert_int_equal(entries_since(bench, 20, &knowledge), 1);
+	assert_int_equal(knowledge.since, 0);
+	assert_int_equal(entries_since(bench, 30, &knowledge), 0);
+	assert_int_equal(knowledge.since, 30);
+	talloc_free(bench);
+}
+
 /* Whether news that comes late is refused. */
 static bool late_news_is_refused(unsigned break_mechanism)
 {
@@ -890,6 +940,8 @@
 		cmocka_unit_test(test_who_answers_where_flows_get_nothing),
 		cmocka_unit_test(test_reused_address_ends_the_former_endpoint),
 		cmocka_unit_test(test_peers_news_of_a_former_endpoint),
+		cmocka_unit_test(test_knowledge_is_what_has_changed_since),
+		cmocka_unit_test(test_forgotten_entries_make_knowledge_whole),
 		cmocka_unit_test(test_late_entries_change_nothing),
 		cmocka_unit_test(test_leaving_is_heard_after_the_entry_went),
 		cmocka_unit_test(test_routing_never_goes_back),
--- a/tests/test_director_settings.c
+++ b/tests/test_director_settings.c
@@ -71,6 +71,27 @@
 	assert_int_equal(settings->flow_age_limit_ms, 60000);
 	assert_int_equal(settings->seed_count, 2);
 	assert_int_equal(settings->metrics.port, 0);
+	assert_int_equal(settings->reader_weight, 1001);
+	assert_int_equal(settings->store_age_limit_ms, 1500);
+	talloc_free(settings);
+}
+
+/* What a node may believe follows from the times that bind it. */
+static void test_store_age_limit_is_half_of_the_tighter_bound(void **state)
+{
+	struct jt_director_settings *settings;
+	char *error;
+
+	(void)state;
+	settings = load("drain_ms = 3000;",
+			"drain_ms = 8000; config_ms = 5000;", &error);
+	assert_non_null(settings);
+	assert_int_equal(settings->store_age_limit_ms, 2500);
+	talloc_free(settings);
+	settings = load("zone = \"scl-renca\";",
+			"zone = \"scl-renca\"; cores = 0.017;", &error);
+	assert_non_null(settings);
+	assert_int_equal(settings->reader_weight, 18);
 	talloc_free(settings);
 }
 
@@ -80,6 +101,10 @@
 	expect_error("drain_ms = 3000", "drain = 3000", ":12: drain: unknown");
 	expect_error("drain_ms = 3000", "drain_ms = -1",
 		     "drain_ms: is -1, allowed are 0 to");
+	expect_error("drain_ms = 3000", "config_ms = -1",
+		     "config_ms: is -1, allowed are 0 to");
+	expect_error("zone = \"scl-renca\"", "zone = \"a\"; cores = \"two\"",
+		     "cores: must be a number");
 	expect_error("leave_s = 2.5", "leave_s = \"soon\"",
 		     "leave_s: must be a number");
 	expect_error("10.1.0.10:8172", "10.1.0.10", "data: must be");
@@ -113,6 +138,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_example),
+		cmocka_unit_test(
+			test_store_age_limit_is_half_of_the_tighter_bound),
 		cmocka_unit_test(test_errors),
 		cmocka_unit_test(test_what_can_not_change),
 	};
--- /dev/null
+++ b/tests/test_reader.c
@@ -0,0 +1,289 @@
+/* Few nodes read the store; whoever hears nothing new in time reads itself. */
+#include "test.h"
+
+#include "jt_follower.h"
+#include "jt_membership.h"
+#include "jt_reader.h"
+
+enum { LIMIT_MS = 1500, SELF = 1, OTHER = 2, WEIGHT = 180, PORT = 7720 };
+
+static struct jt_reader reader_at(uint64_t now_ms)
+{
+	struct jt_reader reader;
+
+	jt_reader_init(&reader, LIMIT_MS, 7);
+	jt_reader_heard(&reader, now_ms, OTHER);
+	return reader;
+}
+
+static void test_first_of_its_zone_reads(void **state)
+{
+	struct jt_reader reader = reader_at(1000);
+
+	(void)state;
+	assert_true(jt_reader_decide(&reader, true, true, 1000));
+}
+
+static void test_node_that_has_not_started_reads(void **state)
+{
+	struct jt_reader reader = reader_at(1000);
+
+	(void)state;
+	assert_true(jt_reader_decide(&reader, false, false, 1000));
+}
+
+static void test_others_leave_it_to_readers_that_are_heard(void **state)
+{
+	struct jt_reader reader = reader_at(1000);
+
+	(void)state;
+	for (uint64_t now_ms = 1000; now_ms < 20000; now_ms += 100) {
+		jt_reader_heard(&reader, now_ms - 400, OTHER);
+		assert_false(jt_reader_decide(&reader, false, true, now_ms));
+	}
+}
+
+static void test_old_knowledge_makes_a_node_read(void **state)
+{
+	struct jt_reader reader = reader_at(1000);
+
+	(void)state;
+	assert_false(jt_reader_decide(&reader, false, true, 1000 + LIMIT_MS));
+	assert_true(jt_reader_decide(&reader, false, true,
+				     1000 + LIMIT_MS + LIMIT_MS / 4 + 1));
+	/* What it read itself does not make it stop: nobody else reads. */
+	jt_reader_read(&reader, 6000);
+	assert_true(jt_reader_decide(&reader, false, true, 6000));
+	/* Another reader does, once this one has read for a while. */
+	jt_reader_heard(&reader, 5900, OTHER);
+	assert_false(jt_reader_decide(&reader, false, true, 6000));
+}
+
+static void test_nodes_do_not_step_in_together(void **state)
+{
+	unsigned reading = 0;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= 100; seed++) {
+		struct jt_reader reader;
+
+		jt_reader_init(&reader, LIMIT_MS, seed);
+		jt_reader_heard(&reader, 1000, OTHER);
+		reading += jt_reader_decide(&reader, false, true,
+					    1000 + LIMIT_MS + LIMIT_MS / 8);
+	}
+	assert_in_range(reading, 20, 80);
+}
+
+static void test_newest_reading_is_told_on(void **state)
+{
+	struct jt_reader reader = reader_at(1000);
+	uint64_t from = 0;
+
+	(void)state;
+	assert_int_equal(jt_reader_as_of(&reader, SELF, &from), 1000);
+	assert_int_equal(from, OTHER);
+	jt_reader_heard(&reader, 900, 3); /* comes late */
+	jt_reader_read(&reader, 1200);
+	assert_int_equal(jt_reader_as_of(&reader, SELF, &from), 1200);
+	assert_int_equal(from, SELF);
+}
+
+/* Which nodes read, by their membership */
+
+static struct jt_address address_of(uint32_t index)
+{
+	return (struct jt_address){0x0a000000 + index, PORT};
+}
+
+static void peer_hear(struct jt_membership *membership, uint64_t id,
+		      uint32_t zone, uint32_t weight)
+{
+	jt_wire_digest digest = {.zone = zone, .weight = weight};
+
+	digest.started = TRUE;
+	jt_membership_digest(membership, id, address_of((uint32_t)id), &digest,
+			     1000);
+}
+
+static struct jt_membership *member(uint64_t id)
+{
+	return jt_membership_create(NULL, id, address_of((uint32_t)id), 1);
+}
+
+static void test_one_reader_a_zone_where_there_are_three(void **state)
+{
+	struct jt_membership *membership = member(50);
+
+	(void)state;
+	peer_hear(membership, 60, 1, WEIGHT);
+	peer_hear(membership, 61, 2, WEIGHT);
+	peer_hear(membership, 62, 3, WEIGHT);
+	assert_true(jt_membership_reads_first(membership, WEIGHT));
+	peer_hear(membership, 40, 1, WEIGHT);
+	assert_false(jt_membership_reads_first(membership, WEIGHT));
+	/* The one before it loses the store, or leaves. */
+	peer_hear(membership, 40, 1, 0);
+	assert_true(jt_membership_reads_first(membership, WEIGHT));
+	/* One that can't read does not. */
+	assert_false(jt_membership_reads_first(membership, 0));
+	talloc_free(membership);
+}
+
+static void test_three_readers_in_all_where_zones_are_few(void **state)
+{
+	struct jt_membership *membership = member(50);
+
+	(void)state;
+	peer_hear(membership, 10, 1, WEIGHT);
+	peer_hear(membership, 11, 1, WEIGHT);
+	assert_true(jt_membership_reads_first(membership, WEIGHT));
+	peer_hear(membership, 12, 1, WEIGHT);
+	assert_false(jt_membership_reads_first(membership, WEIGHT));
+	talloc_free(membership);
+}
+
+static void test_strong_nodes_read_for_weak_ones(void **state)
+{
+	struct jt_membership *membership = member(50);
+
+	(void)state;
+	peer_hear(membership, 61, 2, WEIGHT);
+	peer_hear(membership, 62, 3, WEIGHT);
+	peer_hear(membership, 90, 1, WEIGHT * 10);
+	assert_false(jt_membership_reads_first(membership, WEIGHT));
+	assert_true(jt_membership_reads_first(membership, WEIGHT * 20));
+	talloc_free(membership);
+}
+
+static void test_lost_reader_is_replaced(void **state)
+{
+	struct jt_membership *membership = member(50);
+
+	(void)state;
+	peer_hear(membership, 61, 2, WEIGHT);
+	peer_hear(membership, 62, 3, WEIGHT);
+	peer_hear(membership, 40, 1, WEIGHT);
+	assert_false(jt_membership_reads_first(membership, WEIGHT));
+	while (jt_membership_next_lost(membership, 6000) != NULL)
+		continue;
+	assert_true(jt_membership_reads_first(membership, WEIGHT));
+	talloc_free(membership);
+}
+
+static void test_news_goes_to_few_and_mostly_near(void **state)
+{
+	struct jt_membership *membership = member(1);
+	struct jt_address targets[JT_NEWS_FANOUT];
+	unsigned near = 0, sent = 0;
+
+	(void)state;
+	for (uint64_t id = 2; id < 62; id++)
+		peer_hear(membership, id, id % 3 == 0 ? 1 : 2, WEIGHT);
+	for (int i = 0; i < 200; i++) {
+		size_t count = jt_membership_news_targets(membership, targets);
+
+		assert_in_range(count, 1, JT_NEWS_FANOUT);
+		for (size_t t = 0; t < count; t++)
+			near += (targets[t].ip - 0x0a000000) % 3 == 0;
+		sent += (unsigned)count;
+	}
+	assert_in_range(near * 100 / sent, 70, 95);
+	talloc_free(membership);
+}
+
+/* Watches that are held for long */
+
+static struct jt_follower watching_at(uint64_t revision)
+{
+	struct jt_follower follower;
+
+	jt_follower_init(&follower, 1);
+	jt_follower_page(&follower, JT_KV_OK, revision, false, 0, 0);
+	return follower;
+}
+
+static void test_check_shows_that_the_store_answers(void **state)
+{
+	struct jt_follower follower = watching_at(10);
+
+	(void)state;
+	assert_false(jt_follower_checked(&follower, JT_KV_OK, 10, 0, 700));
+	assert_int_equal(follower.as_of_ms, 700);
+	/* A stale answer is no news. */
+	assert_false(jt_follower_checked(&follower, JT_KV_OK, 8, 0, 1200));
+	assert_int_equal(follower.as_of_ms, 1200);
+}
+
+static void test_watch_that_misses_a_change_is_given_up(void **state)
+{
+	struct jt_follower follower = watching_at(10);
+
+	(void)state;
+	/* The change may be on its way. */
+	assert_false(jt_follower_checked(&follower, JT_KV_OK, 11, 0, 700));
+	assert_int_equal(follower.as_of_ms, 0);
+	assert_true(jt_follower_checked(&follower, JT_KV_OK, 11, 0, 1200));
+}
+
+static void test_watch_that_tells_is_kept(void **state)
+{
+	struct jt_follower follower = watching_at(10);
+
+	(void)state;
+	assert_false(jt_follower_checked(&follower, JT_KV_OK, 11, 0, 700));
+	jt_follower_watched(&follower, JT_KV_OK, 11, true, 750);
+	assert_false(jt_follower_checked(&follower, JT_KV_OK, 12, 1150, 1200));
+	assert_false(jt_follower_checked(&follower, JT_KV_OK, 12, 1150, 1300));
+}
+
+static void test_failed_check_gives_the_watch_up(void **state)
+{
+	struct jt_follower follower = watching_at(10);
+
+	(void)state;
+	assert_true(jt_follower_checked(&follower, JT_KV_LOST, 0, 0, 700));
+	jt_follower_watched(&follower, JT_KV_LOST, 0, false, 700);
+	/* The next one is held only briefly, so that its answer shows. */
+	assert_in_range(jt_follower_wait_ms(&follower), 100, 1000);
+	jt_follower_watched(&follower, JT_KV_OK, 10, false, 1500);
+	assert_in_range(jt_follower_wait_ms(&follower), 5000, 30000);
+}
+
+static void test_resumes_from_what_peers_told(void **state)
+{
+	struct jt_follower follower = watching_at(10);
+
+	(void)state;
+	jt_follower_resume(&follower, 40, 5000);
+	assert_int_equal(follower.revision, 40);
+	assert_int_equal(jt_follower_next(&follower, 5000), JT_FOLLOWER_WATCH);
+	/* Never back. */
+	jt_follower_resume(&follower, 30, 6000);
+	assert_int_equal(follower.revision, 40);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_first_of_its_zone_reads),
+		cmocka_unit_test(test_node_that_has_not_started_reads),
+		cmocka_unit_test(
+			test_others_leave_it_to_readers_that_are_heard),
+		cmocka_unit_test(test_old_knowledge_makes_a_node_read),
+		cmocka_unit_test(test_nodes_do_not_step_in_together),
+		cmocka_unit_test(test_newest_reading_is_told_on),
+		cmocka_unit_test(test_one_reader_a_zone_where_there_are_three),
+		cmocka_unit_test(test_three_readers_in_all_where_zones_are_few),
+		cmocka_unit_test(test_strong_nodes_read_for_weak_ones),
+		cmocka_unit_test(test_lost_reader_is_replaced),
+		cmocka_unit_test(test_news_goes_to_few_and_mostly_near),
+		cmocka_unit_test(test_check_shows_that_the_store_answers),
+		cmocka_unit_test(test_watch_that_misses_a_change_is_given_up),
+		cmocka_unit_test(test_watch_that_tells_is_kept),
+		cmocka_unit_test(test_failed_check_gives_the_watch_up),
+		cmocka_unit_test(test_resumes_from_what_peers_told),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
