A weak node that starts learns from peers first; a peer that looks for somebody gets an answer at once

Ruled out: the store's rate (pages came in time), the network. Change: a list waits for as long as it would cost, 1 s at most; a started node answers the digest of one that has not started.

--- a/src/director/jt_directory_sync.c
+++ b/src/director/jt_directory_sync.c
@@ -261,7 +261,7 @@
 	TALLOC_CTX *mem_ctx, struct tevent_context *loop,
 	struct jt_http_client *client, const struct jt_directory *directory,
 	struct jt_address store, const struct jt_directory_watcher *watcher,
-	uint64_t seed)
+	uint64_t start_wait_ms, uint64_t seed)
 {
 	struct jt_directory_sync *sync =
 		talloc_zero(mem_ctx, struct jt_directory_sync);
@@ -281,7 +281,8 @@
 		talloc_free(sync);
 		return NULL;
 	}
-	jt_timer_set(sync->timer, 0);
+	sync->follower.due_ms = jt_clock_ms() + start_wait_ms;
+	jt_timer_set(sync->timer, start_wait_ms);
 	return sync;
 }
 
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -101,10 +101,10 @@
 				exchange->handler.private_data);
 }
 
-static void digests_send(struct jt_peer_exchange *exchange, uint64_t now_ms)
+static void digests_send(struct jt_peer_exchange *exchange,
+			 const struct jt_address *targets, size_t count,
+			 uint64_t now_ms)
 {
-	struct jt_address targets[JT_DIGEST_FANOUT];
-	size_t count = jt_membership_round(exchange->membership, targets);
 	jt_wire_director_message message = {
 		.from = exchange->membership->id,
 		.body.kind = JT_WIRE_DIGEST,
@@ -119,7 +119,6 @@
 		message_send(exchange, targets[i], &message);
 		exchange->counters.digests_sent++;
 	}
-	loads_send(exchange, targets, count);
 	talloc_free(frame);
 }
 
@@ -374,6 +373,9 @@
 			    "event=peer_seen peer=%s",
 			    jt_address_format(from, text));
 	exchange->handler.own_state(&own, exchange->handler.private_data);
+	/* It looks for somebody to learn from. */
+	if (own.started && !digest->started)
+		digests_send(exchange, &from, 1, now_ms);
 	if (digest->revision <= own.revision &&
 	    digest->routing_version <= own.routing_version &&
 	    digest->store_reader != exchange->membership->id &&
@@ -463,8 +465,10 @@
 {
 	struct jt_peer_exchange *exchange = private_data;
 	uint64_t now_ms = jt_clock_ms();
+	struct jt_address targets[JT_DIGEST_FANOUT];
 	const struct jt_peer *lost;
 	char text[JT_ADDRESS_TEXT];
+	size_t count;
 
 	while ((lost = jt_membership_next_lost(exchange->membership, now_ms)) !=
 	       NULL)
@@ -472,7 +476,9 @@
 			    "event=peer_lost peer=%s silent_ms=%llu",
 			    jt_address_format(lost->address, text),
 			    (unsigned long long)(now_ms - lost->heard_ms));
-	digests_send(exchange, now_ms);
+	count = jt_membership_round(exchange->membership, targets);
+	digests_send(exchange, targets, count, now_ms);
+	loads_send(exchange, targets, count);
 	fetch_look(exchange, now_ms);
 	jt_timer_set(exchange->timer,
 		     now_ms - exchange->created_ms < ROUND_FAST_FOR_MS
--- a/src/label/jt_reader.c
+++ b/src/label/jt_reader.c
@@ -7,6 +7,11 @@
 	FRESH_PART = 2,
 	/* A node that has begun to read does so for a while. */
 	HOLD_MS = 1000,
+	/* What a list costs at the least, in thousandths of a core times
+	 * milliseconds, and how long it may take before waiting pays. */
+	LIST_COST = 10 * 1000,
+	LIST_MS = 100,
+	START_WAIT_MOST_MS = 1000,
 };
 
 /* A new jitter for each time that this node steps in. */
@@ -65,6 +70,17 @@
 	return reading;
 }
 
+uint64_t jt_reader_start_wait_ms(uint32_t weight)
+{
+	uint64_t list_ms = LIST_COST / (weight ? weight : 1);
+
+	if (list_ms <= LIST_MS)
+		return 0;
+	if (list_ms - LIST_MS > START_WAIT_MOST_MS)
+		return START_WAIT_MOST_MS;
+	return list_ms - LIST_MS;
+}
+
 uint64_t jt_reader_as_of(const struct jt_reader *reader, uint64_t own_id,
 			 uint64_t *from)
 {
--- a/src/label/jt_reader.h
+++ b/src/label/jt_reader.h
@@ -44,6 +44,12 @@
  */
 bool jt_reader_decide(struct jt_reader *reader, bool first, bool started,
 		      uint64_t now_ms);
+/*
+ * How long a node that has just begun waits for peers that know everything
+ * before it lists the store. To read a whole list costs a weak node far more
+ * than to learn the same from a peer. @weight: in thousandths of a core.
+ */
+uint64_t jt_reader_start_wait_ms(uint32_t weight);
 /* As of when the store is known, and by whose reading. */
 uint64_t jt_reader_as_of(const struct jt_reader *reader, uint64_t own_id,
 			 uint64_t *from);
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -89,6 +89,16 @@
 	assert_int_equal(from, SELF);
 }
 
+static void test_weak_nodes_wait_for_peers_at_their_start(void **state)
+{
+	(void)state;
+	assert_int_equal(jt_reader_start_wait_ms(1000), 0);
+	assert_int_equal(jt_reader_start_wait_ms(200), 0);
+	assert_in_range(jt_reader_start_wait_ms(20), 300, 600);
+	assert_in_range(jt_reader_start_wait_ms(1), 900, 1000);
+	assert_in_range(jt_reader_start_wait_ms(0), 900, 1000);
+}
+
 /* Which nodes read, by their membership */
 
 static struct jt_address address_of(uint32_t index)
@@ -273,6 +283,7 @@
 		cmocka_unit_test(test_old_knowledge_makes_a_node_read),
 		cmocka_unit_test(test_nodes_do_not_step_in_together),
 		cmocka_unit_test(test_newest_reading_is_told_on),
+		cmocka_unit_test(test_weak_nodes_wait_for_peers_at_their_start),
 		cmocka_unit_test(test_one_reader_a_zone_where_there_are_three),
 		cmocka_unit_test(test_three_readers_in_all_where_zones_are_few),
 		cmocka_unit_test(test_strong_nodes_read_for_weak_ones),
