One failed connection proves no death where no flow shows it

An entry that goes makes each node with flows there connect; one connection that came to nothing was proof, though an endpoint that is about to end takes no more, and some 80 nodes open one in the same moment. Ruled out: an entry that was ended by a successor (none had the address), full endpoints (2,000 connections). Change: without a flow that shows it, a silent connection, or a refused one of an endpoint that leaves, must fail twice in a row, half a second apart.

--- a/src/label/jt_detector.c
+++ b/src/label/jt_detector.c
@@ -3,6 +3,10 @@
 enum {
 	AVOID_MS = 500,
 	AVOID_DOUBLINGS = 3,
+	/* Failed probes in a row that prove death where no flow shows it: a
+	 * connection may get no answer because many nodes open one at that
+	 * moment, and an endpoint that leaves takes no more of them. */
+	PROBES_PROVE = 2,
 };
 
 void jt_detector_init(struct jt_detector *detector,
@@ -21,6 +25,7 @@
 	detector->contact_ms = now_ms;
 	incarnation->progress_ms = now_ms;
 	incarnation->vain_connects = 0;
+	incarnation->failed_probes = 0;
 	incarnation->suspected_ms = 0;
 	incarnation->flow_dead = false;
 }
@@ -64,11 +69,14 @@
 			   const struct jt_incarnation *incarnation,
 			   uint64_t now_ms)
 {
-	(void)detector;
-	return incarnation->state == JT_INCARNATION_DEAD &&
-	       incarnation->cause != JT_DEATH_REPLACED &&
-	       incarnation->entry.gone_revision == 0 && !incarnation->probing &&
-	       now_ms >= incarnation->probe_next_ms;
+	if (detector->break_mechanism & JT_DIRECTOR_BREAK_NO_DETECTOR ||
+	    incarnation->probing || now_ms < incarnation->probe_next_ms)
+		return false;
+	if (incarnation->state != JT_INCARNATION_DEAD)
+		return incarnation->failed_probes > 0 &&
+		       incarnation->failed_probes < PROBES_PROVE;
+	return incarnation->cause != JT_DEATH_REPLACED &&
+	       incarnation->entry.gone_revision == 0;
 }
 
 void jt_detector_probe_sent(struct jt_detector *detector,
@@ -79,6 +87,19 @@
 	incarnation->probe_sent_ms = now_ms;
 }
 
+/*
+ * Whether one failed probe is enough where no flow proves anything: a flow's
+ * data was sent again, or an endpoint that should take connections refuses.
+ */
+static bool once_is_enough(const struct jt_incarnation *incarnation,
+			   enum jt_probe_outcome outcome)
+{
+	if (incarnation->suspected_ms != 0)
+		return true;
+	return outcome == JT_PROBE_REFUSED &&
+	       incarnation->state == JT_INCARNATION_READY;
+}
+
 /* Whether a probe that got no connection proves death. */
 static bool failure_proves(const struct jt_detector *detector,
 			   const struct jt_incarnation *incarnation,
@@ -90,6 +111,9 @@
 		return false;
 	if (!incarnation->flow_dead && !far_from_full)
 		return false;
+	if (!incarnation->flow_dead && !once_is_enough(incarnation, outcome) &&
+	    incarnation->failed_probes < PROBES_PROVE)
+		return false;
 	/* Where nobody answers, this node may be the one that is cut off. */
 	return outcome == JT_PROBE_REFUSED ||
 	       detector->contact_ms >= incarnation->probe_sent_ms;
@@ -101,6 +125,7 @@
 					  uint64_t now_ms)
 {
 	detector->contact_ms = now_ms;
+	incarnation->failed_probes = 0;
 	if (incarnation->state == JT_INCARNATION_DEAD ||
 	    incarnation->vain_connects > 0) {
 		incarnation->probing = true;
@@ -131,6 +156,7 @@
 		return JT_VERDICT_AGAIN;
 	if (dead)
 		return JT_VERDICT_NONE;
+	incarnation->failed_probes++;
 	if (failure_proves(detector, incarnation, outcome, far_from_full)) {
 		*cause = outcome == JT_PROBE_REFUSED ? JT_DEATH_REFUSED
 						     : JT_DEATH_SILENT;
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -38,6 +38,7 @@
 	uint64_t probe_sent_ms;	 /* of the probe under way */
 	uint64_t probe_next_ms;	 /* not before */
 	uint32_t vain_connects;	 /* since the last sign of life on a flow */
+	uint32_t failed_probes;	 /* in a row, since the last sign of life */
 	bool probing;
 
 	struct jt_service_pool *pool;
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -436,6 +436,38 @@
 					 JT_PROBE_REFUSED, 20));
 }
 
+/* Failure 34: an endpoint whose entry went serves on, but a connection to it
+ * fails once: many nodes open one at that moment, or it takes no more. */
+static void test_one_failed_probe_is_no_proof(void **state)
+{
+	const enum jt_probe_outcome outcomes[] = {JT_PROBE_SILENT,
+						  JT_PROBE_REFUSED};
+
+	(void)state;
+	for (int i = 0; i < 2; i++) {
+		struct bench *bench = two_endpoints(0);
+		struct caller_flow flow, other;
+
+		/* Long enough after the start to know how full it is. */
+		bench->now_ms += 120000;
+		flow_at_each(bench, &flow, &other);
+		bench_gone(bench, 0x101, 9);
+		assert_int_equal(bench_count(bench, JT_DIRECTOR_PROBE), 1);
+		flow_request(bench, &other, 250);
+		bench_probed(bench, 0x101, outcomes[i]);
+		assert_int_equal(state_of(bench, 0x101), JT_INCARNATION_LAPSED);
+		assert_int_equal(bench_count(bench, JT_DIRECTOR_RESET), 0);
+		/* It is looked at once more, and the second failure is. */
+		bench_tick(bench, 600);
+		assert_int_equal(bench_count(bench, JT_DIRECTOR_PROBE), 1);
+		flow_request(bench, &other, 250);
+		bench_probed(bench, 0x101, outcomes[i]);
+		assert_int_equal(state_of(bench, 0x101), JT_INCARNATION_DEAD);
+		assert_int_equal(bench_count(bench, JT_DIRECTOR_RESET), 1);
+		talloc_free(bench);
+	}
+}
+
 static void test_void_probe_says_nothing(void **state)
 {
 	struct bench *bench = two_endpoints(0);
@@ -933,6 +965,7 @@
 		cmocka_unit_test(test_slow_and_full_is_no_dead_one),
 		cmocka_unit_test(test_flow_that_never_opened_proves_nothing),
 		cmocka_unit_test(test_node_just_started_condemns_with_care),
+		cmocka_unit_test(test_one_failed_probe_is_no_proof),
 		cmocka_unit_test(test_void_probe_says_nothing),
 		cmocka_unit_test(test_refusal_to_the_caller_is_noticed),
 		cmocka_unit_test(test_dead_endpoint_comes_back),
