jaspertrack-soak: real nodes on loopback under random faults, judged by callers and endpoints

Five jaspertrackd processes; store, proxies to it, routers, callers and endpoints are played by one observing process. Kills, stops, pauses, delayed, reset, silenced and one-way connections, lost and doubled datagrams, a store that refuses, throttles and forgets, endpoints that drain, leave silently, crash, go dark and are cut. Promises checked: FLOW, ROUTE, CONFIG (late, back), DRAIN, UNASKED, MIXED, ends of its own, recovery.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SOURCES = $(shell git ls-files 'src/*.[ch]' 'include/*.h' 'tests/*.[ch]' \
   'fuzz/*.[ch]' 'bench/*.[ch]' 'platform/*.[ch]' | grep -vE 'jt_(director_)?proto')
 
-.PHONY: all packages build demo check bench fuzz format lint proto clean
+.PHONY: all packages build demo check bench fuzz soak format lint proto clean
 
 all: build
 
@@ -36,6 +36,10 @@
 bench: build
 	scripts/bench.sh $(BUILD)
 
+# Fresh seeds over real processes for SECONDS, then the seeds that ever failed.
+soak: build
+	scripts/soak.sh $(BUILD) $(SECONDS)
+
 fuzz: packages
 	scripts/fuzz.sh $(SECONDS)
 
--- /dev/null
+++ b/tests/soak/soak_endpoints.c
@@ -0,0 +1,527 @@
+/* Endpoints: they take datagrams, run requests and answer callers. */
+#include "soak.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+	HELD = 8192, /* flows of all endpoints, by caller and port */
+	RUN_LEAST_MS = 5,
+	RUN_MOST_MS = 60,
+	FIRST_SEQUENCE = 7000,
+	BACKLOG = 64,
+	DOCUMENT = 512,
+	LATE_END_MS = 3000, /* how much later than told an endpoint may end */
+};
+
+/* A flow as its endpoint holds it. */
+struct held_flow {
+	uint32_t caller;
+	uint16_t port;
+	int endpoint; /* -1: free */
+	bool open;
+	uint32_t echo;
+	uint16_t route_port;
+	uint32_t expected; /* of the caller's bytes */
+	uint32_t sequence; /* of its own */
+	unsigned request;  /* that runs, or ran last */
+	bool running;
+	bool answered;
+	uint64_t answer_ms;
+	struct soak_packet answer;
+};
+
+/* The socket of an address, and who listens there for connections. */
+struct soak_listener {
+	struct soak *soak;
+	int endpoint;
+	int udp_fd;
+	int tcp_fd;
+	struct tevent_fd *udp_event, *tcp_event;
+};
+
+static struct held_flow held[HELD];
+
+static struct jt_address place_address(int place)
+{
+	return (struct jt_address){SOAK_ENDPOINT_NET + 2 + (uint32_t)place,
+				   SOAK_ENDPOINT_PORT};
+}
+
+int soak_endpoint_of(const struct soak *soak, uint64_t id)
+{
+	for (int i = 0; i < soak->endpoint_count; i++) {
+		if (soak->endpoints[i].id == id)
+			return i;
+	}
+	return -1;
+}
+
+static bool endpoint_hears(const struct soak_endpoint *endpoint)
+{
+	return endpoint->life != SOAK_ENDED && !endpoint->dark &&
+	       jt_clock_ms() >= endpoint->silent_until_ms;
+}
+
+/* Flows */
+
+static struct held_flow *held_find(uint32_t caller, uint16_t port, int endpoint)
+{
+	for (int i = 0; i < HELD; i++) {
+		if (held[i].endpoint == endpoint && held[i].caller == caller &&
+		    held[i].port == port)
+			return &held[i];
+	}
+	return NULL;
+}
+
+static struct held_flow *held_add(const struct soak_packet *packet,
+				  int endpoint)
+{
+	struct held_flow *flow = held_find(0, 0, -1);
+
+	for (int i = 0; i < HELD && flow == NULL; i++) {
+		if (held[i].endpoint == -1)
+			flow = &held[i];
+	}
+	if (flow == NULL)
+		abort();
+	*flow = (struct held_flow){
+		.caller = packet->source,
+		.port = packet->source_port,
+		.endpoint = endpoint,
+		.route_port = packet->destination_port,
+		.expected = packet->sequence + 1,
+		.sequence = FIRST_SEQUENCE,
+	};
+	return flow;
+}
+
+static void flow_drop(struct held_flow *flow)
+{
+	flow->endpoint = -1;
+	flow->caller = 0;
+	flow->port = 0;
+}
+
+static void send_to_caller(struct soak *soak, int endpoint,
+			   const struct soak_packet *packet)
+{
+	struct soak_listener *listener = soak->endpoints[endpoint].listener;
+	uint8_t data[SOAK_HEAD + sizeof(packet->data)];
+	struct sockaddr_in name;
+
+	if (listener == NULL || !endpoint_hears(&soak->endpoints[endpoint]))
+		return;
+	jt_address_to_socket(
+		(struct jt_address){packet->destination, SOAK_PACKET_PORT},
+		&name);
+	(void)sendto(listener->udp_fd, data, soak_packet_write(packet, data),
+		     MSG_DONTWAIT, (struct sockaddr *)&name, sizeof(name));
+}
+
+static struct soak_packet answer_to(const struct soak_packet *packet,
+				    uint8_t flags)
+{
+	return (struct soak_packet){
+		.source = packet->destination,
+		.source_port = packet->destination_port,
+		.destination = packet->source,
+		.destination_port = packet->source_port,
+		.echo = packet->echo,
+		.sum = 1, /* an endpoint's; a node's resets have 0 */
+		.sequence = packet->acknowledged,
+		.acknowledged = packet->sequence + (uint32_t)packet->length,
+		.flags = flags,
+	};
+}
+
+static void take_first(struct soak *soak, int index, int node,
+		       const struct soak_packet *packet)
+{
+	struct held_flow *flow =
+		held_find(packet->source, packet->source_port, index);
+	struct soak_packet answer = answer_to(packet, SOAK_SYN | SOAK_ACK);
+	uint64_t sent_ms;
+	uint16_t route_port;
+	int via;
+
+	if (packet->flags & SOAK_ACK) {
+		soak_broken(soak, "UNASKED", "node %d passed a forged packet",
+			    node);
+		return;
+	}
+	if (!soak_flow_first(soak, packet->source, packet->source_port,
+			     &sent_ms, &via, &route_port)) {
+		soak_broken(soak, "UNASKED", "node %d sent what nobody asked",
+			    node);
+		return;
+	}
+	if (flow == NULL) {
+		flow = held_add(packet, index);
+		soak_check_first(soak, index, node, packet->destination_port,
+				 sent_ms);
+	}
+	flow->echo = packet->echo;
+	answer.sequence = flow->sequence;
+	answer.acknowledged = flow->expected;
+	send_to_caller(soak, index, &answer);
+}
+
+static void run_request(struct soak *soak, int index, struct held_flow *flow,
+			const struct soak_packet *packet)
+{
+	unsigned request = 0;
+
+	flow->expected = packet->sequence + (uint32_t)packet->length;
+	flow->running = true;
+	flow->answered = false;
+	flow->answer_ms = jt_clock_ms() + RUN_LEAST_MS +
+			  soak_random(soak, RUN_MOST_MS - RUN_LEAST_MS);
+	if (sscanf(packet->data, "GET /%u ", &request) != 1 ||
+	    !soak_flow_ran(soak, packet->source, packet->source_port, request))
+		soak_broken(soak, "UNASKED",
+			    "endpoint %llx ran what was not asked, or twice",
+			    (unsigned long long)soak->endpoints[index].id);
+	flow->request = request;
+	flow->answer = answer_to(packet, SOAK_ACK);
+	flow->answer.sequence = flow->sequence;
+	flow->answer.acknowledged = flow->expected;
+}
+
+static void take_data(struct soak *soak, int index, struct held_flow *flow,
+		      const struct soak_packet *packet)
+{
+	if (!flow->open && packet->acknowledged == flow->sequence + 1) {
+		flow->open = true;
+		flow->sequence++;
+		soak_flow_opened(soak, packet->source, packet->source_port,
+				 index);
+	}
+	if (!flow->open)
+		return;
+	flow->echo = packet->echo;
+	if (packet->flags & SOAK_FIN) {
+		struct soak_packet answer = answer_to(packet, SOAK_ACK);
+
+		send_to_caller(soak, index, &answer);
+		flow_drop(flow);
+		return;
+	}
+	if (packet->length == 0)
+		return;
+	if (packet->sequence == flow->expected && !flow->running)
+		run_request(soak, index, flow, packet);
+	else if (flow->answered)
+		send_to_caller(soak, index, &flow->answer);
+}
+
+static void take_unknown(struct soak *soak, int index, int node,
+			 const struct soak_packet *packet)
+{
+	int owner =
+		soak_flow_endpoint(soak, packet->source, packet->source_port);
+	struct soak_packet answer = answer_to(packet, SOAK_RST);
+
+	if (packet->flags & SOAK_RST)
+		return;
+	if (owner >= 0 && owner != index)
+		soak_check_astray(soak, index, owner, node);
+	send_to_caller(soak, index, &answer);
+}
+
+static void on_datagram(struct tevent_context *loop, struct tevent_fd *event,
+			uint16_t flags, void *private_data)
+{
+	struct soak_listener *listener = private_data;
+	struct soak *soak = listener->soak;
+	uint8_t data[2048];
+	struct sockaddr_in name;
+	socklen_t size = sizeof(name);
+	ssize_t length =
+		recvfrom(listener->udp_fd, data, sizeof(data), MSG_DONTWAIT,
+			 (struct sockaddr *)&name, &size);
+	struct soak_packet packet;
+	struct held_flow *flow;
+	uint64_t meant = 0;
+	int node;
+
+	(void)loop;
+	(void)event;
+	(void)flags;
+	if (length < 8 || !endpoint_hears(&soak->endpoints[listener->endpoint]))
+		return;
+	for (int i = 0; i < 8; i++)
+		meant = meant << 8 | data[i];
+	node = (int)(jt_address_from_socket(&name).ip - SOAK_NODE_NET) - 2;
+	if (!soak_packet_read(data + 8, (size_t)length - 8, &packet)) {
+		soak_broken(soak, "UNASKED", "node %d changed a packet", node);
+		return;
+	}
+	if (meant != 0 && meant != soak->endpoints[listener->endpoint].id)
+		return;
+	flow = held_find(packet.source, packet.source_port, listener->endpoint);
+	if (packet.flags & SOAK_SYN)
+		take_first(soak, listener->endpoint, node, &packet);
+	else if (flow != NULL)
+		take_data(soak, listener->endpoint, flow, &packet);
+	else
+		take_unknown(soak, listener->endpoint, node, &packet);
+}
+
+/* Connections: the page that tells who is there */
+
+static void on_connection(struct tevent_context *loop, struct tevent_fd *event,
+			  uint16_t flags, void *private_data)
+{
+	struct soak_listener *listener = private_data;
+	const struct soak_endpoint *endpoint =
+		&listener->soak->endpoints[listener->endpoint];
+	char answer[256], request[1024];
+	int fd;
+
+	(void)loop;
+	(void)event;
+	(void)flags;
+	if (!endpoint_hears(endpoint)) {
+		/* Nobody accepts; look again when it hears. */
+		tevent_fd_set_flags(listener->tcp_event, 0);
+		return;
+	}
+	fd = accept4(listener->tcp_fd, NULL, NULL, SOCK_CLOEXEC);
+	if (fd < 0)
+		return;
+	/* A probe only connects; an identification also asks, at once. */
+	if (recv(fd, request, sizeof(request), MSG_DONTWAIT) <= 0) {
+		struct timeval wait = {.tv_usec = 2000};
+
+		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+		if (recv(fd, request, sizeof(request), 0) <= 0) {
+			close(fd);
+			return;
+		}
+	}
+	snprintf(answer, sizeof(answer),
+		 "HTTP/1.1 %s\r\nInstance-Id: i-%llx\r\nContent-Length: 0\r\n"
+		 "Connection: close\r\n\r\n",
+		 endpoint->life == SOAK_ALIVE ? "200 OK" : "503 Leaving",
+		 (unsigned long long)endpoint->id);
+	(void)send(fd, answer, strlen(answer), MSG_NOSIGNAL);
+	close(fd);
+}
+
+static int listener_destructor(struct soak_listener *listener)
+{
+	TALLOC_FREE(listener->udp_event);
+	TALLOC_FREE(listener->tcp_event);
+	close(listener->udp_fd);
+	close(listener->tcp_fd);
+	return 0;
+}
+
+static struct soak_listener *listener_create(struct soak *soak, int endpoint,
+					     int place)
+{
+	struct soak_listener *listener =
+		talloc_zero(soak, struct soak_listener);
+	struct sockaddr_in name;
+	int on = 1;
+
+	listener->soak = soak;
+	listener->endpoint = endpoint;
+	jt_address_to_socket(place_address(place), &name);
+	listener->udp_fd = jt_udp_open(place_address(place), false);
+	listener->tcp_fd =
+		socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	setsockopt(listener->tcp_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (listener->udp_fd < 0 ||
+	    bind(listener->tcp_fd, (struct sockaddr *)&name, sizeof(name)) <
+		    0 ||
+	    listen(listener->tcp_fd, BACKLOG) < 0) {
+		perror("jaspertrack-soak: endpoint");
+		exit(1);
+	}
+	listener->udp_event =
+		tevent_add_fd(soak->loop, listener, listener->udp_fd,
+			      TEVENT_FD_READ, on_datagram, listener);
+	listener->tcp_event =
+		tevent_add_fd(soak->loop, listener, listener->tcp_fd,
+			      TEVENT_FD_READ, on_connection, listener);
+	talloc_set_destructor(listener, listener_destructor);
+	return listener;
+}
+
+/* Life */
+
+static void entry_write(struct soak *soak, const struct soak_endpoint *endpoint)
+{
+	char key[64], value[DOCUMENT], address[JT_ADDRESS_TEXT];
+
+	snprintf(key, sizeof(key), "servers/i-%llx",
+		 (unsigned long long)endpoint->id);
+	if (!endpoint->listed) {
+		soak_store_put(soak->store, key, NULL);
+		return;
+	}
+	snprintf(value, sizeof(value),
+		 "{\"service\":\"service-%u\",\"address\":\"%s\",\"zone\":"
+		 "\"zone-%u\",\"version\":\"v1\",\"capacity\":2,\"state\":"
+		 "\"%s\",\"coldLeftMs\":0,\"callCount\":1}",
+		 endpoint->service,
+		 jt_address_format(place_address(endpoint->place), address),
+		 endpoint->zone,
+		 endpoint->life == SOAK_DRAINING ? "draining" : "ready");
+	soak_store_put(soak->store, key, value);
+}
+
+int soak_endpoint_start(struct soak *soak, uint32_t service, int place)
+{
+	int index = soak->endpoint_count;
+	struct soak_endpoint *endpoint = &soak->endpoints[index];
+
+	if (index == SOAK_ENDPOINTS)
+		return -1;
+	soak->endpoint_count++;
+	*endpoint = (struct soak_endpoint){
+		.id = (jt_random_next(&soak->random) & 0xffffffffffull) | 1,
+		.service = service,
+		.zone = (uint32_t)place % SOAK_ZONES,
+		.place = place,
+		.listed = true,
+	};
+	endpoint->listener = listener_create(soak, index, place);
+	entry_write(soak, endpoint);
+	return index;
+}
+
+void soak_endpoint_drain(struct soak *soak, int index, bool silently)
+{
+	struct soak_endpoint *endpoint = &soak->endpoints[index];
+
+	if (silently)
+		endpoint->listed = false;
+	else
+		endpoint->life = SOAK_DRAINING;
+	entry_write(soak, endpoint);
+	endpoint->no_new_ms = jt_clock_ms();
+	endpoint->end_ms = endpoint->no_new_ms + SOAK_DRAIN_MS +
+			   soak_random(soak, LATE_END_MS);
+}
+
+static void endpoint_end(struct soak *soak, int index)
+{
+	struct soak_endpoint *endpoint = &soak->endpoints[index];
+
+	endpoint->life = SOAK_ENDED;
+	endpoint->end_ms = jt_clock_ms();
+	for (int i = 0; i < HELD; i++) {
+		if (held[i].endpoint == index)
+			flow_drop(&held[i]);
+	}
+	if (!endpoint->dark)
+		TALLOC_FREE(endpoint->listener);
+}
+
+void soak_endpoint_crash(struct soak *soak, int index, bool dark)
+{
+	soak->endpoints[index].dark = dark;
+	endpoint_end(soak, index);
+}
+
+void soak_endpoint_cut(struct soak *soak, int index, uint64_t for_ms)
+{
+	struct soak_endpoint *endpoint = &soak->endpoints[index];
+
+	endpoint->silent_until_ms = jt_clock_ms() + for_ms;
+	endpoint->disturbed_ms = endpoint->silent_until_ms;
+}
+
+/* What the store does with one that ended, and who comes after it. */
+static void endpoint_replace(struct soak *soak, int index, uint64_t now_ms)
+{
+	struct soak_endpoint *endpoint = &soak->endpoints[index];
+	uint32_t service = soak_random(soak, 3) == 0
+				   ? (endpoint->service + 1) % SOAK_SERVICES
+				   : endpoint->service;
+	unsigned of_service = 0;
+
+	if (endpoint->listed && now_ms - endpoint->end_ms > 1500) {
+		endpoint->listed = false;
+		entry_write(soak, endpoint);
+		if (endpoint->no_new_ms == 0)
+			endpoint->no_new_ms = now_ms;
+	}
+	if (endpoint->listed || now_ms - endpoint->end_ms < SOAK_REUSE_MS)
+		return;
+	/* Each service keeps some endpoints. */
+	for (int i = 0; i < soak->endpoint_count; i++) {
+		of_service += soak->endpoints[i].service == endpoint->service &&
+			      soak->endpoints[i].life == SOAK_ALIVE;
+	}
+	if (of_service < 2)
+		service = endpoint->service;
+	TALLOC_FREE(endpoint->listener);
+	endpoint->dark = false;
+	soak_endpoint_start(soak, service, endpoint->place);
+	endpoint->place = -1;
+}
+
+static void answers_send(struct soak *soak, uint64_t now_ms)
+{
+	for (int i = 0; i < HELD; i++) {
+		struct held_flow *flow = &held[i];
+
+		if (flow->endpoint < 0 || !flow->running ||
+		    now_ms < flow->answer_ms)
+			continue;
+		flow->running = false;
+		flow->answered = true;
+		flow->answer.echo = flow->echo;
+		flow->answer.length = (size_t)snprintf(
+			flow->answer.data, sizeof(flow->answer.data),
+			"HTTP/1.1 200 OK\r\nServer-Seal: %u\r\n\r\n%llx",
+			flow->request,
+			(unsigned long long)soak->endpoints[flow->endpoint].id);
+		flow->sequence += (uint32_t)flow->answer.length;
+		/* One that leaves closes each flow after its answer. */
+		if (soak->endpoints[flow->endpoint].life == SOAK_DRAINING)
+			flow->answer.flags |= SOAK_FIN;
+		send_to_caller(soak, flow->endpoint, &flow->answer);
+	}
+}
+
+void soak_endpoints_tick(struct soak *soak)
+{
+	uint64_t now_ms = jt_clock_ms();
+	int count = soak->endpoint_count;
+
+	answers_send(soak, now_ms);
+	for (int i = 0; i < count; i++) {
+		struct soak_endpoint *endpoint = &soak->endpoints[i];
+
+		if (endpoint->place < 0)
+			continue;
+		if (endpoint->life == SOAK_ENDED) {
+			endpoint_replace(soak, i, now_ms);
+		} else if (endpoint->no_new_ms != 0 &&
+			   now_ms >= endpoint->end_ms) {
+			endpoint->listed = false;
+			entry_write(soak, endpoint);
+			endpoint_end(soak, i);
+		} else if (endpoint->listener != NULL &&
+			   endpoint_hears(endpoint)) {
+			tevent_fd_set_flags(endpoint->listener->tcp_event,
+					    TEVENT_FD_READ);
+		}
+	}
+}
+
+void soak_endpoints_create(struct soak *soak)
+{
+	for (int i = 0; i < HELD; i++)
+		held[i].endpoint = -1;
+	for (int i = 0; i < SOAK_ADDRESSES; i++)
+		soak_endpoint_start(soak, i < SOAK_ADDRESSES / 2 ? 0 : 1, i);
+}
--- /dev/null
+++ b/tests/soak/soak_oracle.c
@@ -0,0 +1,223 @@
+/* What must hold, judged from what callers and endpoints have seen. */
+#include "soak.h"
+
+#include <stdarg.h>
+#include <stdlib.h>
+
+enum {
+	DOCUMENT = 2048,
+	/* By then an end is known: its entry has gone, or its address has a new
+	 * owner. */
+	ENDED_KNOWN_MS = 6000,
+};
+
+uint64_t soak_random(struct soak *soak, uint64_t below)
+{
+	return jt_random_next(&soak->random) % below;
+}
+
+static void line(struct soak *soak, const char *kind, const char *format,
+		 va_list list)
+{
+	char *text = talloc_vasprintf(soak, format, list);
+
+	fprintf(soak->events, "%8.3f %s %s\n",
+		(double)(jt_clock_ms() - soak->began_ms) / 1000.0, kind, text);
+	fflush(soak->events);
+	talloc_free(text);
+}
+
+void soak_note(struct soak *soak, const char *format, ...)
+{
+	va_list list;
+
+	va_start(list, format);
+	line(soak, "fault", format, list);
+	va_end(list);
+}
+
+void soak_broken(struct soak *soak, const char *promise, const char *format,
+		 ...)
+{
+	va_list list;
+	char *kind = talloc_asprintf(soak, "BROKEN %s", promise);
+
+	soak->broken++;
+	va_start(list, format);
+	line(soak, kind, format, list);
+	va_end(list);
+	talloc_free(kind);
+}
+
+/* The newest version that was acknowledged by then; 0: none. */
+static uint64_t version_at(const struct soak *soak, uint64_t at_ms)
+{
+	uint64_t version = soak->version;
+
+	while (version > 0 && soak->versions[version].acked_ms > at_ms)
+		version--;
+	return version;
+}
+
+/* The oldest version from @least on that sends the switch route there. */
+static uint64_t version_with(const struct soak *soak, uint64_t least,
+			     uint32_t service)
+{
+	uint64_t version = least > 0 ? least : 1;
+
+	while (version <= soak->version &&
+	       soak->versions[version].switch_service != service)
+		version++;
+	return version <= soak->version ? version : 0;
+}
+
+/* Whether the store was left alone for the contact time before then. */
+static bool store_stable(const struct soak *soak, uint64_t at_ms)
+{
+	uint64_t disturbed_ms = soak_store_disturbed_ms(soak->store);
+
+	return disturbed_ms == 0 || disturbed_ms + SOAK_CONTACT_MS <= at_ms;
+}
+
+/* Whether times bind what a node did with a packet sent then: both it and the
+ * store were left alone for the contact time before the bound began. */
+static bool bound_holds(const struct soak *soak, int node, uint64_t sent_ms,
+			uint64_t bound_ms)
+{
+	uint64_t from_ms = sent_ms > bound_ms ? sent_ms - bound_ms : 0;
+
+	return soak_node_in_touch(soak, node, sent_ms) &&
+	       store_stable(soak, from_ms);
+}
+
+static void check_switch(struct soak *soak, int node, uint32_t service,
+			 uint64_t sent_ms)
+{
+	struct soak_node *via = &soak->nodes[node];
+	uint64_t bound = version_at(
+		soak, sent_ms > SOAK_CONFIG_MS ? sent_ms - SOAK_CONFIG_MS : 0);
+	uint64_t seen;
+
+	if (version_with(soak, bound, service) == 0 &&
+	    bound_holds(soak, node, sent_ms, SOAK_CONFIG_MS))
+		soak_broken(soak, "CONFIG",
+			    "node %d sent a new flow to service %u, which no "
+			    "version from %llu on allows",
+			    node, service, (unsigned long long)bound);
+	seen = version_with(soak, via->version_seen, service);
+	if (seen == 0 && sent_ms > via->version_seen_ms + SOAK_ROLLBACK_MS)
+		soak_broken(soak, "CONFIG",
+			    "node %d went back: service %u after version %llu",
+			    node, service,
+			    (unsigned long long)via->version_seen);
+	if (seen > via->version_seen) {
+		via->version_seen = seen;
+		via->version_seen_ms = jt_clock_ms();
+	}
+}
+
+void soak_check_first(struct soak *soak, int index, int node,
+		      uint16_t route_port, uint64_t sent_ms)
+{
+	const struct soak_endpoint *endpoint = &soak->endpoints[index];
+
+	if (route_port == SOAK_STEADY_PORT && endpoint->service != 0)
+		soak_broken(soak, "ROUTE",
+			    "node %d sent a flow of the steady route to "
+			    "service %u",
+			    node, endpoint->service);
+	else if (route_port == SOAK_SWITCH_PORT)
+		check_switch(soak, node, endpoint->service, sent_ms);
+	else if (route_port != SOAK_STEADY_PORT)
+		soak_broken(soak, "ROUTE", "node %d forwarded to no route",
+			    node);
+	if (endpoint->no_new_ms != 0 &&
+	    sent_ms > endpoint->no_new_ms + SOAK_DRAIN_MS &&
+	    bound_holds(soak, node, sent_ms, SOAK_DRAIN_MS))
+		soak_broken(
+			soak, "DRAIN",
+			"node %d sent a new flow to %llx, %llu ms after it "
+			"was told as leaving",
+			node, (unsigned long long)endpoint->id,
+			(unsigned long long)(sent_ms - endpoint->no_new_ms));
+}
+
+void soak_check_refused(struct soak *soak, int node, uint16_t route_port,
+			uint64_t sent_ms)
+{
+	bool willing = false, ended = false;
+	uint32_t service;
+
+	soak->refused++;
+	if (route_port != SOAK_STEADY_PORT && route_port != SOAK_SWITCH_PORT)
+		return;
+	service = route_port == SOAK_STEADY_PORT
+			  ? 0
+			  : soak->versions[soak->version].switch_service;
+	for (int i = 0; i < soak->endpoint_count; i++) {
+		const struct soak_endpoint *endpoint = &soak->endpoints[i];
+
+		willing = willing ||
+			  (endpoint->service == service &&
+			   endpoint->life == SOAK_ALIVE && endpoint->listed &&
+			   endpoint->disturbed_ms + SOAK_CONTACT_MS < sent_ms);
+		/* The first packet may have gone there: then the reset tells
+		 * the caller of that endpoint's end. */
+		ended = ended || (endpoint->service == service &&
+				  endpoint->life == SOAK_ENDED &&
+				  endpoint->end_ms + ENDED_KNOWN_MS > sent_ms);
+	}
+	if (willing && !ended &&
+	    bound_holds(soak, node, sent_ms, SOAK_CONFIG_MS))
+		soak_broken(soak, "CONFIG",
+			    "node %d refused a flow of a route with endpoints",
+			    node);
+}
+
+void soak_check_reset(struct soak *soak, int node, int index)
+{
+	const struct soak_endpoint *endpoint = &soak->endpoints[index];
+	uint64_t now_ms = jt_clock_ms();
+
+	soak->resets++;
+	if (endpoint->life == SOAK_ENDED ||
+	    endpoint->disturbed_ms + SOAK_CONTACT_MS > now_ms)
+		return;
+	soak_broken(soak, "FLOW",
+		    "node %d reset an open flow of %llx, which serves", node,
+		    (unsigned long long)endpoint->id);
+}
+
+void soak_check_astray(struct soak *soak, int index, int owner, int node)
+{
+	soak_broken(soak, "FLOW",
+		    "node %d sent a packet of an open flow of %llx to %llx",
+		    node, (unsigned long long)soak->endpoints[owner].id,
+		    (unsigned long long)soak->endpoints[index].id);
+}
+
+void soak_version_next(struct soak *soak)
+{
+	char document[DOCUMENT];
+	uint32_t service = (uint32_t)soak->version % SOAK_SERVICES;
+
+	if (soak->version + 1 >= SOAK_VERSIONS)
+		return;
+	snprintf(document, sizeof(document),
+		 "{\"version\":%llu,\"routes\":["
+		 "{\"name\":\"steady\",\"host\":\"198.18.0.1\",\"pathPrefix\":"
+		 "\"/%d/\",\"service\":\"service-0\",\"priority\":1},"
+		 "{\"name\":\"switch\",\"host\":\"198.18.0.1\",\"pathPrefix\":"
+		 "\"/%d/\",\"service\":\"service-%u\",\"priority\":2}],"
+		 "\"services\":["
+		 "{\"name\":\"service-0\",\"healthPath\":\"/health\","
+		 "\"maxConns\":2000},"
+		 "{\"name\":\"service-1\",\"healthPath\":\"/health\","
+		 "\"maxConns\":2000}],\"limits\":{\"idleTimeoutMs\":%d}}",
+		 (unsigned long long)(soak->version * 3 + 1), SOAK_STEADY_PORT,
+		 SOAK_SWITCH_PORT, service, SOAK_IDLE_MS);
+	soak->version++;
+	soak->versions[soak->version].acked_ms = jt_clock_ms();
+	soak->versions[soak->version].switch_service = service;
+	soak_store_put(soak->store, "op/config", document);
+}
--- /dev/null
+++ b/tests/soak/soak_store.c
@@ -0,0 +1,285 @@
+/* The platform's store, as far as nodes use it: ranges and watches. */
+#include "soak.h"
+
+#include <jansson.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { ITEMS = 512, HISTORY = 4096, WATCHES = 64, VALUE = 8192 };
+
+struct item {
+	char key[64];
+	char *value; /* base64; NULL: gone */
+	uint64_t revision;
+};
+
+struct watch {
+	struct jt_http_request *request;
+	struct soak_store *store;
+	uint64_t after;
+	uint64_t due_ms;
+};
+
+struct soak_store {
+	struct soak *soak;
+	struct item items[ITEMS];
+	size_t item_count;
+	struct item history[HISTORY];
+	size_t history_count;
+	uint64_t forgotten; /* history up to there is gone */
+	uint64_t revision;
+	struct watch *watches[WATCHES]; /* each lives as long as its request */
+	uint64_t down_until_ms;
+	uint64_t disturbed_ms;
+	uint64_t throttled_until_ms[SOAK_NODES];
+	struct jt_http_server *server;
+	struct jt_timer *timer;
+};
+
+static json_t *item_json(const struct item *item)
+{
+	if (item->value == NULL)
+		return json_pack("{s:s, s:I, s:b}", "tlsKey", item->key,
+				 "revision", (json_int_t)item->revision, "gone",
+				 1);
+	return json_pack("{s:s, s:s, s:I}", "tlsKey", item->key, "value",
+			 item->value, "revision", (json_int_t)item->revision);
+}
+
+static void reply(struct jt_http_request *request, unsigned status,
+		  json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	jt_http_reply(request, status, "application/json", text);
+	free(text);
+	json_decref(body);
+}
+
+static void reply_error(struct jt_http_request *request, unsigned status)
+{
+	reply(request, status, json_pack("{s:s}", "error", "not now"));
+}
+
+static void range_answer(struct soak_store *store,
+			 struct jt_http_request *request)
+{
+	const char *prefix = jt_http_query(request, "pathPrefix");
+	json_t *items = json_array();
+
+	for (size_t i = 0; i < store->item_count; i++) {
+		const struct item *item = &store->items[i];
+
+		if (item->value != NULL && prefix != NULL &&
+		    strncmp(item->key, prefix, strlen(prefix)) == 0)
+			json_array_append_new(items, item_json(item));
+	}
+	reply(request, 200,
+	      json_pack("{s:o, s:b, s:I}", "items", items, "more", 0, "at",
+			(json_int_t)store->revision));
+}
+
+static bool watch_answer(struct soak_store *store,
+			 struct jt_http_request *request, uint64_t after,
+			 bool due)
+{
+	json_t *events;
+
+	if (after < store->forgotten) {
+		reply_error(request, 410);
+		return true;
+	}
+	if (after >= store->revision && !due)
+		return false;
+	events = json_array();
+	for (size_t i = 0; i < store->history_count; i++) {
+		if (store->history[i].revision > after)
+			json_array_append_new(events,
+					      item_json(&store->history[i]));
+	}
+	reply(request, 200,
+	      json_pack("{s:o, s:I}", "events", events, "at",
+			(json_int_t)store->revision));
+	return true;
+}
+
+static void on_watch_closed(void *private_data)
+{
+	struct watch *watch = private_data;
+
+	for (int i = 0; i < WATCHES; i++) {
+		if (watch->store->watches[i] == watch)
+			watch->store->watches[i] = NULL;
+	}
+	talloc_free(watch);
+}
+
+static void watch_take(struct soak_store *store,
+		       struct jt_http_request *request)
+{
+	const char *after = jt_http_query(request, "after");
+	const char *wait = jt_http_query(request, "waitMs");
+	uint64_t from = after ? strtoull(after, NULL, 10) : 0;
+	uint64_t wait_ms = wait ? strtoull(wait, NULL, 10) : 0;
+
+	if (watch_answer(store, request, from, wait_ms == 0))
+		return;
+	for (int i = 0; i < WATCHES; i++) {
+		struct watch *watch;
+
+		if (store->watches[i] != NULL)
+			continue;
+		watch = talloc_zero(store, struct watch);
+		*watch = (struct watch){request, store, from,
+					jt_clock_ms() + wait_ms};
+		store->watches[i] = watch;
+		jt_http_on_close(request, on_watch_closed, watch);
+		return;
+	}
+	reply_error(request, 503);
+}
+
+/* Each node reaches the store at an address of its own, a proxy's, and names
+ * it as the host; -1 for any other. */
+static int node_of(const struct jt_http_request *request)
+{
+	const char *host = jt_http_header(request, "Host");
+	struct jt_address address;
+
+	if (host == NULL || jt_address_parse(host, &address) != 0)
+		return -1;
+	return (int)(address.ip - SOAK_STORE_NET) - 2;
+}
+
+static void on_request(struct jt_http_request *request, void *private_data)
+{
+	struct soak_store *store = private_data;
+	const char *path = jt_http_path(request);
+	int node = node_of(request);
+	uint64_t now_ms = jt_clock_ms();
+
+	if (now_ms < store->down_until_ms)
+		reply_error(request, 503);
+	else if (node >= 0 && node < SOAK_NODES &&
+		 now_ms < store->throttled_until_ms[node])
+		reply_error(request, 429);
+	else if (strcmp(path, "/kv-range") == 0)
+		range_answer(store, request);
+	else if (strcmp(path, "/kv-watch") == 0)
+		watch_take(store, request);
+	else
+		reply_error(request, 404);
+}
+
+/* Answer what is due; all watches when @all. */
+static void watches_serve(struct soak_store *store, bool all)
+{
+	uint64_t now_ms = jt_clock_ms();
+
+	for (int i = 0; i < WATCHES; i++) {
+		struct watch *watch = store->watches[i];
+
+		if (watch == NULL)
+			continue;
+		if (now_ms < store->down_until_ms) {
+			store->watches[i] = NULL;
+			reply_error(watch->request, 503);
+		} else if (watch_answer(store, watch->request, watch->after,
+					all || now_ms >= watch->due_ms)) {
+			store->watches[i] = NULL;
+		}
+	}
+}
+
+static void on_timer(void *private_data)
+{
+	struct soak_store *store = private_data;
+
+	watches_serve(store, false);
+	jt_timer_set(store->timer, 50);
+}
+
+struct soak_store *soak_store_create(struct soak *soak)
+{
+	struct soak_store *store = talloc_zero(soak, struct soak_store);
+	struct jt_http_options options = {
+		.address = {SOAK_STORE_NET + 1, SOAK_STORE_PORT}};
+
+	store->soak = soak;
+	store->server = jt_http_server_create(store, soak->loop, &options,
+					      on_request, store);
+	if (store->server == NULL) {
+		talloc_free(store);
+		return NULL;
+	}
+	store->timer = jt_timer_create(store, soak->loop, on_timer, store);
+	jt_timer_set(store->timer, 50);
+	return store;
+}
+
+static struct item *item_find(struct soak_store *store, const char *key)
+{
+	for (size_t i = 0; i < store->item_count; i++) {
+		if (strcmp(store->items[i].key, key) == 0)
+			return &store->items[i];
+	}
+	if (store->item_count == ITEMS)
+		return NULL;
+	snprintf(store->items[store->item_count].key,
+		 sizeof(store->items[0].key), "%s", key);
+	return &store->items[store->item_count++];
+}
+
+uint64_t soak_store_put(struct soak_store *store, const char *key,
+			const char *value)
+{
+	struct item *item = item_find(store, key);
+	char text[VALUE];
+
+	if (item == NULL || store->history_count == HISTORY)
+		abort();
+	item->revision = ++store->revision;
+	item->value = NULL;
+	if (value != NULL) {
+		sodium_bin2base64(text, sizeof(text), (const uint8_t *)value,
+				  strlen(value),
+				  sodium_base64_VARIANT_ORIGINAL);
+		item->value = talloc_strdup(store, text);
+	}
+	store->history[store->history_count++] = *item;
+	watches_serve(store, false);
+	return store->revision;
+}
+
+void soak_store_down(struct soak_store *store, uint64_t until_ms)
+{
+	store->down_until_ms = until_ms;
+	store->disturbed_ms = until_ms;
+	watches_serve(store, true);
+}
+
+void soak_store_throttle(struct soak_store *store, int node, uint64_t until_ms)
+{
+	store->throttled_until_ms[node] = until_ms;
+}
+
+void soak_store_compact(struct soak_store *store)
+{
+	store->forgotten = store->revision;
+	store->history_count = 0;
+	store->disturbed_ms = jt_clock_ms();
+	for (int i = 0; i < WATCHES; i++) {
+		struct watch *watch = store->watches[i];
+
+		if (watch == NULL)
+			continue;
+		store->watches[i] = NULL;
+		reply_error(watch->request, 410);
+	}
+}
+
+uint64_t soak_store_disturbed_ms(const struct soak_store *store)
+{
+	return store->disturbed_ms;
+}
