--- a/src/common/jt_timer.h
+++ b/src/common/jt_timer.h
@@ -2,7 +2,7 @@
  * A timer on the monotonic clock inside a tevent loop.
  *
  * tevent's own timers follow the time of day, which may jump on any machine;
- * these do not (timerfd_create(2)).
+ * these do not. All timers of a loop share one descriptor.
  */
 #ifndef JT_TIMER_H
 #define JT_TIMER_H
--- a/src/label/jt_detector.c
+++ b/src/label/jt_detector.c
@@ -73,8 +73,9 @@
 	    incarnation->probing || now_ms < incarnation->probe_next_ms)
 		return false;
 	if (incarnation->state != JT_INCARNATION_DEAD)
-		return incarnation->failed_probes > 0 &&
-		       incarnation->failed_probes < PROBES_PROVE;
+		return incarnation->probe_owed ||
+		       (incarnation->failed_probes > 0 &&
+			incarnation->failed_probes < PROBES_PROVE);
 	return incarnation->cause != JT_DEATH_REPLACED &&
 	       incarnation->entry.gone_revision == 0;
 }
@@ -84,6 +85,7 @@
 {
 	(void)detector;
 	incarnation->probing = true;
+	incarnation->probe_owed = false;
 	incarnation->probe_sent_ms = now_ms;
 }
 
@@ -152,8 +154,10 @@
 	*cause = JT_DEATH_NONE;
 	if (outcome == JT_PROBE_CONNECTED)
 		return connected(detector, incarnation, now_ms);
-	if (outcome == JT_PROBE_VOID)
-		return JT_VERDICT_AGAIN;
+	if (outcome == JT_PROBE_VOID) {
+		incarnation->probe_owed = incarnation->suspected_ms != 0;
+		return JT_VERDICT_NONE;
+	}
 	if (dead)
 		return JT_VERDICT_NONE;
 	incarnation->failed_probes++;
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -40,6 +40,7 @@
 	uint32_t vain_connects;	 /* since the last sign of life on a flow */
 	uint32_t failed_probes;	 /* in a row, since the last sign of life */
 	bool probing;
+	bool probe_owed; /* the last one said nothing, and is made up for */
 
 	struct jt_service_pool *pool;
 	struct jt_incarnation *pool_next, *pool_prev; /* in the pool */
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -482,6 +482,28 @@
 	talloc_free(bench);
 }
 
+/* Failure 35: a probe that can't even begin must not be tried again and again
+ * without a pause: nothing else gets its turn. */
+static void test_probe_that_can_not_begin_waits(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	struct caller_flow flow, other;
+
+	(void)state;
+	flow_at_each(bench, &flow, &other);
+	suspect(bench, &flow);
+	bench_probed(bench, 0x101, JT_PROBE_VOID);
+	assert_int_equal(bench_count(bench, JT_DIRECTOR_PROBE), 0);
+	bench_tick(bench, 100);
+	assert_int_equal(bench_count(bench, JT_DIRECTOR_PROBE), 0);
+	/* It is made up for after the pause between probes. */
+	bench_tick(bench, 500);
+	assert_int_equal(bench_count(bench, JT_DIRECTOR_PROBE), 1);
+	bench_tick(bench, 500);
+	assert_int_equal(bench_count(bench, JT_DIRECTOR_PROBE), 0);
+	talloc_free(bench);
+}
+
 static void test_refusal_to_the_caller_is_noticed(void **state)
 {
 	struct bench *bench = two_endpoints(0);
@@ -967,6 +989,7 @@
 		cmocka_unit_test(test_node_just_started_condemns_with_care),
 		cmocka_unit_test(test_one_failed_probe_is_no_proof),
 		cmocka_unit_test(test_void_probe_says_nothing),
+		cmocka_unit_test(test_probe_that_can_not_begin_waits),
 		cmocka_unit_test(test_refusal_to_the_caller_is_noticed),
 		cmocka_unit_test(test_dead_endpoint_comes_back),
 		cmocka_unit_test(test_who_answers_for_a_dead_endpoint),
