A page of the store asked for in an outage is asked for again when it ends

Cause: nodes that started while the store was silent waited 4 s, the limit of a page, for an answer that could not come: a connection begun in the outage goes on trying. Change: checks beside a page that is long in coming; one that fails and one that works after it show that the page's connection is a dead one.

--- a/src/director/jt_directory_sync.c
+++ b/src/director/jt_directory_sync.c
@@ -13,6 +13,9 @@
 	/* While a watch is held, a short call shows that the store answers. */
 	CHECK_MS = 500,
 	CHECK_TIMEOUT_MS = 800,
+	/* The same beside a page that is long in coming. */
+	PAGE_CHECK_MS = 250,
+	PAGE_CHECK_TIMEOUT_MS = 400,
 	/* A node that leaves the store to peers looks if it is back. */
 	LOST_CHECK_MS = 2500,
 };
@@ -166,6 +169,17 @@
 	watch_store(sync, status);
 }
 
+static void list_start(struct jt_directory_sync *sync);
+
+static void page_checked(struct jt_directory_sync *sync,
+			 enum jt_kv_status status)
+{
+	if (!jt_follower_page_checked(&sync->follower, status))
+		return;
+	TALLOC_FREE(sync->call);
+	list_start(sync);
+}
+
 static void on_checked(struct tevent_req *req)
 {
 	struct jt_directory_sync *sync =
@@ -183,6 +197,8 @@
 	sync->counters.checks[status]++;
 	if (!sync->following)
 		check_take_idle(sync, status);
+	else if (sync->call != NULL && !sync->watching)
+		page_checked(sync, status);
 	else if (sync->watching &&
 		 jt_follower_checked(&sync->follower, status, at,
 				     sync->watch_ms, jt_clock_ms()))
@@ -191,8 +207,11 @@
 
 static void check_start(struct jt_directory_sync *sync)
 {
+	bool beside_page = sync->call != NULL && !sync->watching;
+
 	sync->check = sync->directory->check_send(
-		sync, sync->client, sync->store, CHECK_TIMEOUT_MS);
+		sync, sync->client, sync->store,
+		beside_page ? PAGE_CHECK_TIMEOUT_MS : CHECK_TIMEOUT_MS);
 	if (sync->check != NULL)
 		tevent_req_set_callback(sync->check, on_checked, sync);
 }
@@ -201,8 +220,9 @@
 {
 	struct jt_directory_sync *sync = private_data;
 
-	if (sync->following && sync->watching) {
-		jt_timer_set(sync->check_timer, CHECK_MS);
+	if (sync->following && sync->call != NULL) {
+		jt_timer_set(sync->check_timer,
+			     sync->watching ? CHECK_MS : PAGE_CHECK_MS);
 	} else if (!sync->following && sync->lost) {
 		jt_timer_set(sync->check_timer, LOST_CHECK_MS);
 	} else {
@@ -217,6 +237,7 @@
 	if (!sync->follower.paging)
 		sync->watcher.listing(sync->watcher.private_data);
 	sync->asked_ms = jt_clock_ms();
+	jt_timer_set(sync->check_timer, PAGE_CHECK_MS);
 	sync->call =
 		sync->directory->list_send(sync, sync->client, sync->store,
 					   sync->page_key, LIST_TIMEOUT_MS);
--- a/src/label/jt_follower.c
+++ b/src/label/jt_follower.c
@@ -103,6 +103,7 @@
 bool jt_follower_page(struct jt_follower *follower, enum jt_kv_status status,
 		      uint64_t at, bool more, uint64_t took_ms, uint64_t now_ms)
 {
+	follower->page_doubted = false;
 	if (status != JT_KV_OK) {
 		back_off(follower, now_ms);
 		return false;
@@ -126,6 +127,15 @@
 	return true;
 }
 
+bool jt_follower_page_checked(struct jt_follower *follower,
+			      enum jt_kv_status status)
+{
+	bool again = status == JT_KV_OK && follower->page_doubted;
+
+	follower->page_doubted = status == JT_KV_LOST;
+	return again;
+}
+
 bool jt_follower_informed(struct jt_follower *follower, uint64_t revision,
 			  uint64_t now_ms)
 {
--- a/src/label/jt_follower.h
+++ b/src/label/jt_follower.h
@@ -49,6 +49,7 @@
 	uint64_t answered_ms; /* last answer that made sense */
 	uint64_t as_of_ms;    /* all that the store had then is known */
 	uint64_t missed;      /* a revision that the watch has not told yet */
+	bool page_doubted;    /* a check beside the page under way failed */
 	struct jt_random random;
 };
 
@@ -82,6 +83,13 @@
 /* A watch's answer. */
 void jt_follower_watched(struct jt_follower *follower, enum jt_kv_status status,
 			 uint64_t at, bool changes, uint64_t now_ms);
+/*
+ * A short call beside a page that is long in coming came to @status. True: ask
+ * for the page again. One that was asked for while the store could not be
+ * reached gets no answer, also after the store is back.
+ */
+bool jt_follower_page_checked(struct jt_follower *follower,
+			      enum jt_kv_status status);
 const char *jt_kv_status_name(enum jt_kv_status status);
 
 #endif
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -260,6 +260,26 @@
 	assert_in_range(jt_follower_wait_ms(&follower), 5000, 30000);
 }
 
+/* Failure 36: a page asked for in an outage was waited for to its limit. */
+static void test_page_of_an_outage_is_asked_for_again(void **state)
+{
+	struct jt_follower follower;
+
+	(void)state;
+	jt_follower_init(&follower, 1);
+	/* A store that answers, but slowly, is not asked twice. */
+	assert_false(jt_follower_page_checked(&follower, JT_KV_OK));
+	assert_false(jt_follower_page_checked(&follower, JT_KV_OK));
+	assert_false(jt_follower_page_checked(&follower, JT_KV_LOST));
+	assert_false(jt_follower_page_checked(&follower, JT_KV_LOST));
+	assert_true(jt_follower_page_checked(&follower, JT_KV_OK));
+	assert_false(jt_follower_page_checked(&follower, JT_KV_OK));
+	/* A page that came settles the doubt. */
+	assert_false(jt_follower_page_checked(&follower, JT_KV_LOST));
+	jt_follower_page(&follower, JT_KV_OK, 10, true, 0, 0);
+	assert_false(jt_follower_page_checked(&follower, JT_KV_OK));
+}
+
 static void test_resumes_from_what_peers_told(void **state)
 {
 	struct jt_follower follower = watching_at(10);
@@ -293,6 +313,7 @@
 		cmocka_unit_test(test_watch_that_misses_a_change_is_given_up),
 		cmocka_unit_test(test_watch_that_tells_is_kept),
 		cmocka_unit_test(test_failed_check_gives_the_watch_up),
+		cmocka_unit_test(test_page_of_an_outage_is_asked_for_again),
 		cmocka_unit_test(test_resumes_from_what_peers_told),
 	};
 
