A first packet that is late or doubled is no new flow; data that comes again at once is no evidence

Ruled out: copies through another node (one node in all cases of the logs). Change: a first packet whose sequence lies within the known flow belongs to it; only the caller's own count of copies speaks against an endpoint; the same data counts as sent again after 100 ms, since a caller waits for 200.

--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -1,11 +1,17 @@
 /* What becomes of one packet of a caller. */
 #include "jt_director_private.h"
 
+/* No flow carries so much from its caller. */
+#define FLOW_BYTES_MOST (1u << 24)
+
 enum {
 	/* New part of the smoothed latency, in eighths. */
 	LATENCY_EIGHTHS = 2,
 	/* New part of the smoothed time to open: one in so many. */
 	OPEN_PART = 16,
+	/* A caller waits longer than that before it sends the same again: what
+	 * comes sooner was doubled by the network. */
+	RESEND_LEAST_MS = 100,
 	/* Flows without an answer that are looked at for each new one. */
 	OPENING_LOOK = 256,
 };
@@ -181,6 +187,7 @@
 	flow->label = incarnation->label;
 	flow->sequence_end = packet->sequence + packet->length;
 	flow->acknowledged = packet->acknowledged;
+	flow->sent_ms = now_ms;
 	incarnation->flows++;
 	return flow;
 }
@@ -232,6 +239,39 @@
 	}
 }
 
+/*
+ * Whether a first packet belongs to the flow that is known by its key: a copy,
+ * or one that was late or doubled. Otherwise the caller uses the port again;
+ * its sequence numbers then begin anywhere else.
+ */
+static bool first_belongs(const struct jt_cached_flow *flow,
+			  const struct jt_label_packet *packet)
+{
+	return flow->sequence_end - packet->sequence < FLOW_BYTES_MOST;
+}
+
+/* The first packet has come before: stay with its endpoint. */
+static void first_again(struct jt_director *director,
+			const struct jt_label_packet *packet,
+			struct jt_cached_flow *flow,
+			struct jt_incarnation *incarnation, uint64_t now_ms,
+			struct jt_director_actions *actions)
+{
+	/* The caller counts its copies; the network's own say nothing. */
+	bool sent_again =
+		flow->opening_ms != 0 && packet->acknowledged > flow->copies;
+
+	jt_flow_cache_touch(director->flows, flow, now_ms);
+	if (sent_again) {
+		flow->copies = packet->acknowledged;
+		director->counters.resent++;
+		jt_director_suspect(director, incarnation, JT_EVIDENCE_OPENING,
+				    now_ms, actions);
+	}
+	add_forward(director, packet, incarnation, JT_DIRECTOR_REMEMBERED,
+		    now_ms, actions);
+}
+
 /* The first packet of a flow, or a copy of it. */
 static void packet_first(struct jt_director *director,
 			 const struct jt_label_packet *packet, uint64_t now_ms,
@@ -253,8 +293,7 @@
 			  actions);
 		return;
 	}
-	if (flow != NULL && flow->sequence_end != packet->sequence) {
-		/* The caller uses the port of an earlier flow again. */
+	if (flow != NULL && !first_belongs(flow, packet)) {
 		jt_director_flow_forget(director, flow);
 		flow = NULL;
 	}
@@ -266,13 +305,8 @@
 			incarnation = NULL;
 		if (incarnation != NULL &&
 		    incarnation->state != JT_INCARNATION_DEAD) {
-			jt_flow_cache_touch(director->flows, flow, now_ms);
-			director->counters.resent++;
-			jt_director_suspect(director, incarnation,
-					    JT_EVIDENCE_OPENING, now_ms,
-					    actions);
-			add_forward(director, packet, incarnation,
-				    JT_DIRECTOR_REMEMBERED, now_ms, actions);
+			first_again(director, packet, flow, incarnation, now_ms,
+				    actions);
 			return;
 		}
 		jt_director_flow_forget(director, flow);
@@ -323,6 +357,7 @@
 		return;
 	if (sequence_after(end, flow->sequence_end)) {
 		flow->sequence_end = end;
+		flow->sent_ms = now_ms;
 		if (flow->waiting_ms == 0) {
 			route = jt_routing_route(director->routing,
 						 &packet->key);
@@ -331,9 +366,10 @@
 						 incarnation->entry.service_id);
 		}
 		flow_waits(flow, incarnation, now_ms);
-	} else if (!answered) {
+	} else if (!answered && now_ms - flow->sent_ms >= RESEND_LEAST_MS) {
 		director->counters.resent++;
 		flow->resent++;
+		flow->sent_ms = now_ms;
 		jt_director_suspect(director, incarnation, flow_evidence(flow),
 				    now_ms, actions);
 	}
--- a/src/label/jt_flow_cache.h
+++ b/src/label/jt_flow_cache.h
@@ -15,6 +15,8 @@
 	struct jt_flow_key key;
 	uint32_t label;	       /* of its endpoint */
 	uint32_t sequence_end; /* first byte the caller has not sent yet */
+	uint32_t copies;       /* of its first packet that the caller sent */
+	uint64_t sent_ms;      /* when the caller last sent data, or again */
 	uint32_t acknowledged; /* highest that the caller acknowledged */
 	uint64_t seen_ms;
 	uint64_t waiting_ms; /* since when a request waits, 0: none */
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -121,6 +121,104 @@
 	assert_false(copies_stay(JT_DIRECTOR_BREAK_PLACE_COPIES));
 }
 
+/* A flow at each endpoint. */
+static void flow_at_each(struct bench *bench, struct caller_flow *first,
+			 struct caller_flow *second)
+{
+	do {
+		*first = flow_new(bench, CALLER, BOARD_PORT);
+		flow_open(bench, first);
+	} while (first->endpoint_id != 0x101);
+	do {
+		*second = flow_new(bench, CALLER + 1, BOARD_PORT);
+		flow_open(bench, second);
+	} while (second->endpoint_id != 0x102);
+}
+
+/* Failure 37: the network doubles a first packet, and the second one comes
+ * when the flow is open already. */
+static void test_late_copy_of_a_first_packet_stays(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+
+	(void)state;
+	for (int i = 0; i < 20; i++) {
+		struct caller_flow flow =
+			flow_new(bench, CALLER + i, BOARD_PORT);
+		struct caller_flow first = flow;
+		uint64_t endpoint_id;
+
+		flow_open(bench, &flow);
+		endpoint_id = flow.endpoint_id;
+		flow_request(bench, &flow, 20);
+		assert_int_equal(flow_syn(bench, &first), endpoint_id);
+		/* It says nothing against the endpoint. */
+		assert_int_equal(bench_count(bench, JT_DIRECTOR_PROBE), 0);
+	}
+	talloc_free(bench);
+}
+
+/* The same where this node never saw the first one. */
+static void test_late_first_packet_of_a_known_flow_stays(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+
+	(void)state;
+	for (int i = 0; i < 20; i++) {
+		struct caller_flow flow =
+			flow_new(bench, CALLER + i, BOARD_PORT);
+		struct caller_flow first = flow;
+
+		flow.label = jt_flow_label(0x101);
+		flow.sequence++;
+		flow.acknowledged = 5000;
+		flow_send(bench, &flow, JT_PACKET_ACK, 100);
+		assert_int_equal(flow_syn(bench, &first), 0x101);
+	}
+	talloc_free(bench);
+}
+
+/* A caller that uses a port again, later, opens a new flow. */
+static void test_port_used_again_is_a_new_flow(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	struct caller_flow flow = flow_new(bench, CALLER, BOARD_PORT);
+	struct jt_endpoint_entry entry;
+
+	(void)state;
+	flow_open(bench, &flow);
+	entry = entry_of(flow.endpoint_id, SERVICE_BOARD, ZONE_A, 50);
+	entry.draining = true;
+	bench_entry(bench, entry);
+	flow.sequence += 0x20000000;
+	flow.acknowledged = 0;
+	flow.label = 0;
+	assert_int_not_equal(flow_syn(bench, &flow), entry.id);
+	talloc_free(bench);
+}
+
+/* Failure 37: data that the network doubles was not sent again. */
+static void test_doubled_data_is_no_evidence(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	struct caller_flow flow, other;
+
+	(void)state;
+	flow_at_each(bench, &flow, &other);
+	flow_request(bench, &flow, 20);
+	flow_send(bench, &flow, JT_PACKET_ACK, 100);
+	for (int i = 0; i < 3; i++) {
+		bench->now_ms += 20;
+		flow_send(bench, &flow, JT_PACKET_ACK, 100);
+		assert_int_equal(bench_count(bench, JT_DIRECTOR_PROBE), 0);
+	}
+	/* The caller itself sends again after 200 ms. */
+	bench->now_ms += 140;
+	flow_send(bench, &flow, JT_PACKET_ACK, 100);
+	assert_int_equal(bench_count(bench, JT_DIRECTOR_PROBE), 1);
+	talloc_free(bench);
+}
+
 static bool draining_gets_none(unsigned break_mechanism)
 {
 	struct bench *bench = two_endpoints(break_mechanism);
@@ -202,20 +300,6 @@
 	flow_send(bench, flow, JT_PACKET_ACK, 100);
 }
 
-/* A flow at each endpoint. */
-static void flow_at_each(struct bench *bench, struct caller_flow *first,
-			 struct caller_flow *second)
-{
-	do {
-		*first = flow_new(bench, CALLER, BOARD_PORT);
-		flow_open(bench, first);
-	} while (first->endpoint_id != 0x101);
-	do {
-		*second = flow_new(bench, CALLER + 1, BOARD_PORT);
-		flow_open(bench, second);
-	} while (second->endpoint_id != 0x102);
-}
-
 /* Whether an endpoint that ends without a word has its flows reset. */
 static bool dead_is_found(unsigned break_mechanism)
 {
@@ -975,6 +1059,10 @@
 		cmocka_unit_test(test_unknown_route_is_answered_at_once),
 		cmocka_unit_test(test_what_only_endpoints_send_is_dropped),
 		cmocka_unit_test(test_copies_of_a_first_packet_stay),
+		cmocka_unit_test(test_late_copy_of_a_first_packet_stays),
+		cmocka_unit_test(test_late_first_packet_of_a_known_flow_stays),
+		cmocka_unit_test(test_port_used_again_is_a_new_flow),
+		cmocka_unit_test(test_doubled_data_is_no_evidence),
 		cmocka_unit_test(test_draining_endpoint_keeps_only_its_flows),
 		cmocka_unit_test(test_flows_outlive_their_endpoints_entry),
 		cmocka_unit_test(test_all_lapsed_at_once_are_a_last_resort),
