Where nodes are many, most digests stay in their zone

Ruled out: packets that callers cause (the small sites' share of it is the same as before digests had loads). Change: beyond as many peers as one digest can name, one target in four is of any zone.

--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -11,6 +11,10 @@
 	BEHIND_MS = 60,
 	FETCH_PAUSE_MS = 100,
 	FETCH_FAILED_PAUSE_MS = 500,
+	/* Where one digest tells of all peers, any of them is as good a target;
+	 * where there are more, most digests stay in their zone: one round in
+	 * so many has a target of any zone. */
+	FAR_ROUNDS = 4,
 	/* Readers of the store there are at the least, over all zones. */
 	READERS_LEAST = 3,
 	/* One round in so many also tries a seed, or a peer that was lost. */
@@ -187,25 +191,6 @@
 	return count + 1;
 }
 
-size_t jt_membership_round(struct jt_membership *membership,
-			   struct jt_address targets[JT_DIGEST_FANOUT])
-{
-	size_t count = 0;
-
-	if (jt_membership_live(membership) < JT_DIGEST_FANOUT ||
-	    jt_random_next(&membership->random) % RETRY_ROUNDS == 0)
-		count = target_add(targets, count, peer_pick(membership, true));
-	while (count < JT_DIGEST_FANOUT) {
-		size_t before = count;
-
-		count = target_add(targets, count,
-				   peer_pick(membership, false));
-		if (count == before)
-			break;
-	}
-	return count;
-}
-
 /* A peer of the own zone at random, any when there is none. */
 static const struct jt_peer *peer_pick_near(struct jt_membership *membership)
 {
@@ -224,6 +209,33 @@
 	return peer_pick(membership, false);
 }
 
+/* Whom to tell in a round, whatever was told before. */
+static const struct jt_peer *peer_pick_round(struct jt_membership *membership)
+{
+	if (membership->count <= JT_DIRECTOR_MAX_PEERS ||
+	    jt_random_next(&membership->random) % FAR_ROUNDS == 0)
+		return peer_pick(membership, false);
+	return peer_pick_near(membership);
+}
+
+size_t jt_membership_round(struct jt_membership *membership,
+			   struct jt_address targets[JT_DIGEST_FANOUT])
+{
+	size_t count = 0;
+
+	if (jt_membership_live(membership) < JT_DIGEST_FANOUT ||
+	    jt_random_next(&membership->random) % RETRY_ROUNDS == 0)
+		count = target_add(targets, count, peer_pick(membership, true));
+	while (count < JT_DIGEST_FANOUT) {
+		size_t before = count;
+
+		count = target_add(targets, count, peer_pick_round(membership));
+		if (count == before)
+			break;
+	}
+	return count;
+}
+
 size_t jt_membership_news_targets(struct jt_membership *membership,
 				  struct jt_address targets[JT_NEWS_FANOUT])
 {
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -87,6 +87,33 @@
 	talloc_free(members);
 }
 
+/* Bytes between zones are dear: most digests of many peers stay in theirs. */
+static void test_digests_of_many_stay_in_their_zone(void **state)
+{
+	struct jt_membership *membership =
+		jt_membership_create(NULL, 1, address_of(0), 0);
+	unsigned near = 0, sent = 0;
+
+	(void)state;
+	for (int i = 1; i < NODES; i++) {
+		jt_wire_digest digest = {.zone = (u_int)i % 4};
+
+		jt_membership_digest(membership, 1000 + (uint64_t)i,
+				     address_of(i), &digest, 1000);
+	}
+	for (int round = 0; round < 400; round++) {
+		struct jt_address targets[JT_DIGEST_FANOUT];
+		size_t count = jt_membership_round(membership, targets);
+
+		for (size_t t = 0; t < count; t++) {
+			near += (targets[t].ip - 0x0a000000) % 4 == 0;
+			sent++;
+		}
+	}
+	assert_in_range(near * 100 / sent, 60, 85);
+	talloc_free(membership);
+}
+
 static void test_dead_peer_is_lost_and_told_once(void **state)
 {
 	struct jt_membership *membership =
@@ -166,6 +193,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_all_find_each_other_from_three_seeds),
+		cmocka_unit_test(test_digests_of_many_stay_in_their_zone),
 		cmocka_unit_test(test_dead_peer_is_lost_and_told_once),
 		cmocka_unit_test(test_node_behind_fetches_after_a_while),
 		cmocka_unit_test(test_node_that_starts_fetches_at_once),
