Peers' loads are summed as they come; files split by concern

The mean of the peers' flows was worked out twice for each endpoint and new flow, over all reports; a sum per endpoint is kept with them now (test_peer_loads compares it with the mean worked out anew over 3,000 random steps).

--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -1,4 +1,4 @@
-#include "jt_peer_exchange.h"
+#include "jt_peer_exchange_private.h"
 #include "jt_codec.h"
 #include "jt_http_server.h"
 #include "jt_net.h"
@@ -6,7 +6,6 @@
 
 #include <errno.h>
 #include <sodium.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -16,35 +15,9 @@
 	/* Just started nodes look for peers that know more, and tell. */
 	ROUND_FAST_MS = 100,
 	ROUND_FAST_FOR_MS = 3000,
-	FETCH_TIMEOUT_MS = 1500,
 	DATAGRAM_MOST = 1400, /* a digest fits into one packet */
 	DATAGRAM_BATCH = 32,
-	KNOWLEDGE_MOST = 8 << 20,
-	NEWS_MS = 10,	    /* changes that come together are told together */
-	FETCH_LOOK_MS = 70, /* a node that is behind looks again after that */
-};
-
-#define KNOWLEDGE_PATH "/knowledge"
-
-struct jt_peer_exchange {
-	struct tevent_context *loop;
-	struct jt_http_client *client;
-	const struct jt_log *log;
-	struct jt_keys keys;
-	struct jt_address address;
-	struct jt_peer_handler handler;
-	struct jt_membership *membership;
-	struct jt_http_server *server;
-	struct jt_timer *timer;
-	struct jt_timer *news_timer;
-	struct jt_timer *fetch_timer;
-	bool news_due;
-	uint64_t told_revision; /* up to which news was sent on */
-	struct tevent_req *fetch;
-	int fd;
-	uint64_t sequence;
-	uint64_t created_ms;
-	struct jt_peer_counters counters;
+	NEWS_MS = 10, /* changes that come together are told together */
 };
 
 static void message_send(struct jt_peer_exchange *exchange,
@@ -196,168 +169,6 @@
 	}
 }
 
-/* Knowledge */
-
-static void fetch_end(struct jt_peer_exchange *exchange, bool worked)
-{
-	exchange->fetch = NULL;
-	if (!worked)
-		exchange->counters.fetches_failed++;
-	jt_membership_fetched(exchange->membership, worked, jt_clock_ms());
-}
-
-static bool knowledge_take(struct jt_peer_exchange *exchange, const char *body,
-			   size_t length)
-{
-	jt_wire_director_message message = {0};
-	xdrproc_t decode = (xdrproc_t)xdr_jt_wire_director_message;
-	enum jt_codec_error error;
-	uint64_t sequence;
-
-	error = jt_frame_open(&exchange->keys, exchange->address,
-			      (const uint8_t *)body, length, &sequence, decode,
-			      &message);
-	if (error != JT_CODEC_OK) {
-		exchange->counters.rejected[error]++;
-		return false;
-	}
-	if (message.body.kind == JT_WIRE_KNOWLEDGE)
-		exchange->handler.learned(
-			&message.body.jt_wire_director_body_u.knowledge,
-			exchange->handler.private_data);
-	xdr_free(decode, &message);
-	return true;
-}
-
-static void on_fetched(struct tevent_req *req)
-{
-	struct jt_peer_exchange *exchange =
-		tevent_req_callback_data(req, struct jt_peer_exchange);
-	size_t length = 0;
-	long status = 0;
-	char *body = NULL;
-	bool worked;
-
-	worked = jt_http_recv_bytes(req, exchange, &status, &body, &length) ==
-			 0 &&
-		 status == 200 && knowledge_take(exchange, body, length);
-	talloc_free(body);
-	talloc_free(req);
-	fetch_end(exchange, worked);
-}
-
-static void fetch_start(struct jt_peer_exchange *exchange,
-			const struct jt_peer *peer)
-{
-	char from[JT_ADDRESS_TEXT], to[JT_ADDRESS_TEXT];
-	struct jt_http_call call = {.method = "GET",
-				    .timeout_ms = FETCH_TIMEOUT_MS};
-	struct jt_own_state own = {0};
-	char *url;
-
-	exchange->counters.fetches++;
-	jt_log_line(exchange->log, LOG_NOTICE,
-		    "event=knowledge_fetch peer=%s revision=%llu version=%llu",
-		    jt_address_format(peer->address, to),
-		    (unsigned long long)peer->revision,
-		    (unsigned long long)peer->routing_version);
-	exchange->handler.own_state(&own, exchange->handler.private_data);
-	url = talloc_asprintf(
-		exchange,
-		"http://%s" KNOWLEDGE_PATH "?to=%s&since=%llu&version=%llu", to,
-		jt_address_format(exchange->address, from),
-		own.started ? (unsigned long long)own.revision : 0,
-		(unsigned long long)own.routing_version);
-	if (url != NULL) {
-		call.url = url;
-		exchange->fetch =
-			jt_http_send(exchange, exchange->client, &call);
-		talloc_free(url);
-	}
-	if (exchange->fetch == NULL)
-		fetch_end(exchange, false);
-	else
-		tevent_req_set_callback(exchange->fetch, on_fetched, exchange);
-}
-
-/* What a peer knows already, as its request says; 0 where it does not. */
-static uint64_t query_number(const struct jt_http_request *request,
-			     const char *name)
-{
-	const char *text = jt_http_query(request, name);
-
-	return text != NULL ? strtoull(text, NULL, 10) : 0;
-}
-
-static void knowledge_reply(struct jt_peer_exchange *exchange,
-			    struct jt_http_request *request,
-			    struct jt_address to)
-{
-	jt_wire_director_message message = {
-		.from = exchange->membership->id,
-		.body.kind = JT_WIRE_KNOWLEDGE,
-	};
-	xdrproc_t encode = (xdrproc_t)xdr_jt_wire_director_message;
-	TALLOC_CTX *frame = talloc_new(exchange);
-	uint8_t *body = NULL;
-	size_t room, length = 0;
-
-	if (exchange->handler.knowledge(
-		    frame, query_number(request, "since"),
-		    query_number(request, "version"),
-		    &message.body.jt_wire_director_body_u.knowledge,
-		    exchange->handler.private_data)) {
-		room = xdr_sizeof(encode, &message) + JT_FRAME_HEADER +
-		       JT_TAG_BYTES;
-		if (room <= KNOWLEDGE_MOST)
-			body = talloc_size(frame, room);
-		if (body != NULL)
-			length = jt_frame_seal(&exchange->keys, to,
-					       ++exchange->sequence, encode,
-					       &message, body, room);
-	}
-	if (length > 0) {
-		exchange->counters.fetches_served++;
-		jt_http_reply_bytes(request, 200, "application/octet-stream",
-				    body, length);
-	} else {
-		jt_http_reply(request, 503, "text/plain", "no room\n");
-	}
-	talloc_free(frame);
-}
-
-static void on_request(struct jt_http_request *request, void *private_data)
-{
-	const char *to_text = jt_http_query(request, "to");
-	struct jt_address to;
-
-	if (strcmp(jt_http_path(request), KNOWLEDGE_PATH) != 0)
-		jt_http_reply(request, 404, "text/plain", "not found\n");
-	else if (to_text == NULL || jt_address_parse(to_text, &to) != 0)
-		jt_http_reply(request, 400, "text/plain",
-			      "to: must be IPV4:PORT\n");
-	else
-		knowledge_reply(private_data, request, to);
-}
-
-static void fetch_look(struct jt_peer_exchange *exchange, uint64_t now_ms)
-{
-	struct jt_own_state own = {0};
-	const struct jt_peer *peer;
-
-	exchange->handler.own_state(&own, exchange->handler.private_data);
-	peer = jt_membership_fetch(exchange->membership, &own, now_ms);
-	if (peer != NULL)
-		fetch_start(exchange, peer);
-	else if (exchange->membership->behind_ms != 0)
-		jt_timer_set(exchange->fetch_timer, FETCH_LOOK_MS);
-}
-
-static void on_fetch_due(void *private_data)
-{
-	fetch_look(private_data, jt_clock_ms());
-}
-
 /* Datagrams */
 
 static void digest_take(struct jt_peer_exchange *exchange, uint64_t peer,
@@ -383,7 +194,7 @@
 		exchange->handler.store_heard(now_ms - digest->store_age_ms,
 					      digest->store_reader,
 					      exchange->handler.private_data);
-	fetch_look(exchange, now_ms);
+	jt_peer_knowledge_look(exchange, now_ms);
 }
 
 static void message_take(struct jt_peer_exchange *exchange,
@@ -479,7 +290,7 @@
 	count = jt_membership_round(exchange->membership, targets);
 	digests_send(exchange, targets, count, now_ms);
 	loads_send(exchange, targets, count);
-	fetch_look(exchange, now_ms);
+	jt_peer_knowledge_look(exchange, now_ms);
 	jt_timer_set(exchange->timer,
 		     now_ms - exchange->created_ms < ROUND_FAST_FOR_MS
 			     ? ROUND_FAST_MS
@@ -520,8 +331,9 @@
 	exchange->fd = jt_udp_open(exchange->address, false);
 	if (exchange->fd < 0)
 		return false;
-	exchange->server = jt_http_server_create(
-		exchange, exchange->loop, &options, on_request, exchange);
+	exchange->server =
+		jt_http_server_create(exchange, exchange->loop, &options,
+				      jt_peer_knowledge_request, exchange);
 	return exchange->server != NULL &&
 	       tevent_add_fd(exchange->loop, exchange, exchange->fd,
 			     TEVENT_FD_READ, on_datagrams, exchange) != NULL;
@@ -554,8 +366,8 @@
 	exchange->timer = jt_timer_create(exchange, loop, on_round, exchange);
 	exchange->news_timer =
 		jt_timer_create(exchange, loop, on_news_due, exchange);
-	exchange->fetch_timer =
-		jt_timer_create(exchange, loop, on_fetch_due, exchange);
+	exchange->fetch_timer = jt_timer_create(
+		exchange, loop, jt_peer_knowledge_due, exchange);
 	if (exchange->membership == NULL || exchange->timer == NULL ||
 	    exchange->news_timer == NULL || exchange->fetch_timer == NULL)
 		goto fail;
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -22,7 +22,7 @@
 
 struct jt_chooser *jt_chooser_create(TALLOC_CTX *mem_ctx,
 				     const struct jt_director_options *opts,
-				     const struct jt_peer_loads *peer_loads)
+				     struct jt_peer_loads *peer_loads)
 {
 	struct jt_chooser *chooser = talloc_zero(mem_ctx, struct jt_chooser);
 
--- a/src/label/jt_choose.h
+++ b/src/label/jt_choose.h
@@ -27,7 +27,7 @@
 	struct jt_split *splits;
 	uint32_t zone_id;
 	uint32_t lapsed_grace_ms;
-	const struct jt_peer_loads *peer_loads;
+	struct jt_peer_loads *peer_loads;
 	uint64_t nodes; /* that share the endpoints, this one too */
 	struct jt_random random;
 	unsigned break_mechanism;
@@ -35,7 +35,7 @@
 
 struct jt_chooser *jt_chooser_create(TALLOC_CTX *mem_ctx,
 				     const struct jt_director_options *opts,
-				     const struct jt_peer_loads *peer_loads);
+				     struct jt_peer_loads *peer_loads);
 /* NULL when no endpoint of any part may take a new flow; @full is true where
  * that is for want of connections. */
 struct jt_incarnation *jt_chooser_choose(struct jt_chooser *chooser,
--- a/src/label/jt_detector.c
+++ b/src/label/jt_detector.c
@@ -80,10 +80,8 @@
 	       incarnation->entry.gone_revision == 0;
 }
 
-void jt_detector_probe_sent(struct jt_detector *detector,
-			    struct jt_incarnation *incarnation, uint64_t now_ms)
+void jt_detector_probe_sent(struct jt_incarnation *incarnation, uint64_t now_ms)
 {
-	(void)detector;
 	incarnation->probing = true;
 	incarnation->probe_owed = false;
 	incarnation->probe_sent_ms = now_ms;
--- a/src/label/jt_detector.h
+++ b/src/label/jt_detector.h
@@ -47,8 +47,7 @@
 bool jt_detector_probe_due(const struct jt_detector *detector,
 			   const struct jt_incarnation *incarnation,
 			   uint64_t now_ms);
-void jt_detector_probe_sent(struct jt_detector *detector,
-			    struct jt_incarnation *incarnation,
+void jt_detector_probe_sent(struct jt_incarnation *incarnation,
 			    uint64_t now_ms);
 
 enum jt_detector_verdict {
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -151,7 +151,7 @@
 		       struct jt_incarnation *incarnation, uint64_t now_ms,
 		       struct jt_director_actions *actions)
 {
-	jt_detector_probe_sent(&director->detector, incarnation, now_ms);
+	jt_detector_probe_sent(incarnation, now_ms);
 	director->counters.probes++;
 	jt_director_action_about(actions, JT_DIRECTOR_PROBE, 0, incarnation,
 				 now_ms);
--- a/src/label/jt_peer_loads.c
+++ b/src/label/jt_peer_loads.c
@@ -1,20 +1,91 @@
 #include "jt_peer_loads.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 enum { REPORT_AGE_MS = 10000 };
 
+static int loads_destructor(struct jt_peer_loads *peers)
+{
+	HASH_CLEAR(hh, peers->sums);
+	return 0;
+}
+
 struct jt_peer_loads *jt_peer_loads_create(TALLOC_CTX *mem_ctx)
 {
-	return talloc_zero(mem_ctx, struct jt_peer_loads);
+	struct jt_peer_loads *peers =
+		talloc_zero(mem_ctx, struct jt_peer_loads);
+
+	if (peers != NULL)
+		talloc_set_destructor(peers, loads_destructor);
+	return peers;
+}
+
+static struct jt_load_sum *sum_find(const struct jt_peer_loads *peers,
+				    uint32_t label)
+{
+	struct jt_load_sum *sum;
+
+	HASH_FIND(hh, peers->sums, &label, sizeof(label), sum);
+	return sum;
+}
+
+static void sum_add(struct jt_peer_loads *peers,
+		    const struct jt_endpoint_load *load)
+{
+	struct jt_load_sum *sum = sum_find(peers, load->label);
+
+	if (sum == NULL) {
+		sum = talloc_zero(peers, struct jt_load_sum);
+		if (sum == NULL)
+			return;
+		sum->label = load->label;
+		HASH_ADD(hh, peers->sums, label, sizeof(sum->label), sum);
+	}
+	sum->flows += load->flows;
+}
+
+static void sum_remove(struct jt_peer_loads *peers,
+		       const struct jt_endpoint_load *load)
+{
+	struct jt_load_sum *sum = sum_find(peers, load->label);
+
+	if (sum == NULL)
+		return;
+	sum->flows -= load->flows < sum->flows ? load->flows : sum->flows;
+	if (sum->flows > 0)
+		return;
+	HASH_DEL(peers->sums, sum);
+	talloc_free(sum);
+}
+
+static void report_drop(struct jt_peer_loads *peers, size_t place)
+{
+	struct jt_peer_report *report = peers->reports[place];
+
+	if (report == NULL)
+		return;
+	for (size_t i = 0; i < report->count; i++)
+		sum_remove(peers, &report->loads[i]);
+	TALLOC_FREE(peers->reports[place]);
+	peers->report_count--;
 }
 
-static int compare_loads(const void *a, const void *b)
+/* Drop outdated reports, and note when the next one will be. */
+static void reports_expire(struct jt_peer_loads *peers, uint64_t now_ms)
 {
-	const struct jt_endpoint_load *left = a, *right = b;
+	peers->outdated_ms = UINT64_MAX;
+	for (size_t i = 0; i < JT_PEER_LOADS_LIMIT; i++) {
+		const struct jt_peer_report *report = peers->reports[i];
+		uint64_t outdated_ms;
 
-	return (left->label > right->label) - (left->label < right->label);
+		if (report == NULL)
+			continue;
+		outdated_ms = report->told_ms + REPORT_AGE_MS + 1;
+		if (now_ms >= outdated_ms)
+			report_drop(peers, i);
+		else if (outdated_ms < peers->outdated_ms)
+			peers->outdated_ms = outdated_ms;
+	}
 }
 
 /* The peer's report, or the place of the one that is oldest. */
@@ -41,42 +112,36 @@
 			uint64_t now_ms)
 {
 	size_t place = report_place(peers, peer);
-	struct jt_peer_report *report = peers->reports[place];
+	struct jt_peer_report *report;
 
-	if (report == NULL) {
-		report = talloc_zero(peers, struct jt_peer_report);
-		if (report == NULL)
-			return;
-		peers->reports[place] = report;
-	}
+	report_drop(peers, place);
+	report = talloc_zero(peers, struct jt_peer_report);
+	if (report == NULL)
+		return;
 	if (count > JT_LOAD_LIMIT)
 		count = JT_LOAD_LIMIT;
 	report->peer = peer;
 	report->told_ms = now_ms;
 	report->count = count;
-	if (count == 0)
-		return;
-	memcpy(report->loads, loads, count * sizeof(*loads));
-	qsort(report->loads, count, sizeof(*loads), compare_loads);
+	if (count > 0)
+		memcpy(report->loads, loads, count * sizeof(*loads));
+	peers->reports[place] = report;
+	peers->report_count++;
+	for (size_t i = 0; i < count; i++)
+		sum_add(peers, &report->loads[i]);
+	reports_expire(peers, now_ms);
 }
 
-double jt_peer_loads_mean(const struct jt_peer_loads *peers, uint32_t label,
+double jt_peer_loads_mean(struct jt_peer_loads *peers, uint32_t label,
 			  uint64_t now_ms)
 {
-	struct jt_endpoint_load wanted = {.label = label};
-	uint64_t flows = 0, reports = 0;
+	const struct jt_load_sum *sum;
 
-	for (size_t i = 0; i < JT_PEER_LOADS_LIMIT; i++) {
-		const struct jt_peer_report *report = peers->reports[i];
-		const struct jt_endpoint_load *load;
-
-		if (report == NULL || now_ms - report->told_ms > REPORT_AGE_MS)
-			continue;
-		reports++;
-		load = bsearch(&wanted, report->loads, report->count,
-			       sizeof(wanted), compare_loads);
-		if (load != NULL)
-			flows += load->flows;
-	}
-	return reports > 0 ? (double)flows / (double)reports : 0;
+	if (now_ms >= peers->outdated_ms)
+		reports_expire(peers, now_ms);
+	if (peers->report_count == 0)
+		return 0;
+	sum = sum_find(peers, label);
+	return sum != NULL ? (double)sum->flows / (double)peers->report_count
+			   : 0;
 }
--- a/tests/director_fixture.h
+++ b/tests/director_fixture.h
@@ -15,6 +15,7 @@
 	SERVICE_EXPORT = 12,
 	ZONE_A = 1,
 	ZONE_B = 2,
+	CALLER = 0x64400007,
 	ROUTE_IP = 0xc6120001,
 	BOARD_PORT = 443,
 	SPLIT_PORT = 8443,
@@ -251,4 +252,65 @@
 	flow_send(bench, flow, JT_PACKET_ACK, 0);
 }
 
+static inline struct bench *two_endpoints(unsigned break_mechanism)
+{
+	struct bench *bench = bench_create(break_mechanism);
+
+	bench_routing(bench, 1, 50, 50);
+	bench_endpoint(bench, 0x101, SERVICE_BOARD, ZONE_A, 2);
+	bench_endpoint(bench, 0x102, SERVICE_BOARD, ZONE_A, 3);
+	bench_listed(bench, 3);
+	/* Long enough to have seen the flows that were open before. */
+	bench_tick(bench, 20000);
+	return bench;
+}
+
+static inline enum jt_incarnation_state state_of(const struct bench *bench,
+						 uint64_t id)
+{
+	struct jt_endpoint_entry entry;
+	enum jt_incarnation_state state;
+
+	for (size_t i = 0;
+	     jt_director_endpoint_at(bench->director, i, &entry, &state); i++) {
+		if (entry.id == id)
+			return state;
+	}
+	fail_msg("no endpoint %llx", (unsigned long long)id);
+	return JT_INCARNATION_DEAD;
+}
+
+/* A flow at each endpoint. */
+static inline void flow_at_each(struct bench *bench, struct caller_flow *first,
+				struct caller_flow *second)
+{
+	do {
+		*first = flow_new(bench, CALLER, BOARD_PORT);
+		flow_open(bench, first);
+	} while (first->endpoint_id != 0x101);
+	do {
+		*second = flow_new(bench, CALLER + 1, BOARD_PORT);
+		flow_open(bench, second);
+	} while (second->endpoint_id != 0x102);
+}
+
+/* The service's endpoints hold so many flows each. */
+static inline void limit_connections(struct bench *bench, uint32_t limit)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_ROUTING};
+	const struct jt_routing *old = jt_director_routing(bench->director);
+	struct jt_routing *routing = talloc_zero(bench, struct jt_routing);
+
+	*routing = *old;
+	routing->version++;
+	routing->services = talloc_zero(routing, struct jt_routed_service);
+	routing->services[0].id = SERVICE_BOARD;
+	routing->services[0].connection_limit = limit;
+	routing->service_count = 1;
+	routing->routes = talloc_memdup(
+		routing, old->routes, old->route_count * sizeof(*old->routes));
+	event.u.routing = routing;
+	bench_event(bench, &event);
+}
+
 #endif
