Live peers of many are not taken for lost; a weak node ends earlier before its limit

Each digest names 16 peers; with 88 a node hears of each less often than the 4 s after which it counts as lost. Change: the limit grows with the number of peers.

--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -14,8 +14,10 @@
 	TICK_MS = 100,
 	PACKET_BATCH = 64, /* datagrams before other events get a turn */
 	HELD_LIMIT = 1024, /* packets that wait for the node's start */
-	/* A leaving node ends so long before its limit. */
+	/* A leaving node ends so long before its limit, and longer by what its
+	 * end costs: thousandths of a core times milliseconds. */
 	LEAVE_MARGIN_MS = 400,
+	LEAVE_COST = 10 * 1000,
 	/* Part of the drain limit for which a lapsed endpoint may be used. */
 	LAPSED_PERCENT = 60,
 };
@@ -289,10 +291,12 @@
 static void watch_leave(struct jt_director_node *node, uint64_t now_ms)
 {
 	uint64_t limit_ms = node->settings->leave_limit_ms;
+	uint64_t margin_ms =
+		LEAVE_MARGIN_MS + LEAVE_COST / node->settings->reader_weight;
 
 	if (node->leaving_ms == 0 || node->on_left == NULL)
 		return;
-	limit_ms = limit_ms > LEAVE_MARGIN_MS ? limit_ms - LEAVE_MARGIN_MS : 0;
+	limit_ms = limit_ms > margin_ms ? limit_ms - margin_ms : 0;
 	if (now_ms - node->leaving_ms < limit_ms)
 		return;
 	jt_log_line(node->log, LOG_NOTICE, "event=left after_ms=%llu",
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -3,7 +3,10 @@
 #include <string.h>
 
 enum {
-	PEER_LOST_MS = 4000,	/* silent for so long */
+	/* Silent for so long, and longer by as much for each so many peers:
+	 * where there are many, each is heard of less often. */
+	PEER_LOST_MS = 4000,
+	PEER_LOST_PEERS = 25,
 	PEER_FORGET_MS = 60000, /* and forgotten after so long */
 	/* How long the store may take to tell what a peer knows already, and
 	 * how long news of it may be under way to a node that does not read. */
@@ -96,6 +99,13 @@
 		peer_add(membership, address);
 }
 
+/* How long a peer may be silent before it counts as lost. */
+static uint64_t lost_ms(const struct jt_membership *membership)
+{
+	return PEER_LOST_MS +
+	       PEER_LOST_MS * membership->count / PEER_LOST_PEERS;
+}
+
 /* What another node has heard of a third one. */
 static void peer_hearsay(struct jt_membership *membership,
 			 const jt_wire_peer *told, uint64_t now_ms)
@@ -106,7 +116,7 @@
 
 	if (told->id == membership->id || told->port > UINT16_MAX ||
 	    jt_address_same(address, membership->address) ||
-	    told->age_ms >= PEER_LOST_MS)
+	    told->age_ms >= lost_ms(membership))
 		return;
 	peer = peer_find(membership, address);
 	if (peer == NULL) {
@@ -357,7 +367,7 @@
 		struct jt_peer *peer = &membership->peers[i];
 		uint64_t silent_ms = now_ms - peer->heard_ms;
 
-		if (jt_peer_lives(peer) && silent_ms >= PEER_LOST_MS) {
+		if (jt_peer_lives(peer) && silent_ms >= lost_ms(membership)) {
 			peer->lost = true;
 			peer->heard = false;
 			return peer;
