--- a/src/common/jt_timer.c
+++ b/src/common/jt_timer.c
@@ -5,23 +5,25 @@
  */
 #include "jt_timer.h"
 
+#include <sys/queue.h>
 #include <sys/timerfd.h>
 #include <time.h>
 #include <unistd.h>
-#include <utlist.h>
 
 enum { NS_PER_MS = 1000000, NS_PER_S = 1000000000 };
 
 struct jt_timer_queue;
 
+TAILQ_HEAD(timer_list, jt_timer);
+
 struct jt_timer {
 	struct jt_timer_queue *queue; /* NULL once the loop is gone */
-	struct jt_timer **list;	      /* that holds it; NULL: it is not set */
+	struct timer_list *list;      /* that holds it; NULL: it is not set */
 	uint64_t due_ns;
 	void (*callback)(void *);
 	void *private_data;
-	struct jt_timer *prev, *next;		    /* in the list */
-	struct jt_timer *member_prev, *member_next; /* of the queue */
+	TAILQ_ENTRY(jt_timer) link;   /* in the list */
+	TAILQ_ENTRY(jt_timer) member; /* of the queue */
 };
 
 /* The timers of one loop; freed with it. */
@@ -29,15 +31,17 @@
 	struct tevent_context *loop;
 	int fd;
 	struct tevent_fd *watch;
-	struct jt_timer *members;
-	struct jt_timer *set;	 /* the earliest first */
-	struct jt_timer *firing; /* due, their callbacks not yet made */
-	uint64_t armed_ns;	 /* what the descriptor is set to, 0: never */
-	struct jt_timer_queue *prev, *next;
+	struct timer_list members;
+	struct timer_list set;	  /* the earliest first */
+	struct timer_list firing; /* due, their callbacks not yet made */
+	uint64_t armed_ns;	  /* what the descriptor is set to, 0: never */
+	TAILQ_ENTRY(jt_timer_queue) link;
 };
 
+TAILQ_HEAD(queue_list, jt_timer_queue);
+
 /* Loops are used by the thread that made them. */
-static _Thread_local struct jt_timer_queue *queues;
+static _Thread_local struct queue_list queues;
 
 static uint64_t clock_ns(void)
 {
@@ -50,7 +54,8 @@
 /* Set the descriptor to the earliest timer. */
 static void queue_arm(struct jt_timer_queue *queue)
 {
-	uint64_t due_ns = queue->set != NULL ? queue->set->due_ns : 0;
+	const struct jt_timer *first = TAILQ_FIRST(&queue->set);
+	uint64_t due_ns = first != NULL ? first->due_ns : 0;
 	struct itimerspec due = {
 		.it_value = {.tv_sec = (time_t)(due_ns / NS_PER_S),
 			     .tv_nsec = (long)(due_ns % NS_PER_S)},
@@ -66,16 +71,10 @@
 {
 	if (timer->list == NULL)
 		return;
-	DL_DELETE(*timer->list, timer);
+	TAILQ_REMOVE(timer->list, timer, link);
 	timer->list = NULL;
 }
 
-static void timer_put(struct jt_timer *timer, struct jt_timer **list)
-{
-	timer->list = list;
-	DL_APPEND(*list, timer);
-}
-
 static void queue_due(struct tevent_context *loop, struct tevent_fd *watch,
 		      uint16_t flags, void *private_data)
 {
@@ -89,13 +88,13 @@
 	(void)!read(queue->fd, &expirations, sizeof(expirations));
 	queue->armed_ns = 0;
 	/* What a callback sets anew waits for the loop's next turn. */
-	while (queue->set != NULL && queue->set->due_ns <= now_ns) {
-		timer = queue->set;
-		timer_unset(timer);
-		timer_put(timer, &queue->firing);
+	while ((timer = TAILQ_FIRST(&queue->set)) != NULL &&
+	       timer->due_ns <= now_ns) {
+		TAILQ_REMOVE(&queue->set, timer, link);
+		TAILQ_INSERT_TAIL(&queue->firing, timer, link);
+		timer->list = &queue->firing;
 	}
-	while (queue->firing != NULL) {
-		timer = queue->firing;
+	while ((timer = TAILQ_FIRST(&queue->firing)) != NULL) {
 		timer_unset(timer);
 		timer->callback(timer->private_data);
 	}
@@ -106,12 +105,12 @@
 {
 	struct jt_timer *timer;
 
-	DL_FOREACH2(queue->members, timer, member_next)
+	TAILQ_FOREACH(timer, &queue->members, member)
 	{
 		timer->queue = NULL;
 		timer->list = NULL;
 	}
-	DL_DELETE(queues, queue);
+	TAILQ_REMOVE(&queues, queue, link);
 	TALLOC_FREE(queue->watch);
 	close(queue->fd);
 	return 0;
@@ -124,12 +123,17 @@
 	if (queue == NULL)
 		return NULL;
 	queue->loop = loop;
+	TAILQ_INIT(&queue->members);
+	TAILQ_INIT(&queue->set);
+	TAILQ_INIT(&queue->firing);
 	queue->fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
 	if (queue->fd < 0) {
 		talloc_free(queue);
 		return NULL;
 	}
-	DL_APPEND(queues, queue);
+	if (queues.tqh_last == NULL)
+		TAILQ_INIT(&queues);
+	TAILQ_INSERT_TAIL(&queues, queue, link);
 	talloc_set_destructor(queue, queue_destructor);
 	queue->watch = tevent_add_fd(loop, queue, queue->fd, TEVENT_FD_READ,
 				     queue_due, queue);
@@ -142,8 +146,9 @@
 {
 	struct jt_timer_queue *queue;
 
-	DL_FOREACH(queues, queue)
+	TAILQ_FOREACH(queue, &queues, link)
 	{
+		/* cppcheck-suppress uninitvar ; it doesn't follow the list */
 		if (queue->loop == loop)
 			return queue;
 	}
@@ -155,7 +160,7 @@
 	if (timer->queue == NULL)
 		return 0;
 	timer_unset(timer);
-	DL_DELETE2(timer->queue->members, timer, member_prev, member_next);
+	TAILQ_REMOVE(&timer->queue->members, timer, member);
 	return 0;
 }
 
@@ -175,14 +180,26 @@
 	timer->queue = queue;
 	timer->callback = callback;
 	timer->private_data = private_data;
-	DL_APPEND2(queue->members, timer, member_prev, member_next);
+	TAILQ_INSERT_TAIL(&queue->members, timer, member);
 	talloc_set_destructor(timer, timer_destructor);
 	return timer;
 }
 
-static int compare_due(const struct jt_timer *a, const struct jt_timer *b)
+/* Put @timer before the first one that is due later. */
+static void timer_insert(struct jt_timer_queue *queue, struct jt_timer *timer)
 {
-	return (a->due_ns > b->due_ns) - (a->due_ns < b->due_ns);
+	struct jt_timer *later;
+
+	timer->list = &queue->set;
+	TAILQ_FOREACH(later, &queue->set, link)
+	{
+		/* cppcheck-suppress uninitvar ; it doesn't follow the list */
+		if (later->due_ns > timer->due_ns) {
+			TAILQ_INSERT_BEFORE(later, timer, link);
+			return;
+		}
+	}
+	TAILQ_INSERT_TAIL(&queue->set, timer, link);
 }
 
 void jt_timer_set(struct jt_timer *timer, uint64_t delay_ms)
@@ -193,8 +210,7 @@
 		return;
 	timer_unset(timer);
 	timer->due_ns = clock_ns() + delay_ms * NS_PER_MS;
-	timer->list = &queue->set;
-	DL_INSERT_INORDER(queue->set, timer, compare_due);
+	timer_insert(queue, timer);
 	queue_arm(queue);
 }
 
--- a/tests/soak/soak_oracle.c
+++ b/tests/soak/soak_oracle.c
@@ -200,6 +200,7 @@
 {
 	char document[DOCUMENT];
 	uint32_t service = (uint32_t)soak->version % SOAK_SERVICES;
+	unsigned long long number = soak->version * 3ull + 1;
 
 	if (soak->version + 1 >= SOAK_VERSIONS)
 		return;
@@ -214,8 +215,8 @@
 		 "\"maxConns\":2000},"
 		 "{\"name\":\"service-1\",\"healthPath\":\"/health\","
 		 "\"maxConns\":2000}],\"limits\":{\"idleTimeoutMs\":%d}}",
-		 (unsigned long long)(soak->version * 3 + 1), SOAK_STEADY_PORT,
-		 SOAK_SWITCH_PORT, service, SOAK_IDLE_MS);
+		 number, SOAK_STEADY_PORT, SOAK_SWITCH_PORT, service,
+		 SOAK_IDLE_MS);
 	soak->version++;
 	soak->versions[soak->version].acked_ms = jt_clock_ms();
 	soak->versions[soak->version].switch_service = service;
