--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -247,6 +247,7 @@
 struct jt_director_counters {
 	uint64_t by_reason[JT_DIRECTOR_REASONS];
 	uint64_t probes;
+	uint64_t probes_void; /* that said nothing, for a lack of this node's */
 	uint64_t identifications;
 	uint64_t deaths[JT_DEATH_CAUSES];
 	uint64_t revived;
--- a/src/director/jt_director_pages.c
+++ b/src/director/jt_director_pages.c
@@ -104,6 +104,8 @@
 	text = add_metric(text, "suspicions_total", "counter",
 			  counters->suspicions);
 	text = add_metric(text, "probes_total", "counter", counters->probes);
+	text = add_metric(text, "probes_void_total", "counter",
+			  counters->probes_void);
 	text = add_metric(text, "identifications_total", "counter",
 			  counters->identifications);
 	text = add_metric(text, "packets_resent_total", "counter",
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -381,6 +381,8 @@
 
 	if (incarnation == NULL || !incarnation->probing)
 		return;
+	if (outcome == JT_PROBE_VOID)
+		director->counters.probes_void++;
 	verdict = jt_detector_probed(
 		&director->detector, incarnation, outcome,
 		far_from_full(director, incarnation, now_ms), now_ms, &cause);
--- a/tests/test_detector.c
+++ b/tests/test_detector.c
@@ -268,6 +268,7 @@
 	flow_at_each(bench, &flow, &other);
 	suspect(bench, &flow);
 	bench_probed(bench, 0x101, JT_PROBE_VOID);
+	assert_int_equal(jt_director_counters(bench->director)->probes_void, 1);
 	assert_int_equal(bench_count(bench, JT_DIRECTOR_PROBE), 0);
 	bench_tick(bench, 100);
 	assert_int_equal(bench_count(bench, JT_DIRECTOR_PROBE), 0);
