News claims nothing that is missing; a peer that gave no answer is asked last

Logs: node a-1 heard of the routing from a-2, which lost power 1 ms later; it asked a-2, waited 1.5 s, asked it again. Meanwhile news had moved its revision from 22 to 25, past the routing's 23, which news doesn't hold; so when it read the store itself from 15.90 s on, its watch began after the change. Ruled out: a slow store, a hung watch (store answered others throughout). Change: news moves the revision only of a node that has the routing (decided in the pure library now); after a fetch without an answer another peer is asked, after 1.2 s in all.

--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -123,8 +123,9 @@
 	JT_DIRECTOR_GONE,     /* discovery has no such entry any more */
 	JT_DIRECTOR_LISTING,  /* all that discovery has will be told */
 	JT_DIRECTOR_LISTED,   /* all that discovery had at a revision is told */
-	JT_DIRECTOR_CAUGHT_UP,	/* all changes up to a revision are told */
-	JT_DIRECTOR_INFORMED,	/* a peer told all it knows at a revision */
+	JT_DIRECTOR_CAUGHT_UP, /* all changes up to a revision are told */
+	JT_DIRECTOR_INFORMED,  /* a peer told all it knows at a revision */
+	JT_DIRECTOR_NEWS, /* entries that changed up to a revision were told */
 	JT_DIRECTOR_SUSPICION,	/* a peer takes the endpoint for dead */
 	JT_DIRECTOR_IDENTIFIED, /* who answers at an endpoint's address */
 	JT_DIRECTOR_PROBED,	/* the outcome of a probe */
@@ -147,6 +148,11 @@
 		struct {
 			uint64_t revision;
 		} listed; /* and caught up, informed */
+		struct {
+			uint64_t since; /* all entries changed after it */
+			uint64_t revision;
+			uint64_t routing_version; /* in force at the teller */
+		} news;
 		struct {
 			uint64_t id;
 		} suspicion;
--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -205,19 +205,22 @@
 	jt_director_node_started_look(node);
 }
 
-/* News is complete only for a node that knows all up to where it begins. */
 static void on_news(const jt_wire_news *news, void *private_data)
 {
 	struct jt_director_node *node = private_data;
+	struct jt_director_event event = {.kind = JT_DIRECTOR_NEWS};
+	uint64_t before = jt_director_revision(node->director);
 
 	if (!jt_director_started(node->director))
 		return;
 	entries_take(node, news->entries.entries_val,
 		     news->entries.entries_len);
-	if (news->since <= jt_director_revision(node->director) &&
-	    news->digest.revision > jt_director_revision(node->director))
-		revision_take(node, JT_DIRECTOR_CAUGHT_UP,
-			      news->digest.revision);
+	event.u.news.since = news->since;
+	event.u.news.revision = news->digest.revision;
+	event.u.news.routing_version = news->digest.routing_version;
+	jt_director_node_event(node, &event);
+	if (jt_director_revision(node->director) > before)
+		jt_peer_exchange_news(node->peers);
 }
 
 static void on_store_heard(uint64_t as_of_ms, uint64_t reader,
--- a/src/director/jt_peer_knowledge.c
+++ b/src/director/jt_peer_knowledge.c
@@ -8,7 +8,7 @@
 #include <string.h>
 
 enum {
-	FETCH_TIMEOUT_MS = 1500,
+	FETCH_TIMEOUT_MS = 1000,
 	KNOWLEDGE_MOST = 8 << 20,
 	FETCH_LOOK_MS = 70, /* a node that is behind looks again after that */
 };
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -310,6 +310,17 @@
 	}
 }
 
+/* News is complete only for a node that knows all up to where it begins, and
+ * has the routing, which news does not hold. */
+static void event_news(struct jt_director *director, uint64_t since,
+		       uint64_t revision, uint64_t routing_version)
+{
+	if (!jt_director_started(director) || since > director->revision ||
+	    director->routing->version < routing_version)
+		return;
+	revision_note(director, revision);
+}
+
 static void event_suspicion(struct jt_director *director, uint64_t id,
 			    uint64_t now_ms,
 			    struct jt_director_actions *actions)
@@ -536,6 +547,11 @@
 		listed_note(director, now_ms);
 		revision_note(director, event->u.listed.revision);
 		break;
+	case JT_DIRECTOR_NEWS:
+		event_news(director, event->u.news.since,
+			   event->u.news.revision,
+			   event->u.news.routing_version);
+		break;
 	case JT_DIRECTOR_SUSPICION:
 		event_suspicion(director, event->u.suspicion.id, now_ms,
 				actions);
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -13,7 +13,7 @@
 	BEHIND_READING_MS = 900,
 	BEHIND_MS = 60,
 	FETCH_PAUSE_MS = 100,
-	FETCH_FAILED_PAUSE_MS = 500,
+	FETCH_FAILED_PAUSE_MS = 200,
 	/* Where one digest tells of all peers, any of them is as good a target;
 	 * where there are more, most digests stay in their zone: one round in
 	 * so many has a target of any zone. */
@@ -159,6 +159,7 @@
 	peer->heard_ms = now_ms;
 	peer->heard = true;
 	peer->lost = false;
+	peer->no_answer = false;
 	peer->routing_version = digest->routing_version;
 	peer->revision = digest->revision;
 	peer->started = digest->started;
@@ -380,12 +381,29 @@
 	return NULL;
 }
 
-/* A live peer that knows more than this node: any of them, so that those that
- * know most are not asked by all; of the own zone rather than of another. */
+static bool knows_more(const struct jt_peer *peer,
+		       const struct jt_own_state *own)
+{
+	if (!peer->heard || peer->lost || !peer->started)
+		return false;
+	return !own->started || peer->revision > own->revision ||
+	       peer->routing_version > own->routing_version;
+}
+
+/* How gladly a peer is asked: one that answers, and of the own zone. */
+static int fetch_rank(const struct jt_membership *membership,
+		      const struct jt_peer *peer)
+{
+	return (peer->no_answer ? 0 : 2) +
+	       (peer->zone_id == membership->zone_id ? 1 : 0);
+}
+
+/* A live peer that knows more than this node: any of the best, so that those
+ * that know most are not asked by all. */
 static const struct jt_peer *peer_ahead(struct jt_membership *membership,
 					const struct jt_own_state *own)
 {
-	const struct jt_peer *found = NULL;
+	const struct jt_peer *best = NULL;
 	size_t start = 0;
 
 	if (membership->count > 0)
@@ -394,17 +412,13 @@
 		const struct jt_peer *peer =
 			&membership->peers[(start + i) % membership->count];
 
-		if (!peer->heard || peer->lost || !peer->started)
+		if (!knows_more(peer, own))
 			continue;
-		if (own->started && peer->revision <= own->revision &&
-		    peer->routing_version <= own->routing_version)
-			continue;
-		if (peer->zone_id == membership->zone_id)
-			return peer;
-		if (found == NULL)
-			found = peer;
+		if (best == NULL ||
+		    fetch_rank(membership, peer) > fetch_rank(membership, best))
+			best = peer;
 	}
-	return found;
+	return best;
 }
 
 const struct jt_peer *jt_membership_fetch(struct jt_membership *membership,
@@ -426,9 +440,19 @@
 		    (own->reading ? BEHIND_READING_MS : BEHIND_MS))
 		return NULL;
 	membership->fetching = true;
+	membership->fetching_from = peer->id;
 	return peer;
 }
 
+/* The peer gave no answer: rather ask others until it is heard again. */
+static void peer_no_answer(struct jt_membership *membership, uint64_t id)
+{
+	for (size_t i = 0; i < membership->count; i++) {
+		if (membership->peers[i].id == id)
+			membership->peers[i].no_answer = true;
+	}
+}
+
 void jt_membership_fetched(struct jt_membership *membership, bool worked,
 			   uint64_t now_ms)
 {
@@ -437,6 +461,8 @@
 		now_ms + (worked ? FETCH_PAUSE_MS : FETCH_FAILED_PAUSE_MS);
 	if (worked)
 		membership->behind_ms = 0;
+	else
+		peer_no_answer(membership, membership->fetching_from);
 }
 
 size_t jt_membership_live(const struct jt_membership *membership)
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -36,6 +36,7 @@
 	bool started;
 	bool leaving;
 	bool lost;
+	bool no_answer; /* to a fetch, and not heard since then */
 };
 
 /* Whether the peer was heard lately, by this node or by another. */
@@ -67,6 +68,7 @@
 	uint64_t behind_ms; /* since when a peer knows more, 0: none does */
 	uint64_t fetch_next_ms;
 	bool fetching;
+	uint64_t fetching_from; /* the peer that is asked */
 };
 
 struct jt_membership *jt_membership_create(TALLOC_CTX *mem_ctx, uint64_t id,
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -329,6 +329,33 @@
 	talloc_free(bench);
 }
 
+/* Whether the node claims revision 40 after news of it. */
+static bool news_is_taken(struct bench *bench, uint64_t since, uint64_t version)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_NEWS};
+
+	event.u.news.since = since;
+	event.u.news.revision = 40;
+	event.u.news.routing_version = version;
+	bench_event(bench, &event);
+	return jt_director_revision(bench->director) == 40;
+}
+
+/* Failure 39: news of a routing does not hold it; who claims to know all up to
+ * there without it is told of it by nobody, and not by the store either. */
+static void test_news_claims_nothing_that_is_missing(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	uint64_t version = jt_director_routing(bench->director)->version;
+	uint64_t revision = jt_director_revision(bench->director);
+
+	(void)state;
+	assert_false(news_is_taken(bench, revision, version + 1));
+	assert_false(news_is_taken(bench, revision + 1, version));
+	assert_true(news_is_taken(bench, revision, version));
+	talloc_free(bench);
+}
+
 /* A node that has forgotten what went tells all, and says so. */
 static void test_forgotten_entries_make_knowledge_whole(void **state)
 {
@@ -649,6 +676,7 @@
 		cmocka_unit_test(test_reused_address_ends_the_former_endpoint),
 		cmocka_unit_test(test_peers_news_of_a_former_endpoint),
 		cmocka_unit_test(test_knowledge_is_what_has_changed_since),
+		cmocka_unit_test(test_news_claims_nothing_that_is_missing),
 		cmocka_unit_test(test_forgotten_entries_make_knowledge_whole),
 		cmocka_unit_test(test_late_entries_change_nothing),
 		cmocka_unit_test(test_leaving_is_heard_after_the_entry_went),
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -183,6 +183,37 @@
 	talloc_free(membership);
 }
 
+/* Failure 39: the peer that was asked has ended; another one is asked next. */
+static void test_failed_fetch_turns_to_another_peer(void **state)
+{
+	struct jt_membership *membership =
+		jt_membership_create(NULL, 1, address_of(0), 0);
+	struct jt_own_state own = {.started = true, .revision = 10};
+	jt_wire_digest digest = {.started = TRUE, .revision = 12};
+	const struct jt_peer *peer;
+	uint64_t first;
+
+	(void)state;
+	jt_membership_digest(membership, 2, address_of(1), &digest, 1000);
+	jt_membership_digest(membership, 3, address_of(2), &digest, 1000);
+	jt_membership_fetch(membership, &own, 1000);
+	peer = jt_membership_fetch(membership, &own, 2000);
+	assert_non_null(peer);
+	first = peer->id;
+	jt_membership_fetched(membership, false, 2500);
+	for (int i = 0; i < 8; i++) {
+		peer = jt_membership_fetch(membership, &own, 3200);
+		assert_non_null(peer);
+		assert_int_not_equal(peer->id, first);
+		membership->fetching = false;
+	}
+	/* One that is heard again may be asked again. */
+	jt_membership_digest(membership, first, address_of((int)first - 1),
+			     &digest, 3300);
+	assert_true(membership->peers[0].heard && membership->peers[1].heard);
+	talloc_free(membership);
+}
+
 static void test_node_that_starts_fetches_at_once(void **state)
 {
 	struct jt_membership *membership =
@@ -222,6 +253,7 @@
 		cmocka_unit_test(test_digests_of_many_stay_in_their_zone),
 		cmocka_unit_test(test_dead_peer_is_lost_and_told_once),
 		cmocka_unit_test(test_node_behind_fetches_after_a_while),
+		cmocka_unit_test(test_failed_fetch_turns_to_another_peer),
 		cmocka_unit_test(test_node_that_starts_fetches_at_once),
 		cmocka_unit_test(test_own_address_is_no_peer),
 	};
