--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -22,6 +22,11 @@
 	OPENING_LOOK_MS = 5,
 	/* Its caller has given up by then: the flow never opened. */
 	OPENING_END_MS = 3000,
+	/* When callers send copies of a first packet, and give up. */
+	FIRST_COPY_MS = 200,
+	SECOND_COPY_MS = 600,
+	CALLER_ENDS_MS = 1400,
+	COPY_SLACK_MS = 100,
 };
 
 void jt_director_options_init(struct jt_director_options *options)
@@ -98,6 +103,23 @@
 	return JT_INCARNATION_READY;
 }
 
+/*
+ * Whether a flow without an answer has left this node: a copy of its first
+ * packet was due and has not come here. Another node may have opened it.
+ */
+static bool opening_moved_on(const struct jt_cached_flow *flow, uint64_t now_ms)
+{
+	uint64_t age_ms = now_ms - flow->opening_ms;
+
+	if (flow->opening_ms == 0)
+		return false;
+	if (flow->copies == 0)
+		return age_ms >= FIRST_COPY_MS + COPY_SLACK_MS;
+	if (flow->copies == 1)
+		return age_ms >= SECOND_COPY_MS + COPY_SLACK_MS;
+	return age_ms >= CALLER_ENDS_MS;
+}
+
 static void flows_reset(struct jt_director *director,
 			const struct jt_incarnation *incarnation,
 			uint64_t now_ms, struct jt_director_actions *actions)
@@ -108,7 +130,8 @@
 		struct jt_cached_flow *newer = flow->newer;
 
 		/* A caller that has closed its flow needs no reset. */
-		if (flow->label == incarnation->label && !flow->closing)
+		if (flow->label == incarnation->label && !flow->closing &&
+		    !opening_moved_on(flow, now_ms))
 			jt_director_flow_reset(director, flow, incarnation,
 					       now_ms, actions);
 		flow = newer;
--- a/tests/test_detector.c
+++ b/tests/test_detector.c
@@ -301,6 +301,36 @@
 	talloc_free(bench);
 }
 
+/* Failure 40: copies of the first packet went through another node, which may
+ * have opened the flow at a living endpoint. */
+static void test_flow_that_moved_on_is_not_reset(void **state)
+{
+	(void)state;
+	for (int copies = 0; copies < 2; copies++) {
+		struct bench *bench = two_endpoints(0);
+		struct jt_endpoint_entry entry =
+			entry_of(0x201, SERVICE_EXPORT, ZONE_A, 50);
+		struct caller_flow flow;
+
+		do {
+			flow = flow_new(bench, CALLER, BOARD_PORT);
+		} while (flow_syn(bench, &flow) != 0x101);
+		if (copies > 0) {
+			bench->now_ms += 200;
+			flow.acknowledged = 1;
+			assert_int_equal(flow_syn(bench, &flow), 0x101);
+		}
+		/* A copy is due, and has not come here; one that is not due
+		 * does not keep the caller waiting. */
+		bench->now_ms += copies > 0 ? 300 : 350;
+		entry.address = entry_of(0x101, 0, 0, 0).address;
+		bench_entry(bench, entry);
+		assert_int_equal(state_of(bench, 0x101), JT_INCARNATION_DEAD);
+		assert_int_equal(bench_count(bench, JT_DIRECTOR_RESET), copies);
+		talloc_free(bench);
+	}
+}
+
 static void test_dead_endpoint_comes_back(void **state)
 {
 	struct bench *bench = two_endpoints(0);
@@ -375,6 +405,7 @@
 		cmocka_unit_test(test_void_probe_says_nothing),
 		cmocka_unit_test(test_probe_that_can_not_begin_waits),
 		cmocka_unit_test(test_refusal_to_the_caller_is_noticed),
+		cmocka_unit_test(test_flow_that_moved_on_is_not_reset),
 		cmocka_unit_test(test_dead_endpoint_comes_back),
 		cmocka_unit_test(test_who_answers_for_a_dead_endpoint),
 		cmocka_unit_test(test_who_answers_where_flows_get_nothing),
