--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -188,9 +188,9 @@
 		      int endpoint);
 bool soak_flow_ran(struct soak *soak, uint32_t caller_ip, uint16_t port,
 		   unsigned request);
-/* When the caller sent the first packet, and through which node. */
+/* When the caller sent the first packet. */
 bool soak_flow_first(const struct soak *soak, uint32_t caller_ip, uint16_t port,
-		     uint64_t *sent_ms, int *node, uint16_t *route_port);
+		     uint64_t *sent_ms);
 
 /* Oracle */
 
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -150,15 +150,13 @@
 }
 
 bool soak_flow_first(const struct soak *soak, uint32_t ip, uint16_t port,
-		     uint64_t *sent_ms, int *node, uint16_t *route_port)
+		     uint64_t *sent_ms)
 {
 	const struct caller_flow *flow = flow_of(soak, ip, port);
 
 	if (flow == NULL)
 		return false;
 	*sent_ms = flow->first_ms;
-	*node = flow->node;
-	*route_port = flow->route_port;
 	return true;
 }
 
@@ -285,11 +283,9 @@
 static void first_send(struct caller *caller, struct caller_flow *flow)
 {
 	static const uint32_t again_ms[] = {COPY_1_MS, COPY_2_MS, GIVE_UP_MS};
-	/* The first request of a flow counts from its first packet on. */
-	uint64_t first_ms = flow->first_ms;
 
 	packet_send(caller, flow, SOAK_SYN, flow->copies, NULL);
-	flow->due_ms = first_ms + again_ms[flow->copies];
+	flow->due_ms = flow->first_ms + again_ms[flow->copies];
 	flow->copies++;
 }
 
--- a/tests/soak/soak_endpoints.c
+++ b/tests/soak/soak_endpoints.c
@@ -80,7 +80,7 @@
 static struct held_flow *held_add(const struct soak_packet *packet,
 				  int endpoint)
 {
-	struct held_flow *flow = held_find(0, 0, -1);
+	struct held_flow *flow = NULL;
 
 	for (int i = 0; i < HELD && flow == NULL; i++) {
 		if (held[i].endpoint == -1)
@@ -145,8 +145,6 @@
 		held_find(packet->source, packet->source_port, index);
 	struct soak_packet answer = answer_to(packet, SOAK_SYN | SOAK_ACK);
 	uint64_t sent_ms;
-	uint16_t route_port;
-	int via;
 
 	if (packet->flags & SOAK_ACK) {
 		soak_broken(soak, "UNASKED", "node %d passed a forged packet",
@@ -154,7 +152,7 @@
 		return;
 	}
 	if (!soak_flow_first(soak, packet->source, packet->source_port,
-			     &sent_ms, &via, &route_port)) {
+			     &sent_ms)) {
 		soak_broken(soak, "UNASKED", "node %d sent what nobody asked",
 			    node);
 		return;
