Nodes leave their zone in turn, and end when packets stop

Cause: a node forwarded for 5.6 s after SIGTERM whatever happened. Nodes of a zone that are restarted 1.2 s apart were out together; with fewer than half in, routers turned back to all, and the first ended while in use: packets to it were lost for the 0.6 s of its start.

Change: jt_leave decides. Nodes tell all peers at once that they leave, are ready (a router was told so) or end. A node goes out only where half of its zone stays in, those told together go by their ids; it waits for 45% of the limit at the most. Once out it ends after two refused readiness checks and 250 ms without packets. Where a peer has left and is not back, nodes are being removed, and routers go on counting them for some 5 s: then it stays to its limit as before. The last node of all does so, too.

--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -252,6 +252,7 @@
 		if (length < 0)
 			return;
 		node->traffic.received++;
+		jt_leave_packet(&node->leave, jt_clock_ms());
 		packet_take(node, (size_t)length);
 	}
 }
@@ -265,11 +266,10 @@
 
 /* Readiness and the end */
 
-static bool node_ready(void *private_data)
+static bool node_ready(const struct jt_director_node *node)
 {
-	struct jt_director_node *node = private_data;
-
-	return node->leaving_ms == 0 && jt_director_started(node->director);
+	return node->leave.stage <= JT_LEAVE_WAITS &&
+	       jt_director_started(node->director);
 }
 
 static void watch_ready(struct jt_director_node *node)
@@ -279,28 +279,70 @@
 	if (ready == node->was_ready)
 		return;
 	node->was_ready = ready;
+	node->told_ready = false;
 	jt_log_line(node->log, LOG_NOTICE, "event=%s",
 		    ready ? "ready" : "not_ready");
 }
 
-/*
- * A leaving node forwards on to the end of its time, also when no packets
- * come any more: routers turn back to it when other nodes of its zone leave
- * after it.
- */
-static void watch_leave(struct jt_director_node *node, uint64_t now_ms)
+/* A router checks whether this node is ready. */
+static bool on_ready_check(void *private_data)
+{
+	struct jt_director_node *node = private_data;
+
+	watch_ready(node);
+	if (!node->was_ready) {
+		jt_leave_refused(&node->leave);
+		return false;
+	}
+	if (!node->told_ready) {
+		node->told_ready = true;
+		jt_peer_exchange_tell_all(node->peers);
+	}
+	return true;
+}
+
+/* When a leaving node must have ended, from the begin on. */
+static uint64_t leave_limit_ms(const struct jt_director_node *node)
 {
 	uint64_t limit_ms = node->settings->leave_limit_ms;
 	uint64_t margin_ms =
 		LEAVE_MARGIN_MS + LEAVE_COST / node->settings->reader_weight;
 
-	if (node->leaving_ms == 0 || node->on_left == NULL)
+	return limit_ms > margin_ms ? limit_ms - margin_ms : 0;
+}
+
+static void leave_log(const struct jt_director_node *node, const char *event,
+		      const struct jt_zone_view *zone, uint64_t now_ms)
+{
+	jt_log_line(node->log, LOG_NOTICE,
+		    "event=%s after_ms=%llu zone_nodes=%zu serving=%zu "
+		    "waiting=%zu before=%zu elsewhere=%zu removed=%zu "
+		    "refusals=%u quiet_ms=%llu",
+		    event, (unsigned long long)(now_ms - node->leave.began_ms),
+		    zone->nodes, zone->serving, zone->waiting, zone->before,
+		    zone->elsewhere, zone->removed, node->leave.refusals,
+		    (unsigned long long)(now_ms - node->leave.packet_ms));
+}
+
+static void watch_leave(struct jt_director_node *node, uint64_t now_ms)
+{
+	enum jt_leave_stage before = node->leave.stage, stage;
+	struct jt_zone_view zone;
+
+	if (before == JT_LEAVE_STAYS || node->on_left == NULL)
+		return;
+	zone = jt_peer_exchange_zone(node->peers);
+	stage = jt_leave_step(&node->leave, &zone, leave_limit_ms(node),
+			      now_ms);
+	if (stage == before)
 		return;
-	limit_ms = limit_ms > margin_ms ? limit_ms - margin_ms : 0;
-	if (now_ms - node->leaving_ms < limit_ms)
+	watch_ready(node);
+	jt_peer_exchange_tell_all(node->peers);
+	if (stage != JT_LEAVE_ENDS) {
+		leave_log(node, "leave_unready", &zone, now_ms);
 		return;
-	jt_log_line(node->log, LOG_NOTICE, "event=left after_ms=%llu",
-		    (unsigned long long)(now_ms - node->leaving_ms));
+	}
+	leave_log(node, "left", &zone, now_ms);
 	node->on_left(node->private_data);
 	node->on_left = NULL;
 }
@@ -321,12 +363,12 @@
 
 void jt_director_node_leave(struct jt_director_node *node)
 {
-	if (node->leaving_ms != 0)
+	if (node->leave.stage != JT_LEAVE_STAYS)
 		return;
-	node->leaving_ms = jt_clock_ms();
+	jt_leave_begin(&node->leave, jt_clock_ms());
 	jt_log_line(node->log, LOG_NOTICE, "event=leaving limit_ms=%u",
 		    node->settings->leave_limit_ms);
-	watch_ready(node);
+	jt_peer_exchange_tell_all(node->peers);
 }
 
 void jt_director_node_reload(struct jt_director_node *node,
@@ -400,7 +442,7 @@
 		return false;
 	node->pages = jt_director_pages_create(
 		node, node->loop, node->log, node->settings, node->director,
-		node->sync, node->peers, &node->traffic, node_ready, node,
+		node->sync, node->peers, &node->traffic, on_ready_check, node,
 		error);
 	return node->pages != NULL;
 }
--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -112,7 +112,8 @@
 /* How able this node is to read the store; 0: not now. */
 static uint32_t reader_weight(const struct jt_director_node *node)
 {
-	if (!jt_director_started(node->director) || node->leaving_ms != 0 ||
+	if (!jt_director_started(node->director) ||
+	    node->leave.stage != JT_LEAVE_STAYS ||
 	    jt_directory_sync_lost(node->sync))
 		return 0;
 	return node->settings->reader_weight;
@@ -150,7 +151,8 @@
 	own->routing_version = routing ? routing->version : 0;
 	own->revision = jt_director_revision(node->director);
 	own->started = jt_director_started(node->director);
-	own->leaving = node->leaving_ms != 0;
+	own->leaving = node->leave.stage != JT_LEAVE_STAYS;
+	own->ready = node->told_ready;
 	own->reading = node->reader.reading;
 	own->weight = reader_weight(node);
 	own->store_as_of_ms =
--- a/src/director/jt_director_node_private.h
+++ b/src/director/jt_director_node_private.h
@@ -39,8 +39,9 @@
 	uint8_t buffer[JT_HEADROOM_MAX + JT_DATAGRAM_MAX];
 	size_t packet_length; /* of the packet in hand */
 	uint64_t event_ms;    /* when the event in hand came */
-	uint64_t leaving_ms;  /* since when, 0: not leaving */
+	struct jt_leave leave;
 	bool was_ready;
+	bool told_ready; /* a router was told that this node is ready */
 	STAILQ_HEAD(held_queue, held_packet) held;
 	size_t held_count;
 	struct jt_director_traffic traffic;
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -95,6 +95,41 @@
 	talloc_free(frame);
 }
 
+/* Tell every live peer, or those of this node's zone alone. */
+static void state_tell(struct jt_peer_exchange *exchange, bool only_zone)
+{
+	const struct jt_membership *membership = exchange->membership;
+	jt_wire_director_message message = {
+		.from = membership->id,
+		.body.kind = JT_WIRE_DIGEST,
+	};
+	struct jt_own_state own = {0};
+
+	exchange->handler.own_state(&own, exchange->handler.private_data);
+	jt_membership_own_state(membership, &own, jt_clock_ms(),
+				&message.body.jt_wire_director_body_u.digest);
+	for (size_t i = 0; i < membership->count; i++) {
+		const struct jt_peer *peer = &membership->peers[i];
+
+		if (!jt_peer_lives(peer) ||
+		    (only_zone && peer->zone_id != membership->zone_id))
+			continue;
+		message_send(exchange, peer->address, &message);
+		exchange->counters.digests_sent++;
+	}
+}
+
+void jt_peer_exchange_tell_all(struct jt_peer_exchange *exchange)
+{
+	state_tell(exchange, false);
+}
+
+struct jt_zone_view
+jt_peer_exchange_zone(const struct jt_peer_exchange *exchange)
+{
+	return jt_membership_zone(exchange->membership, jt_clock_ms());
+}
+
 /* News */
 
 static void news_entries(struct jt_peer_exchange *exchange, TALLOC_CTX *frame,
@@ -277,6 +312,7 @@
 	struct jt_peer_exchange *exchange = private_data;
 	uint64_t now_ms = jt_clock_ms();
 	struct jt_address targets[JT_DIGEST_FANOUT];
+	struct jt_own_state own = {0};
 	const struct jt_peer *lost;
 	char text[JT_ADDRESS_TEXT];
 	size_t count;
@@ -290,6 +326,10 @@
 	count = jt_membership_round(exchange->membership, targets);
 	digests_send(exchange, targets, count, now_ms);
 	loads_send(exchange, targets, count);
+	exchange->handler.own_state(&own, exchange->handler.private_data);
+	/* Who leaves when hangs on it: a datagram that was lost is made up. */
+	if (own.leaving)
+		state_tell(exchange, true);
 	jt_peer_knowledge_look(exchange, now_ms);
 	jt_timer_set(exchange->timer,
 		     now_ms - exchange->created_ms < ROUND_FAST_FOR_MS
--- a/src/director/jt_peer_exchange.h
+++ b/src/director/jt_peer_exchange.h
@@ -60,6 +60,11 @@
 /* Tell every peer that is heard. */
 void jt_peer_exchange_suspect(struct jt_peer_exchange *exchange,
 			      uint64_t endpoint_id);
+/* Tell every live peer at once how this node stands. */
+void jt_peer_exchange_tell_all(struct jt_peer_exchange *exchange);
+/* The other nodes, as one that leaves must see them. */
+struct jt_zone_view
+jt_peer_exchange_zone(const struct jt_peer_exchange *exchange);
 /* This node has learned something: send it on, soon. */
 void jt_peer_exchange_news(struct jt_peer_exchange *exchange);
 /* Settings were read again: keys and seeds may have changed. */
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -20,6 +20,9 @@
 	FAR_ROUNDS = 4,
 	/* Readers of the store there are at the least, over all zones. */
 	READERS_LEAST = 3,
+	/* A process that ended is back, and heard, within this time if its
+	 * machine starts it again. */
+	RESTART_MOST_MS = 1500,
 	/* One round in so many also tries a seed, or a peer that was lost. */
 	RETRY_ROUNDS = 4,
 };
@@ -164,6 +167,7 @@
 	peer->revision = digest->revision;
 	peer->started = digest->started;
 	peer->leaving = digest->leaving;
+	peer->ready = digest->ready;
 	peer->weight = digest->weight;
 	for (u_int i = 0; i < digest->peers.peers_len; i++)
 		peer_hearsay(membership, &digest->peers.peers_val[i], now_ms);
@@ -303,6 +307,58 @@
 	return before < readers;
 }
 
+/* Whether routers send packets to the peer, as far as is known: of one that
+ * only others have heard, its weight tells. */
+static bool peer_ready(const struct jt_peer *peer)
+{
+	if (!jt_peer_lives(peer))
+		return false;
+	return peer->heard ? peer->ready : peer->weight > 0;
+}
+
+/* Whether the peer has left and did not come back as a new process. */
+static bool peer_removed(const struct jt_peer *peer, uint64_t now_ms)
+{
+	return peer->leaving && !peer->ready &&
+	       now_ms - peer->heard_ms >= RESTART_MOST_MS;
+}
+
+/* Count a peer of this node's zone. */
+static void zone_count(const struct jt_membership *membership,
+		       const struct jt_peer *peer, struct jt_zone_view *view)
+{
+	view->nodes++;
+	if (!peer_ready(peer))
+		return;
+	if (!peer->heard || !peer->leaving) {
+		view->serving++;
+		return;
+	}
+	view->waiting++;
+	if (peer->id < membership->id)
+		view->before++;
+}
+
+struct jt_zone_view jt_membership_zone(const struct jt_membership *membership,
+				       uint64_t now_ms)
+{
+	struct jt_zone_view view = {0};
+
+	for (size_t i = 0; i < membership->count; i++) {
+		const struct jt_peer *peer = &membership->peers[i];
+
+		if (peer->id == 0)
+			continue;
+		if (peer_removed(peer, now_ms))
+			view.removed++;
+		if (peer->zone_id == membership->zone_id)
+			zone_count(membership, peer, &view);
+		else if (peer_ready(peer) && !peer->leaving)
+			view.elsewhere++;
+	}
+	return view;
+}
+
 void jt_membership_own_state(const struct jt_membership *membership,
 			     const struct jt_own_state *own, uint64_t now_ms,
 			     jt_wire_digest *digest)
@@ -315,6 +371,7 @@
 	digest->revision = own->revision;
 	digest->started = own->started;
 	digest->leaving = own->leaving;
+	digest->ready = own->ready;
 	digest->weight = own->weight;
 	digest->store_age_ms =
 		store_age_ms < UINT32_MAX ? (uint32_t)store_age_ms : UINT32_MAX;
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -14,6 +14,7 @@
 
 #include "jaspertrack/types-t.h"
 #include "jt_director_proto.h"
+#include "jt_leave.h"
 #include "jt_random.h"
 
 #include <talloc.h>
@@ -35,6 +36,7 @@
 	bool heard; /* directly, since it was last lost */
 	bool started;
 	bool leaving;
+	bool ready; /* routers were told that it is */
 	bool lost;
 	bool no_answer; /* to a fetch, and not heard since then */
 };
@@ -51,6 +53,7 @@
 	uint64_t revision;
 	bool started;
 	bool leaving;
+	bool ready;		 /* routers were told that it is */
 	bool reading;		 /* the store tells it of changes */
 	uint32_t weight;	 /* as a reader of the store; 0: not now */
 	uint64_t store_as_of_ms; /* all that the store had then is known */
@@ -98,6 +101,9 @@
  * There are three such nodes in all, and one in each zone, at the least. */
 bool jt_membership_reads_first(const struct jt_membership *membership,
 			       uint32_t own_weight);
+/* The other nodes, as one that leaves must see them. */
+struct jt_zone_view jt_membership_zone(const struct jt_membership *membership,
+				       uint64_t now_ms);
 /* The digest for this round; its peers are talloc children of @mem_ctx. */
 void jt_membership_own_digest(struct jt_membership *membership,
 			      TALLOC_CTX *mem_ctx,
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -38,6 +38,7 @@
 	u_quad_t revision;
 	bool_t started;
 	bool_t leaving;
+	bool_t ready;
 	u_int weight;
 	u_int store_age_ms;
 	u_quad_t store_reader;
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -31,6 +31,7 @@
 	unsigned hyper revision;        /* of the newest change it knows */
 	bool started;
 	bool leaving;
+	bool ready;                  /* routers were told that it is */
 	unsigned int weight;         /* as a reader of the store; 0: not now */
 	unsigned int store_age_ms;   /* all that the store had then is known */
 	unsigned hyper store_reader; /* the node that read it */
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -87,12 +87,14 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->started))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->leaving))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->ready))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->weight))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->store_age_ms))
@@ -101,6 +103,7 @@
 		} else {
 		IXDR_PUT_BOOL(buf, objp->started);
 		IXDR_PUT_BOOL(buf, objp->leaving);
+		IXDR_PUT_BOOL(buf, objp->ready);
 		IXDR_PUT_U_LONG(buf, objp->weight);
 		IXDR_PUT_U_LONG(buf, objp->store_age_ms);
 		}
@@ -117,12 +120,14 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->started))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->leaving))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->ready))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->weight))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->store_age_ms))
@@ -131,6 +136,7 @@
 		} else {
 		objp->started = IXDR_GET_BOOL(buf);
 		objp->leaving = IXDR_GET_BOOL(buf);
+		objp->ready = IXDR_GET_BOOL(buf);
 		objp->weight = IXDR_GET_U_LONG(buf);
 		objp->store_age_ms = IXDR_GET_U_LONG(buf);
 		}
@@ -152,6 +158,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->ready))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->weight))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->store_age_ms))
