One node watches the store; the first of each zone check, for a tenth

Change: a node reads the store in one of three ways. The first of all that can read it watches; the first of each zone, and whoever's knowledge is too old, check the store's revision (a stale read of nothing, a tenth of a call) every 0.7 s and fetch only what peers have not told 150 ms later. Nobody watches before it has known its peers for 1.5 s. A start waits 15 ms for a live peer's answer before it lists, and longer while one tells; where the whole system starts for the first time (setting first_start), up to 2 s, so that few list.

--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -436,7 +436,10 @@
 	node->sync = jt_directory_sync_create(
 		node, node->loop, node->client, node->environment->directory,
 		node->settings->store, &watcher,
-		jt_reader_start_wait_ms(node->settings->reader_weight), seed);
+		jt_reader_first_wait_ms(&node->reader,
+					node->settings->reader_weight,
+					node->settings->first_start),
+		seed);
 	node->tick = jt_timer_create(node, node->loop, on_tick, node);
 	if (node->sync == NULL || node->tick == NULL)
 		return false;
--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -122,23 +122,36 @@
 void jt_director_node_reader_look(struct jt_director_node *node,
 				  uint64_t now_ms)
 {
-	bool was = node->reader.reading;
-	bool first =
-		jt_peer_exchange_reads_first(node->peers, reader_weight(node));
-	bool reading;
+	enum jt_reading was = node->reader.reading, reading;
+	enum jt_reading_turn turn =
+		jt_peer_exchange_reading_turn(node->peers, reader_weight(node));
 
 	jt_reader_read(&node->reader, jt_directory_sync_as_of_ms(node->sync));
-	reading = jt_reader_decide(&node->reader, first,
+	reading = jt_reader_decide(&node->reader, turn,
 				   jt_director_started(node->director), now_ms);
 	if (reading == was)
 		return;
 	jt_log_line(node->log, LOG_NOTICE,
-		    "event=%s first=%d heard_age_ms=%llu revision=%llu",
-		    reading ? "reader_begins" : "reader_ends", first,
+		    "event=reading how=%s turn=%d heard_age_ms=%llu "
+		    "revision=%llu",
+		    jt_reading_name(reading), turn,
 		    (unsigned long long)(now_ms - node->reader.heard_ms),
 		    (unsigned long long)jt_director_revision(node->director));
-	jt_directory_sync_follow(node->sync, reading,
-				 jt_director_revision(node->director));
+	jt_directory_sync_read(node->sync, reading);
+}
+
+static uint64_t on_known(void *private_data)
+{
+	const struct jt_director_node *node = private_data;
+
+	return jt_director_revision(node->director);
+}
+
+static bool on_peer_tells(void *private_data)
+{
+	const struct jt_director_node *node = private_data;
+
+	return jt_peer_exchange_fetching(node->peers);
 }
 
 /* Peers */
@@ -153,7 +166,7 @@
 	own->started = jt_director_started(node->director);
 	own->leaving = node->leave.stage != JT_LEAVE_STAYS;
 	own->ready = node->told_ready;
-	own->reading = node->reader.reading;
+	own->reading = node->reader.reading == JT_READING_WATCHES;
 	own->weight = reader_weight(node);
 	own->store_as_of_ms =
 		jt_reader_as_of(&node->reader, jt_peer_exchange_id(node->peers),
@@ -269,6 +282,8 @@
 		.caught_up = on_caught_up,
 		.listing = on_listing,
 		.listed = on_listed,
+		.known = on_known,
+		.peer_tells = on_peer_tells,
 		.reachable = on_reachable,
 		.private_data = node,
 	};
--- a/src/director/jt_directory_sync.c
+++ b/src/director/jt_directory_sync.c
@@ -18,6 +18,9 @@
 	PAGE_CHECK_TIMEOUT_MS = 400,
 	/* A node that leaves the store to peers looks if it is back. */
 	LOST_CHECK_MS = 2500,
+	/* Before the first list, while a peer is about to tell. */
+	PEER_TELLS_MS = 20,
+	PEERS_KEEP_MS = 300,
 };
 
 struct jt_directory_sync {
@@ -33,9 +36,10 @@
 	struct tevent_req *check; /* the check under way */
 	uint64_t watch_ms;	  /* when the watch under way began */
 	bool watching;		  /* the call under way is a watch */
-	bool following;
-	uint64_t asked_ms; /* when the page under way was asked for */
-	char *page_key;	   /* last key of the page before */
+	bool asking;		  /* the check under way is a step */
+	uint64_t peers_until_ms;  /* peers may keep the first list so long */
+	uint64_t asked_ms;	  /* when the page under way was asked for */
+	char *page_key;		  /* last key of the page before */
 	bool lost;
 	struct jt_directory_counters counters;
 };
@@ -98,6 +102,7 @@
 	TALLOC_FREE(sync->call);
 	TALLOC_FREE(sync->check);
 	sync->watching = false;
+	sync->asking = false;
 	jt_timer_stop(sync->check_timer);
 }
 
@@ -180,6 +185,18 @@
 	list_start(sync);
 }
 
+/* What the step of a node that only checks came to. */
+static void asked_take(struct jt_directory_sync *sync, enum jt_kv_status status,
+		       uint64_t at)
+{
+	sync->asking = false;
+	jt_follower_asked(&sync->follower, status, at,
+			  sync->watcher.known(sync->watcher.private_data),
+			  jt_clock_ms());
+	watch_store(sync, status);
+	sync_step(sync);
+}
+
 static void on_checked(struct tevent_req *req)
 {
 	struct jt_directory_sync *sync =
@@ -195,7 +212,9 @@
 	at = answer->revision;
 	talloc_free(answer);
 	sync->counters.checks[status]++;
-	if (!sync->following)
+	if (sync->asking)
+		asked_take(sync, status, at);
+	else if (sync->follower.reading == JT_READING_NOT)
 		check_take_idle(sync, status);
 	else if (sync->call != NULL && !sync->watching)
 		page_checked(sync, status);
@@ -220,10 +239,10 @@
 {
 	struct jt_directory_sync *sync = private_data;
 
-	if (sync->following && sync->call != NULL) {
+	if (sync->call != NULL) {
 		jt_timer_set(sync->check_timer,
 			     sync->watching ? CHECK_MS : PAGE_CHECK_MS);
-	} else if (!sync->following && sync->lost) {
+	} else if (sync->follower.reading == JT_READING_NOT && sync->lost) {
 		jt_timer_set(sync->check_timer, LOST_CHECK_MS);
 	} else {
 		return;
@@ -251,6 +270,9 @@
 
 	sync->watching = true;
 	sync->watch_ms = jt_clock_ms();
+	jt_follower_resume(&sync->follower,
+			   sync->watcher.known(sync->watcher.private_data),
+			   sync->watch_ms);
 	jt_timer_set(sync->check_timer, CHECK_MS);
 	sync->call = sync->directory->watch_send(
 		sync, sync->client, sync->store, sync->follower.revision,
@@ -259,19 +281,40 @@
 		tevent_req_set_callback(sync->call, on_watched, sync);
 }
 
+/* A peer tells sooner, and for nothing, what a list would. */
+static bool list_can_wait(const struct jt_directory_sync *sync, uint64_t now_ms)
+{
+	return now_ms < sync->peers_until_ms &&
+	       sync->watcher.peer_tells(sync->watcher.private_data);
+}
+
+static void ask_start(struct jt_directory_sync *sync)
+{
+	if (sync->check == NULL)
+		check_start(sync);
+	sync->asking = sync->check != NULL;
+}
+
 static void sync_step(struct jt_directory_sync *sync)
 {
 	uint64_t now_ms = jt_clock_ms();
 
-	if (sync->call != NULL || !sync->following)
+	if (sync->call != NULL || sync->asking ||
+	    sync->follower.reading == JT_READING_NOT)
 		return;
 	switch (jt_follower_next(&sync->follower, now_ms)) {
 	case JT_FOLLOWER_LIST:
-		list_start(sync);
+		if (list_can_wait(sync, now_ms))
+			jt_timer_set(sync->timer, PEER_TELLS_MS);
+		else
+			list_start(sync);
 		break;
 	case JT_FOLLOWER_WATCH:
 		watch_start(sync);
 		break;
+	case JT_FOLLOWER_CHECK:
+		ask_start(sync);
+		break;
 	case JT_FOLLOWER_WAIT:
 		jt_timer_set(sync->timer, sync->follower.due_ms - now_ms);
 		break;
@@ -295,7 +338,7 @@
 	sync->store = store;
 	sync->watcher = *watcher;
 	jt_follower_init(&sync->follower, seed);
-	sync->following = true;
+	sync->follower.reading = JT_READING_CHECKS;
 	sync->timer = jt_timer_create(sync, loop, on_due, sync);
 	sync->check_timer = jt_timer_create(sync, loop, on_check_due, sync);
 	if (sync->timer == NULL || sync->check_timer == NULL) {
@@ -303,6 +346,7 @@
 		return NULL;
 	}
 	sync->follower.due_ms = jt_clock_ms() + start_wait_ms;
+	sync->peers_until_ms = sync->follower.due_ms + PEERS_KEEP_MS;
 	jt_timer_set(sync->timer, start_wait_ms);
 	return sync;
 }
@@ -317,15 +361,16 @@
 	sync_step(sync);
 }
 
-void jt_directory_sync_follow(struct jt_directory_sync *sync, bool follow,
-			      uint64_t revision)
+void jt_directory_sync_read(struct jt_directory_sync *sync,
+			    enum jt_reading reading)
 {
-	if (follow == sync->following)
+	if (reading == sync->follower.reading)
 		return;
-	sync->following = follow;
-	calls_end(sync);
-	if (follow) {
-		jt_follower_resume(&sync->follower, revision, jt_clock_ms());
+	/* A list goes on, whichever way the store is read afterwards. */
+	if (sync->follower.listed || reading == JT_READING_NOT)
+		calls_end(sync);
+	jt_follower_read(&sync->follower, reading, jt_clock_ms());
+	if (reading != JT_READING_NOT) {
 		sync_step(sync);
 		return;
 	}
--- a/src/director/jt_directory_sync.h
+++ b/src/director/jt_directory_sync.h
@@ -18,6 +18,10 @@
 	void (*listing)(void *private_data);
 	/* A list is complete: what it did not hold is gone as of @revision. */
 	void (*listed)(uint64_t revision, void *private_data);
+	/* Up to which revision all changes are known, from whomever. */
+	uint64_t (*known)(void *private_data);
+	/* Whether a peer is about to tell all that it knows. */
+	bool (*peer_tells)(void *private_data);
 	/* The store was lost, or regained. */
 	void (*reachable)(bool reachable, enum jt_kv_status status,
 			  void *private_data);
@@ -43,10 +47,10 @@
 /* A peer told all that it knew at @revision: no list is needed. */
 void jt_directory_sync_informed(struct jt_directory_sync *sync,
 				uint64_t revision);
-/* Follow the store, or leave it to peers; all changes up to @revision are
- * known. One that had lost the store looks now and then if it is back. */
-void jt_directory_sync_follow(struct jt_directory_sync *sync, bool follow,
-			      uint64_t revision);
+/* Read the store in this way from now on. One that leaves it to peers and had
+ * lost it looks now and then if it is back. */
+void jt_directory_sync_read(struct jt_directory_sync *sync,
+			    enum jt_reading reading);
 /* Whether the store does not answer this node. */
 bool jt_directory_sync_lost(const struct jt_directory_sync *sync);
 /* When this node last knew all that the store had; 0: never. */
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -426,10 +426,16 @@
 	return NULL;
 }
 
-bool jt_peer_exchange_reads_first(const struct jt_peer_exchange *exchange,
-				  uint32_t own_weight)
+enum jt_reading_turn
+jt_peer_exchange_reading_turn(const struct jt_peer_exchange *exchange,
+			      uint32_t own_weight)
 {
-	return jt_membership_reads_first(exchange->membership, own_weight);
+	return jt_membership_reading_turn(exchange->membership, own_weight);
+}
+
+bool jt_peer_exchange_fetching(const struct jt_peer_exchange *exchange)
+{
+	return exchange->fetch != NULL;
 }
 
 uint64_t jt_peer_exchange_id(const struct jt_peer_exchange *exchange)
--- a/src/director/jt_peer_exchange.h
+++ b/src/director/jt_peer_exchange.h
@@ -70,10 +70,13 @@
 /* Settings were read again: keys and seeds may have changed. */
 void jt_peer_exchange_reload(struct jt_peer_exchange *exchange,
 			     const struct jt_director_settings *settings);
-/* Whether this node, of weight @own_weight, is among the first that read the
+/* Where this node, of weight @own_weight, stands among those that can read the
  * store. */
-bool jt_peer_exchange_reads_first(const struct jt_peer_exchange *exchange,
-				  uint32_t own_weight);
+enum jt_reading_turn
+jt_peer_exchange_reading_turn(const struct jt_peer_exchange *exchange,
+			      uint32_t own_weight);
+/* Whether a peer was asked for what it knows and has not answered yet. */
+bool jt_peer_exchange_fetching(const struct jt_peer_exchange *exchange);
 /* The id of this process among its peers. */
 uint64_t jt_peer_exchange_id(const struct jt_peer_exchange *exchange);
 size_t jt_peer_exchange_live(const struct jt_peer_exchange *exchange);
--- a/src/label/jt_follower.c
+++ b/src/label/jt_follower.c
@@ -14,11 +14,16 @@
 	SLOW_PAGE_MS = 100,
 	GO_ON_ONE_IN = 8,
 	GIVE_WAY_MS = 600,
+	/* Between two checks of a node that does not watch, and for how long a
+	 * change that one of them shows may be under way by peers. */
+	CHECK_PAUSE_MS = 700,
+	UNDER_WAY_MS = 150,
 };
 
 void jt_follower_init(struct jt_follower *follower, uint64_t seed)
 {
 	*follower = (struct jt_follower){
+		.reading = JT_READING_WATCHES,
 		.wait_ms = DEFAULT_WAIT_MS,
 		.retry_wait_ms = DEFAULT_RETRY_WAIT_MS,
 		.pause_ms = DEFAULT_PAUSE_MS,
@@ -33,13 +38,18 @@
 {
 	if (now_ms < follower->due_ms)
 		return JT_FOLLOWER_WAIT;
-	return follower->listed ? JT_FOLLOWER_WATCH : JT_FOLLOWER_LIST;
+	if (!follower->listed)
+		return JT_FOLLOWER_LIST;
+	if (follower->reading == JT_READING_WATCHES || follower->catching_up)
+		return JT_FOLLOWER_WATCH;
+	return JT_FOLLOWER_CHECK;
 }
 
 uint32_t jt_follower_wait_ms(const struct jt_follower *follower)
 {
-	return follower->failures > 0 ? follower->retry_wait_ms
-				      : follower->wait_ms;
+	return follower->failures > 0 || follower->catching_up
+		       ? follower->retry_wait_ms
+		       : follower->wait_ms;
 }
 
 void jt_follower_resume(struct jt_follower *follower, uint64_t revision,
@@ -94,6 +104,39 @@
 	follower->due_ms = now_ms + wait_ms;
 }
 
+void jt_follower_read(struct jt_follower *follower, enum jt_reading reading,
+		      uint64_t now_ms)
+{
+	follower->reading = reading;
+	follower->catching_up = false;
+	follower->missed = 0;
+	if (follower->failures == 0 && follower->due_ms > now_ms &&
+	    follower->listed)
+		follower->due_ms = now_ms;
+}
+
+void jt_follower_asked(struct jt_follower *follower, enum jt_kv_status status,
+		       uint64_t at, uint64_t known, uint64_t now_ms)
+{
+	if (status != JT_KV_OK) {
+		back_off(follower, now_ms);
+		return;
+	}
+	follower->failures = 0;
+	follower->answered_ms = now_ms;
+	if (known > follower->revision)
+		follower->revision = known;
+	if (at <= follower->revision) {
+		follower->missed = 0;
+		follower->as_of_ms = now_ms;
+		follower->due_ms = now_ms + CHECK_PAUSE_MS;
+		return;
+	}
+	follower->catching_up = follower->missed > follower->revision;
+	follower->missed = at;
+	follower->due_ms = now_ms + (follower->catching_up ? 0 : UNDER_WAY_MS);
+}
+
 static void list_anew(struct jt_follower *follower)
 {
 	follower->listed = false;
@@ -124,6 +167,9 @@
 	}
 	follower->listed = true;
 	follower->revision = follower->listing;
+	follower->as_of_ms = now_ms;
+	if (follower->reading == JT_READING_CHECKS)
+		follower->due_ms = now_ms + CHECK_PAUSE_MS;
 	return true;
 }
 
@@ -146,12 +192,15 @@
 	follower->revision = revision;
 	follower->failures = 0;
 	follower->due_ms = now_ms;
+	if (follower->reading == JT_READING_CHECKS)
+		follower->due_ms = now_ms + CHECK_PAUSE_MS;
 	return true;
 }
 
 void jt_follower_watched(struct jt_follower *follower, enum jt_kv_status status,
 			 uint64_t at, bool changes, uint64_t now_ms)
 {
+	follower->catching_up = false;
 	switch (status) {
 	case JT_KV_OK:
 		answered(follower, now_ms);
--- a/src/label/jt_follower.h
+++ b/src/label/jt_follower.h
@@ -1,7 +1,7 @@
 /*
  * How a node follows a key-value store: list once, then watch from that
- * revision on. Pure: the driver asks what to do next and tells what came of
- * it.
+ * revision on, or only check now and then that no change was missed. Pure: the
+ * driver asks what to do next and tells what came of it.
  *
  * Every kind of failure has its own way back: an answer that is lost or late
  * is asked for again from the same revision, a refusal waits longer each time
@@ -31,9 +31,19 @@
 	JT_FOLLOWER_WAIT, /* until due_ms */
 	JT_FOLLOWER_LIST,
 	JT_FOLLOWER_WATCH,
+	JT_FOLLOWER_CHECK, /* ask for the store's revision only */
+};
+
+/* How a node reads the store. */
+enum jt_reading {
+	JT_READING_NOT,	    /* peers tell it what changes */
+	JT_READING_CHECKS,  /* they do, and it makes sure of it: cheap */
+	JT_READING_WATCHES, /* it hears of each change, and tells peers */
 };
 
 struct jt_follower {
+	enum jt_reading reading;
+	bool catching_up;	/* checks showed a change that nobody told */
 	uint32_t wait_ms;	/* how long the store may hold a watch */
 	uint32_t retry_wait_ms; /* the same after a failure */
 	uint32_t pause_ms; /* between a watch's answer and the next watch, so
@@ -80,6 +90,13 @@
  * follower goes on from there. */
 bool jt_follower_informed(struct jt_follower *follower, uint64_t revision,
 			  uint64_t now_ms);
+/* What a node that checks asked for: the store's revision @at. All changes up
+ * to @known are known, from whomever. */
+void jt_follower_asked(struct jt_follower *follower, enum jt_kv_status status,
+		       uint64_t at, uint64_t known, uint64_t now_ms);
+/* Read in another way from now on. */
+void jt_follower_read(struct jt_follower *follower, enum jt_reading reading,
+		      uint64_t now_ms);
 /* A watch's answer. */
 void jt_follower_watched(struct jt_follower *follower, enum jt_kv_status status,
 			 uint64_t at, bool changes, uint64_t now_ms);
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -285,26 +285,44 @@
 	return count;
 }
 
-bool jt_membership_reads_first(const struct jt_membership *membership,
-			       uint32_t own_weight)
+/* Peers that go before this node as readers, of its zone or of all. */
+static size_t readers_before(const struct jt_membership *membership,
+			     uint32_t own_weight, bool only_zone)
 {
-	size_t zones = reading_zones(membership);
-	size_t readers = (READERS_LEAST + zones - 1) / zones;
 	size_t before = 0;
 
-	if (own_weight == 0)
-		return false;
 	for (size_t i = 0; i < membership->count; i++) {
 		const struct jt_peer *peer = &membership->peers[i];
 
 		if (!jt_peer_lives(peer) || peer->weight == 0 ||
-		    peer->zone_id != membership->zone_id)
+		    (only_zone && peer->zone_id != membership->zone_id))
 			continue;
 		if (peer->weight > own_weight ||
 		    (peer->weight == own_weight && peer->id < membership->id))
 			before++;
 	}
-	return before < readers;
+	return before;
+}
+
+bool jt_membership_reads_first(const struct jt_membership *membership,
+			       uint32_t own_weight)
+{
+	size_t zones = reading_zones(membership);
+	size_t readers = (READERS_LEAST + zones - 1) / zones;
+
+	return own_weight != 0 &&
+	       readers_before(membership, own_weight, true) < readers;
+}
+
+enum jt_reading_turn
+jt_membership_reading_turn(const struct jt_membership *membership,
+			   uint32_t own_weight)
+{
+	if (!jt_membership_reads_first(membership, own_weight))
+		return JT_TURN_NONE;
+	return readers_before(membership, own_weight, false) == 0
+		       ? JT_TURN_OF_ALL
+		       : JT_TURN_OF_ZONE;
 }
 
 /* Whether routers send packets to the peer, as far as is known: of one that
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -16,6 +16,7 @@
 #include "jt_director_proto.h"
 #include "jt_leave.h"
 #include "jt_random.h"
+#include "jt_reader.h"
 
 #include <talloc.h>
 
@@ -101,6 +102,10 @@
  * There are three such nodes in all, and one in each zone, at the least. */
 bool jt_membership_reads_first(const struct jt_membership *membership,
 			       uint32_t own_weight);
+/* The same, and whether it is the first of all. */
+enum jt_reading_turn
+jt_membership_reading_turn(const struct jt_membership *membership,
+			   uint32_t own_weight);
 /* The other nodes, as one that leaves must see them. */
 struct jt_zone_view jt_membership_zone(const struct jt_membership *membership,
 				       uint64_t now_ms);
--- a/src/label/jt_reader.c
+++ b/src/label/jt_reader.c
@@ -12,6 +12,12 @@
 	LIST_COST = 10 * 1000,
 	LIST_MS = 100,
 	START_WAIT_MOST_MS = 1000,
+	/* A live peer has answered by then. */
+	PEER_ANSWER_MS = 15,
+	/* Nobody sends packets yet when the whole system starts. */
+	FIRST_START_MS = 2000,
+	/* A node knows enough of its peers to be the one that watches. */
+	WATCH_AFTER_MS = 1500,
 };
 
 /* A new jitter for each time that this node steps in. */
@@ -44,30 +50,36 @@
 	reader->heard_from = from;
 }
 
-static bool wanted(const struct jt_reader *reader, bool first, bool started,
-		   uint64_t now_ms)
+static bool wanted(const struct jt_reader *reader, enum jt_reading_turn turn,
+		   bool started, uint64_t now_ms)
 {
 	uint64_t age_ms = now_ms - reader->heard_ms;
 
-	if (first || !started)
+	if (turn != JT_TURN_NONE || !started)
 		return true;
-	if (!reader->reading)
+	if (reader->reading == JT_READING_NOT)
 		return age_ms > reader->limit_ms + reader->jitter_ms;
 	return age_ms > reader->limit_ms / FRESH_PART ||
 	       now_ms - reader->began_ms < HOLD_MS;
 }
 
-bool jt_reader_decide(struct jt_reader *reader, bool first, bool started,
-		      uint64_t now_ms)
+enum jt_reading jt_reader_decide(struct jt_reader *reader,
+				 enum jt_reading_turn turn, bool started,
+				 uint64_t now_ms)
 {
-	bool reading = wanted(reader, first, started, now_ms);
-
-	if (reading && !reader->reading) {
+	if (!wanted(reader, turn, started, now_ms)) {
+		reader->reading = JT_READING_NOT;
+		return reader->reading;
+	}
+	if (reader->reading == JT_READING_NOT) {
 		reader->began_ms = now_ms;
 		jitter_draw(reader);
 	}
-	reader->reading = reading;
-	return reading;
+	reader->reading = JT_READING_CHECKS;
+	if (turn == JT_TURN_OF_ALL &&
+	    now_ms - reader->began_ms >= WATCH_AFTER_MS)
+		reader->reading = JT_READING_WATCHES;
+	return reader->reading;
 }
 
 uint64_t jt_reader_start_wait_ms(uint32_t weight)
@@ -81,6 +93,18 @@
 	return list_ms - LIST_MS;
 }
 
+uint64_t jt_reader_first_wait_ms(struct jt_reader *reader, uint32_t weight,
+				 bool first_start)
+{
+	uint64_t wait_ms = jt_reader_start_wait_ms(weight);
+
+	if (wait_ms < PEER_ANSWER_MS)
+		wait_ms = PEER_ANSWER_MS;
+	if (first_start)
+		wait_ms += jt_random_next(&reader->random) % FIRST_START_MS;
+	return wait_ms;
+}
+
 uint64_t jt_reader_as_of(const struct jt_reader *reader, uint64_t own_id,
 			 uint64_t *from)
 {
@@ -91,3 +115,14 @@
 	*from = reader->heard_from;
 	return reader->heard_ms;
 }
+
+const char *jt_reading_name(enum jt_reading reading)
+{
+	static const char *const names[] = {
+		[JT_READING_NOT] = "not",
+		[JT_READING_CHECKS] = "checks",
+		[JT_READING_WATCHES] = "watches",
+	};
+
+	return names[reading];
+}
--- a/src/label/jt_reader.h
+++ b/src/label/jt_reader.h
@@ -1,25 +1,35 @@
 /*
  * Which nodes read the store, without any agreement on it.
  *
- * A few nodes of each zone read the store and tell the others (news at once,
- * digests for whoever missed them). Every node decides for itself, from what
- * it believes of its peers, so two nodes that believe different things are
- * two readers for a while, which does no harm: revisions order everything.
+ * One node watches the store and tells the others (news at once, digests for
+ * whoever missed them). A few in each zone check, for a tenth of the price,
+ * that no change was missed, and fetch what was. Every node decides for
+ * itself, from what it believes of its peers, so two nodes that believe
+ * different things are two readers for a while, which does no harm: revisions
+ * order everything.
  *
  * Each node also knows how old its knowledge is: a reader tells when the store
  * last answered it, and that time travels with the digests. A node whose
- * knowledge grows too old, for whatever reason, reads the store itself.
+ * knowledge grows too old, for whatever reason, checks the store itself.
  *
  * Pure: the driver reports and asks.
  */
 #ifndef JT_READER_H
 #define JT_READER_H
 
+#include "jt_follower.h"
 #include "jt_random.h"
 
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Where a node stands among those that can read the store. */
+enum jt_reading_turn {
+	JT_TURN_NONE,
+	JT_TURN_OF_ZONE, /* among the first of its zone */
+	JT_TURN_OF_ALL,	 /* the first of all */
+};
+
 struct jt_reader {
 	uint64_t limit_ms;   /* older knowledge makes a node read by itself */
 	uint64_t jitter_ms;  /* of this node, so that not all begin at once */
@@ -27,7 +37,7 @@
 	uint64_t heard_ms;   /* all that it had then is known from peers */
 	uint64_t heard_from; /* the node that read it */
 	uint64_t began_ms;   /* since when this node reads */
-	bool reading;
+	enum jt_reading reading;
 	struct jt_random random;
 };
 
@@ -39,17 +49,27 @@
 void jt_reader_heard(struct jt_reader *reader, uint64_t as_of_ms,
 		     uint64_t from);
 /*
- * Whether to read the store now. @first: this node is among the first of its
- * zone that can; @started: it knows routing and endpoints.
+ * How to read the store now. @turn: where this node stands among those that
+ * can; @started: it knows routing and endpoints.
  */
-bool jt_reader_decide(struct jt_reader *reader, bool first, bool started,
-		      uint64_t now_ms);
+enum jt_reading jt_reader_decide(struct jt_reader *reader,
+				 enum jt_reading_turn turn, bool started,
+				 uint64_t now_ms);
 /*
  * How long a node that has just begun waits for peers that know everything
  * before it lists the store. To read a whole list costs a weak node far more
  * than to learn the same from a peer. @weight: in thousandths of a core.
  */
 uint64_t jt_reader_start_wait_ms(uint32_t weight);
+/*
+ * The same for any node: long enough for a live peer to answer, and where the
+ * whole system starts for the first time (@first_start), long enough for one
+ * that has read the store to tell.
+ */
+uint64_t jt_reader_first_wait_ms(struct jt_reader *reader, uint32_t weight,
+				 bool first_start);
+/* "not", "checks" or "watches". */
+const char *jt_reading_name(enum jt_reading reading);
 /* As of when the store is known, and by whose reading. */
 uint64_t jt_reader_as_of(const struct jt_reader *reader, uint64_t own_id,
 			 uint64_t *from);
--- a/src/settings/jt_director_settings.c
+++ b/src/settings/jt_director_settings.c
@@ -111,8 +111,9 @@
 		     struct jt_director_settings *s)
 {
 	static const char *const known[] = {
-		"placement", "environment", "node",   "listen",	   "store",
-		"seeds",     "keys",	    "limits", "log_level", NULL};
+		"placement", "environment", "node", "listen",
+		"store",     "seeds",	    "keys", "limits",
+		"log_level", "first_start", NULL};
 
 	if (jt_settings_check_keys(r, root, known) != 0 ||
 	    jt_settings_read_text(r, root, "environment", true,
@@ -124,6 +125,8 @@
 	    jt_settings_read_keys(r, root, &s->keys) != 0 ||
 	    read_limits(r, root, s) != 0)
 		return -1;
+	if (jt_settings_read_bool(r, root, "first_start", &s->first_start) != 0)
+		return -1;
 	return read_log_level(r, root, s);
 }
 
--- a/src/settings/jt_director_settings.h
+++ b/src/settings/jt_director_settings.h
@@ -27,6 +27,8 @@
 	uint32_t leave_limit_ms;    /* from SIGTERM to the end */
 	uint32_t flow_age_limit_ms; /* no flow lives longer */
 	uint32_t flow_limit;	    /* flows remembered */
+	/* The whole system starts for the first time: nobody sends packets. */
+	bool first_start;
 	/* How able the node is to read the store for others. */
 	uint32_t reader_weight;
 	/* Knowledge of the store that is older makes a node read it. */
--- a/src/settings/jt_settings_reader.c
+++ b/src/settings/jt_settings_reader.c
@@ -60,6 +60,21 @@
 	return 0;
 }
 
+int jt_settings_read_bool(const struct jt_settings_reader *r,
+			  const config_setting_t *group, const char *key,
+			  bool *value)
+{
+	const config_setting_t *at = config_setting_get_member(group, key);
+
+	*value = false;
+	if (at == NULL)
+		return 0;
+	if (config_setting_type(at) != CONFIG_TYPE_BOOL)
+		return jt_settings_wrong(r, at, key, "must be true or false");
+	*value = config_setting_get_bool(at) == CONFIG_TRUE;
+	return 0;
+}
+
 int jt_settings_read_number(const struct jt_settings_reader *r,
 			    const config_setting_t *group, const char *key,
 			    int least, int most, uint32_t fallback,
--- a/src/settings/jt_settings_reader.h
+++ b/src/settings/jt_settings_reader.h
@@ -55,6 +55,10 @@
 			  double least, double most, double fallback,
 			  double *number);
 
+/* A key that is true or false, false when it is absent. */
+int jt_settings_read_bool(const struct jt_settings_reader *r,
+			  const config_setting_t *group, const char *key,
+			  bool *value);
 /* An address "IPV4:PORT" that must be there. */
 int jt_settings_read_address(const struct jt_settings_reader *r,
 			     const config_setting_t *group, const char *key,
--- a/tests/test_director_settings.c
+++ b/tests/test_director_settings.c
@@ -76,6 +76,23 @@
 	talloc_free(settings);
 }
 
+static void test_first_start(void **state)
+{
+	struct jt_director_settings *settings;
+	char *error;
+
+	(void)state;
+	settings = load(NULL, NULL, &error);
+	assert_false(settings->first_start);
+	talloc_free(settings);
+	settings = load("limits", "first_start = true;\nlimits", &error);
+	assert_non_null(settings);
+	assert_true(settings->first_start);
+	talloc_free(settings);
+	expect_error("limits", "first_start = 1;\nlimits",
+		     "first_start: must be true or false");
+}
+
 /* What a node may believe follows from the times that bind it. */
 static void test_store_age_limit_is_half_of_the_tighter_bound(void **state)
 {
@@ -138,6 +155,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_example),
+		cmocka_unit_test(test_first_start),
 		cmocka_unit_test(
 			test_store_age_limit_is_half_of_the_tighter_bound),
 		cmocka_unit_test(test_errors),
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -99,6 +99,52 @@
 	assert_in_range(jt_reader_start_wait_ms(0), 900, 1000);
 }
 
+static void test_every_node_gives_peers_time_to_answer(void **state)
+{
+	struct jt_reader reader = reader_at(1000);
+
+	(void)state;
+	assert_in_range(jt_reader_first_wait_ms(&reader, 1000, false), 5, 50);
+	assert_int_equal(jt_reader_first_wait_ms(&reader, 1, false),
+			 jt_reader_start_wait_ms(1));
+}
+
+/* Where all start for the first time, few list the store: the others have
+ * heard of its entries before their turn comes. */
+static void test_first_start_is_spread(void **state)
+{
+	unsigned early = 0;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= 100; seed++) {
+		struct jt_reader reader;
+
+		jt_reader_init(&reader, LIMIT_MS, seed);
+		early += jt_reader_first_wait_ms(&reader, 1000, true) < 200;
+	}
+	assert_in_range(early, 1, 25);
+}
+
+/* The first of all watches once it knows its peers; others only check. */
+static void test_one_node_watches(void **state)
+{
+	struct jt_reader reader = reader_at(1000);
+
+	(void)state;
+	assert_int_equal(jt_reader_decide(&reader, JT_TURN_OF_ALL, true, 1000),
+			 JT_READING_CHECKS);
+	assert_int_equal(jt_reader_decide(&reader, JT_TURN_OF_ALL, true, 3000),
+			 JT_READING_WATCHES);
+	assert_int_equal(jt_reader_decide(&reader, JT_TURN_OF_ZONE, true, 4000),
+			 JT_READING_CHECKS);
+	/* Old knowledge makes a node check, not watch. */
+	assert_int_equal(jt_reader_decide(&reader, JT_TURN_NONE, true, 5000),
+			 JT_READING_CHECKS);
+	jt_reader_heard(&reader, 9000, OTHER);
+	assert_int_equal(jt_reader_decide(&reader, JT_TURN_NONE, true, 9000),
+			 JT_READING_NOT);
+}
+
 /* Which nodes read, by their membership */
 
 static struct jt_address address_of(uint32_t index)
@@ -140,6 +186,24 @@
 	talloc_free(membership);
 }
 
+static void test_first_of_all_has_the_turn_to_watch(void **state)
+{
+	struct jt_membership *membership = member(50);
+
+	(void)state;
+	peer_hear(membership, 61, 2, WEIGHT);
+	peer_hear(membership, 62, 3, WEIGHT);
+	assert_int_equal(jt_membership_reading_turn(membership, WEIGHT),
+			 JT_TURN_OF_ALL);
+	peer_hear(membership, 30, 3, WEIGHT);
+	assert_int_equal(jt_membership_reading_turn(membership, WEIGHT),
+			 JT_TURN_OF_ZONE);
+	peer_hear(membership, 31, 1, WEIGHT);
+	assert_int_equal(jt_membership_reading_turn(membership, WEIGHT),
+			 JT_TURN_NONE);
+	talloc_free(membership);
+}
+
 static void test_three_readers_in_all_where_zones_are_few(void **state)
 {
 	struct jt_membership *membership = member(50);
@@ -293,6 +357,107 @@
 	assert_int_equal(follower.revision, 40);
 }
 
+/* Nodes that only check */
+
+static struct jt_follower checking_at(uint64_t revision)
+{
+	struct jt_follower follower;
+
+	jt_follower_init(&follower, 1);
+	jt_follower_read(&follower, JT_READING_CHECKS, 0);
+	jt_follower_page(&follower, JT_KV_OK, revision, false, 0, 0);
+	return follower;
+}
+
+static void test_check_of_what_peers_have_told(void **state)
+{
+	struct jt_follower follower = checking_at(10);
+
+	(void)state;
+	assert_int_equal(jt_follower_next(&follower, 0), JT_FOLLOWER_WAIT);
+	assert_int_equal(jt_follower_next(&follower, 1000), JT_FOLLOWER_CHECK);
+	/* Peers have told 12 meanwhile. */
+	jt_follower_asked(&follower, JT_KV_OK, 12, 12, 1000);
+	assert_int_equal(follower.as_of_ms, 1000);
+	assert_int_equal(jt_follower_next(&follower, 1000), JT_FOLLOWER_WAIT);
+	assert_int_equal(jt_follower_next(&follower, 2000), JT_FOLLOWER_CHECK);
+}
+
+static void test_change_that_nobody_tells_is_caught_up_with(void **state)
+{
+	struct jt_follower follower = checking_at(10);
+	uint64_t now_ms = 1000;
+
+	(void)state;
+	jt_follower_asked(&follower, JT_KV_OK, 13, 10, now_ms);
+	/* It may be under way. */
+	assert_int_equal(jt_follower_next(&follower, now_ms), JT_FOLLOWER_WAIT);
+	now_ms += 200;
+	assert_int_equal(jt_follower_next(&follower, now_ms),
+			 JT_FOLLOWER_CHECK);
+	jt_follower_asked(&follower, JT_KV_OK, 13, 10, now_ms);
+	assert_int_equal(jt_follower_next(&follower, now_ms),
+			 JT_FOLLOWER_WATCH);
+	assert_in_range(jt_follower_wait_ms(&follower), 100, 1000);
+	assert_int_equal(follower.as_of_ms, 0);
+	/* Once is enough. */
+	jt_follower_watched(&follower, JT_KV_OK, 13, true, now_ms);
+	assert_int_equal(follower.as_of_ms, now_ms);
+	assert_int_equal(jt_follower_next(&follower, now_ms + 1000),
+			 JT_FOLLOWER_CHECK);
+}
+
+static void test_changes_that_peers_tell_in_time_cost_no_watch(void **state)
+{
+	struct jt_follower follower = checking_at(10);
+
+	(void)state;
+	for (uint64_t at = 11; at < 40; at++) {
+		uint64_t now_ms = at * 200;
+
+		/* One change after the other, each told a little later. */
+		jt_follower_asked(&follower, JT_KV_OK, at, at - 1, now_ms);
+		assert_int_equal(jt_follower_next(&follower, now_ms + 150),
+				 JT_FOLLOWER_CHECK);
+	}
+}
+
+static void test_failed_checks_wait_longer(void **state)
+{
+	struct jt_follower follower = checking_at(10);
+
+	(void)state;
+	jt_follower_asked(&follower, JT_KV_UNAVAILABLE, 0, 10, 1000);
+	assert_int_equal(follower.failures, 1);
+	jt_follower_asked(&follower, JT_KV_LOST, 0, 10, 2000);
+	assert_int_equal(follower.failures, 2);
+	assert_int_equal(jt_follower_next(&follower, 2000), JT_FOLLOWER_WAIT);
+	assert_int_equal(follower.as_of_ms, 0);
+	jt_follower_asked(&follower, JT_KV_OK, 10, 10, 4000);
+	assert_int_equal(follower.failures, 0);
+}
+
+static void test_history_gone_while_catching_up_leads_to_a_list(void **state)
+{
+	struct jt_follower follower = checking_at(10);
+
+	(void)state;
+	jt_follower_asked(&follower, JT_KV_OK, 13, 10, 1000);
+	jt_follower_asked(&follower, JT_KV_OK, 13, 10, 1200);
+	jt_follower_watched(&follower, JT_KV_COMPACTED, 0, false, 1200);
+	assert_int_equal(jt_follower_next(&follower, 1200), JT_FOLLOWER_LIST);
+}
+
+static void test_node_that_begins_to_watch_does_so_at_once(void **state)
+{
+	struct jt_follower follower = checking_at(10);
+
+	(void)state;
+	jt_follower_asked(&follower, JT_KV_OK, 10, 10, 1000);
+	jt_follower_read(&follower, JT_READING_WATCHES, 1100);
+	assert_int_equal(jt_follower_next(&follower, 1100), JT_FOLLOWER_WATCH);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -304,6 +469,20 @@
 		cmocka_unit_test(test_nodes_do_not_step_in_together),
 		cmocka_unit_test(test_newest_reading_is_told_on),
 		cmocka_unit_test(test_weak_nodes_wait_for_peers_at_their_start),
+		cmocka_unit_test(test_every_node_gives_peers_time_to_answer),
+		cmocka_unit_test(test_first_start_is_spread),
+		cmocka_unit_test(test_one_node_watches),
+		cmocka_unit_test(test_first_of_all_has_the_turn_to_watch),
+		cmocka_unit_test(test_check_of_what_peers_have_told),
+		cmocka_unit_test(
+			test_change_that_nobody_tells_is_caught_up_with),
+		cmocka_unit_test(
+			test_changes_that_peers_tell_in_time_cost_no_watch),
+		cmocka_unit_test(test_failed_checks_wait_longer),
+		cmocka_unit_test(
+			test_history_gone_while_catching_up_leads_to_a_list),
+		cmocka_unit_test(
+			test_node_that_begins_to_watch_does_so_at_once),
 		cmocka_unit_test(test_one_reader_a_zone_where_there_are_three),
 		cmocka_unit_test(test_three_readers_in_all_where_zones_are_few),
 		cmocka_unit_test(test_strong_nodes_read_for_weak_ones),
