--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
   clang-tidy cppcheck libclang-rt-14-dev libtalloc-dev libtevent-dev \
   libargtable2-dev libcmocka-dev liblwip-dev libmicrohttpd-dev \
   libcurl4-gnutls-dev libjansson-dev libconfig-dev libxxhash-dev libgsl-dev \
-  liburcu-dev libsodium-dev libtirpc-dev uthash-dev rpcsvc-proto spin jq curl openssl
+  liburcu-dev libsodium-dev libtirpc-dev libevent-dev uthash-dev rpcsvc-proto spin jq curl openssl
 SECONDS ?= 60
 SOURCES = $(shell git ls-files 'src/*.[ch]' 'include/*.h' 'tests/*.[ch]' \
   'fuzz/*.[ch]' 'bench/*.[ch]' 'platform/*.[ch]' | grep -vE 'jt_(director_)?proto')
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -12,7 +12,7 @@
   local seed=$1 folder="$build/soak-$1"
   rm -rf "$folder"
   "$build/tests/jaspertrack-soak" --seed "$seed" --seconds "$each" \
-    --program "$build/jaspertrackd" --output "$folder"
+    --program "$build/jaspertrack-director" --output "$folder"
   if [ $? -eq 0 ]; then
     rm -rf "$folder"
   else
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -1,5 +1,4 @@
 /* jaspertrackd: one balancer node. */
-#include "main_director.h"
 #include "jt_director_settings.h"
 #include "jt_net.h"
 #include "jt_node.h"
@@ -16,6 +15,8 @@
 /* Names the settings file where --config does not. */
 #define SETTINGS_VARIABLE "JASPERTRACK_SETTINGS"
 
+enum { EXIT_DONE = 0, EXIT_FAILED = 1, EXIT_USAGE = 2 };
+
 struct options {
 	const char *config;
 	const char *name;
@@ -218,8 +219,11 @@
 		goto out;
 	}
 	if (jt_director_settings_wanted(daemon->options.config)) {
-		result = main_director(daemon, daemon->options.config,
-				       daemon->options.check);
+		fprintf(stderr,
+			"jaspertrackd: %s: placement: \"label\" is for "
+			"jaspertrack-director\n",
+			daemon->options.config);
+		result = EXIT_USAGE;
 		goto out;
 	}
 	settings = load_settings(daemon, &daemon->options, &error);
--- a/src/daemon/main_director.c
+++ b/src/director_daemon/director_process.c
@@ -1,4 +1,4 @@
-#include "main_director.h"
+#include "director_process.h"
 #include "jt_director_node.h"
 #include "jt_net.h"
 #include "jt_timer.h"
@@ -135,7 +135,7 @@
 	char *error = NULL;
 
 	process->loop = tevent_context_init(process);
-	process->log.program = "jaspertrackd";
+	process->log.program = DIRECTOR_PROGRAM;
 	process->log.threshold = process->settings->log_threshold;
 	process->log.sink = jt_log_sink_create(process, STDOUT_FILENO);
 	signal(SIGPIPE, SIG_IGN);
@@ -146,7 +146,7 @@
 	process->look =
 		jt_timer_create(process, process->loop, on_look, process);
 	if (process->node == NULL || process->look == NULL) {
-		fprintf(stderr, "jaspertrackd: %s\n", error);
+		fprintf(stderr, DIRECTOR_PROGRAM ": %s\n", error);
 		return EXIT_FAILED;
 	}
 	jt_timer_set(process->look, SETTINGS_LOOK_MS);
@@ -164,7 +164,7 @@
 	return EXIT_DONE;
 }
 
-int main_director(TALLOC_CTX *mem_ctx, const char *file, bool check)
+int director_process_run(TALLOC_CTX *mem_ctx, const char *file, bool check)
 {
 	struct director_process *process =
 		talloc_zero(mem_ctx, struct director_process);
@@ -175,7 +175,7 @@
 	process->file = file;
 	process->settings = jt_director_settings_load(process, file, &error);
 	if (process->settings == NULL) {
-		fprintf(stderr, "jaspertrackd: %s\n", error);
+		fprintf(stderr, DIRECTOR_PROGRAM ": %s\n", error);
 		return EXIT_USAGE;
 	}
 	if (check) {
--- /dev/null
+++ b/src/director_daemon/main.c
@@ -0,0 +1,91 @@
+/* jaspertrack-director: one balancer node that places flows by label. */
+#include "director_process.h"
+#include "jt_version.h"
+
+#include <argtable2.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Names the settings file where --config does not. */
+#define SETTINGS_VARIABLE "JASPERTRACK_SETTINGS"
+
+struct options {
+	const char *config;
+	bool check;
+};
+
+static void usage(void **table)
+{
+	printf("Usage: " DIRECTOR_PROGRAM);
+	arg_print_syntax(stdout, table, "\n");
+	printf("Runs one balancer node that places flows by label. SIGTERM "
+	       "leaves without\ncutting flows; SIGHUP reads the settings "
+	       "again, as does a change of the file.\n\n");
+	arg_print_glossary(stdout, table, "  %-26s %s\n");
+	printf("\nWithout --config the file is the one that %s names.\n"
+	       "Example: %s --config node.cfg --check\n",
+	       SETTINGS_VARIABLE, DIRECTOR_PROGRAM);
+}
+
+/* EXIT_DONE with *run true when there is something to do. */
+static int parse_arguments(int argc, char **argv, struct options *options,
+			   bool *run)
+{
+	struct arg_file *config =
+		arg_file0("c", "config", "FILE", "settings (libconfig)");
+	struct arg_lit *check =
+		arg_lit0(NULL, "check", "check the settings and stop");
+	struct arg_lit *help = arg_lit0("h", "help", "this text");
+	struct arg_lit *version = arg_lit0(NULL, "version", "the version");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {config, check, help, version, end};
+	int errors = arg_parse(argc, argv, table);
+	int result = EXIT_DONE;
+
+	options->config =
+		config->count ? config->filename[0] : getenv(SETTINGS_VARIABLE);
+	options->check = check->count > 0;
+	*run = false;
+	if (help->count > 0) {
+		usage(table);
+	} else if (version->count > 0) {
+		printf(DIRECTOR_PROGRAM " %s\n", JT_VERSION);
+	} else if (errors > 0) {
+		arg_print_errors(stderr, end, DIRECTOR_PROGRAM);
+		result = EXIT_USAGE;
+	} else if (options->config == NULL) {
+		fprintf(stderr, DIRECTOR_PROGRAM
+			": --config or " SETTINGS_VARIABLE " is needed\n");
+		result = EXIT_USAGE;
+	} else {
+		*run = true;
+	}
+	/* The strings point into argv, not into the table. */
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return result;
+}
+
+int main(int argc, char **argv)
+{
+	struct options options;
+	TALLOC_CTX *mem_ctx;
+	bool run;
+	int result;
+
+	/* Until the handlers stand, these must not end the process. */
+	signal(SIGHUP, SIG_IGN);
+	signal(SIGPIPE, SIG_IGN);
+	result = parse_arguments(argc, argv, &options, &run);
+	if (!run)
+		return result;
+	if (sodium_init() < 0) {
+		fprintf(stderr, DIRECTOR_PROGRAM ": libsodium can't start\n");
+		return EXIT_FAILED;
+	}
+	mem_ctx = talloc_new(NULL);
+	result = director_process_run(mem_ctx, options.config, options.check);
+	talloc_free(mem_ctx);
+	return result;
+}
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -3,7 +3,6 @@
 #include "soak.h"
 
 #include <argtable2.h>
-#include <curl/curl.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdlib.h>
@@ -316,8 +315,8 @@
 	struct arg_int *seed = arg_int0("s", "seed", "N", "repeat that run");
 	struct arg_int *seconds =
 		arg_int0("t", "seconds", "S", "of faults, 5 to 3600 (60)");
-	struct arg_file *program =
-		arg_file0("p", "program", "FILE", "jaspertrackd of a build");
+	struct arg_file *program = arg_file0("p", "program", "FILE",
+					     "jaspertrack-director of a build");
 	struct arg_file *folder = arg_file0(
 		"o", "output", "DIR", "settings, logs and events go there");
 	struct arg_lit *help = arg_lit0("h", "help", "print this and end");
@@ -327,7 +326,7 @@
 
 	seconds->ival[0] = 60;
 	seed->ival[0] = (int)(time(NULL) & 0x7fffffff);
-	program->filename[0] = "build/jaspertrackd";
+	program->filename[0] = "build/jaspertrack-director";
 	folder->filename[0] = "/tmp/jaspertrack-soak";
 	if (arg_parse(argc, argv, table) > 0 ||
 	    seconds->ival[0] < SECONDS_LEAST ||
@@ -352,7 +351,7 @@
 		printf("jaspertrack-soak %s\n", JT_VERSION);
 		return EXIT_HELD;
 	}
-	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT) != 0)
+	if (sodium_init() < 0)
 		return EXIT_USAGE;
 	mkdir(folder->filename[0], 0755);
 	signal(SIGPIPE, SIG_IGN);
