Plain HTTP: tevent watches duplicates of libevent's sockets

Cause: the commit before watched the base's sockets in a nested epoll set.

Ruled out: a socket of the base that nobody takes from (no such socket on Linux, same sources).

Change: tevent watches a duplicate of each socket, which keeps its number until the watch ends.

--- a/src/http_plain/jt_event_loop.c
+++ b/src/http_plain/jt_event_loop.c
@@ -1,37 +1,34 @@
 #include "jt_event_loop.h"
 #include "jt_timer.h"
 
-#include <errno.h>
-#include <string.h>
-#include <sys/epoll.h>
+#include <sys/queue.h>
 #include <unistd.h>
-#include <utlist.h>
 
-/* One socket of the base. */
+/*
+ * One socket of the base. tevent watches a duplicate of its descriptor:
+ * libevent closes sockets as it likes, and tevent would go on watching a
+ * number that somebody else has got since.
+ */
 struct socket_watch {
+	struct jt_event_loop *events;
 	evutil_socket_t socket;
-	uint32_t wanted; /* epoll flags that the base waits for */
-	uint32_t set;	 /* those that the kernel was told */
-	struct socket_watch *next, *prev;
+	uint16_t wanted; /* tevent flags that the base waits for */
+	struct tevent_fd *duplicate;
+	LIST_ENTRY(socket_watch) next;
 };
 
-/*
- * The base's sockets are in a set of their own, which the tevent loop watches
- * as one descriptor. libevent closes sockets as it likes; where tevent watched
- * each of them, it would go on watching a number that somebody else has got.
- */
 struct jt_event_loop {
+	struct tevent_context *loop;
 	struct event_base *base;
 	struct jt_timer *timer;
-	int set_fd; /* epoll */
-	struct socket_watch *watches;
+	LIST_HEAD(socket_watches, socket_watch) watches;
 	bool opened; /* a socket, since the watches were last set */
 };
 
 static void base_look(struct jt_event_loop *events);
 
-static void on_sockets(struct tevent_context *loop, struct tevent_fd *fd,
-		       uint16_t flags, void *private_data)
+static void on_socket(struct tevent_context *loop, struct tevent_fd *fd,
+		      uint16_t flags, void *private_data)
 {
 	(void)loop;
 	(void)fd;
@@ -49,16 +46,17 @@
 {
 	struct socket_watch *watch;
 
-	DL_FOREACH(events->watches, watch)
-	{
+	for (watch = LIST_FIRST(&events->watches); watch != NULL;
+	     watch = LIST_NEXT(watch, next)) {
 		if (watch->socket == socket)
 			return watch;
 	}
 	watch = talloc_zero(events, struct socket_watch);
 	if (watch == NULL)
 		return NULL;
+	watch->events = events;
 	watch->socket = socket;
-	DL_APPEND(events->watches, watch);
+	LIST_INSERT_HEAD(&events->watches, watch, next);
 	return watch;
 }
 
@@ -77,35 +75,41 @@
 	if (watch == NULL)
 		return 0;
 	if (pending & EV_READ)
-		watch->wanted |= EPOLLIN;
+		watch->wanted |= TEVENT_FD_READ;
 	if (pending & EV_WRITE)
-		watch->wanted |= EPOLLOUT;
+		watch->wanted |= TEVENT_FD_WRITE;
 	return 0;
 }
 
-/* Tell the kernel, which has forgotten a socket that was closed. */
-static void watch_set(const struct jt_event_loop *events,
-		      struct socket_watch *watch)
+static void watch_begin(struct socket_watch *watch)
 {
-	struct epoll_event event = {.events = watch->wanted};
+	struct jt_event_loop *events = watch->events;
+	int duplicate = dup(watch->socket);
 
-	if (watch->wanted == watch->set && !events->opened)
+	if (duplicate < 0)
 		return;
-	if (epoll_ctl(events->set_fd, EPOLL_CTL_ADD, watch->socket, &event) !=
-		    0 &&
-	    errno == EEXIST)
-		(void)epoll_ctl(events->set_fd, EPOLL_CTL_MOD, watch->socket,
-				&event);
-	watch->set = watch->wanted;
+	watch->duplicate = tevent_add_fd(events->loop, watch, duplicate,
+					 watch->wanted, on_socket, events);
+	if (watch->duplicate == NULL)
+		close(duplicate);
+	else
+		tevent_fd_set_auto_close(watch->duplicate);
 }
 
-static void watch_drop(struct jt_event_loop *events, struct socket_watch *watch)
+static void watch_set(struct socket_watch *watch)
 {
-	struct epoll_event event = {0};
+	/* The number may stand for another socket by now. */
+	if (watch->events->opened)
+		TALLOC_FREE(watch->duplicate);
+	if (watch->duplicate == NULL)
+		watch_begin(watch);
+	else if (tevent_fd_get_flags(watch->duplicate) != watch->wanted)
+		tevent_fd_set_flags(watch->duplicate, watch->wanted);
+}
 
-	/* Most often it is closed already. */
-	(void)epoll_ctl(events->set_fd, EPOLL_CTL_DEL, watch->socket, &event);
-	DL_DELETE(events->watches, watch);
+static void watch_drop(struct socket_watch *watch)
+{
+	LIST_REMOVE(watch, next);
 	talloc_free(watch);
 }
 
@@ -114,15 +118,17 @@
 {
 	struct socket_watch *watch, *next;
 
-	DL_FOREACH(events->watches, watch)
-	watch->wanted = 0;
+	for (watch = LIST_FIRST(&events->watches); watch != NULL;
+	     watch = LIST_NEXT(watch, next))
+		watch->wanted = 0;
 	event_base_foreach_event(events->base, on_event, events);
-	DL_FOREACH_SAFE(events->watches, watch, next)
-	{
+	for (watch = LIST_FIRST(&events->watches); watch != NULL;
+	     watch = next) {
+		next = LIST_NEXT(watch, next);
 		if (watch->wanted != 0)
-			watch_set(events, watch);
+			watch_set(watch);
 		else
-			watch_drop(events, watch);
+			watch_drop(watch);
 	}
 	events->opened = false;
 }
@@ -140,8 +146,6 @@
 {
 	if (events->base != NULL)
 		event_base_free(events->base);
-	if (events->set_fd >= 0)
-		close(events->set_fd);
 	return 0;
 }
 
@@ -168,14 +172,12 @@
 
 	if (events == NULL)
 		return NULL;
-	events->set_fd = epoll_create1(EPOLL_CLOEXEC);
+	events->loop = loop;
+	LIST_INIT(&events->watches);
 	events->base = base_create();
 	talloc_set_destructor(events, events_destructor);
 	events->timer = jt_timer_create(events, loop, on_wake, events);
-	if (events->base == NULL || events->set_fd < 0 ||
-	    events->timer == NULL ||
-	    tevent_add_fd(loop, events, events->set_fd, TEVENT_FD_READ,
-			  on_sockets, events) == NULL)
+	if (events->base == NULL || events->timer == NULL)
 		TALLOC_FREE(events);
 	return events;
 }
--- a/src/http_plain/jt_http_plain_client.c
+++ b/src/http_plain/jt_http_plain_client.c
@@ -12,8 +12,7 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <string.h>
-#include <strings.h>
-#include <utlist.h>
+#include <sys/queue.h>
 
 enum {
 	ANSWER_LIMIT = 16 << 20,
@@ -26,15 +25,17 @@
 	struct evhttp_connection *http;
 	char *host;
 	uint16_t port;
-	struct connection *next, *prev;
+	TAILQ_ENTRY(connection) next;
 };
 
+TAILQ_HEAD(connections, connection);
+
 struct jt_http_client {
 	struct tevent_context *loop;
 	struct jt_event_loop *events;
-	struct connection *kept; /* at rest, the one used last first */
+	struct connections kept; /* at rest, the one used last first */
 	unsigned kept_count;
-	struct connection *retired; /* to be freed outside libevent */
+	struct connections retired; /* to be freed outside libevent */
 	struct jt_timer *retire_timer;
 };
 
@@ -86,12 +87,12 @@
 {
 	struct connection *connection;
 
-	DL_FOREACH(client->kept, connection)
-	{
+	for (connection = TAILQ_FIRST(&client->kept); connection != NULL;
+	     connection = TAILQ_NEXT(connection, next)) {
 		if (connection->port != port ||
 		    strcmp(connection->host, host) != 0)
 			continue;
-		DL_DELETE(client->kept, connection);
+		TAILQ_REMOVE(&client->kept, connection, next);
 		client->kept_count--;
 		return connection;
 	}
@@ -103,26 +104,31 @@
 	struct jt_http_client *client = connection->client;
 	struct connection *oldest;
 
-	DL_PREPEND(client->kept, connection);
+	TAILQ_INSERT_HEAD(&client->kept, connection, next);
 	client->kept_count++;
 	if (client->kept_count <= KEPT_MOST)
 		return;
-	oldest = client->kept->prev;
-	DL_DELETE(client->kept, oldest);
+	oldest = TAILQ_LAST(&client->kept, connections);
+	TAILQ_REMOVE(&client->kept, oldest, next);
 	client->kept_count--;
 	talloc_free(oldest);
 }
 
-static void on_retire(void *private_data)
+static void connections_free(struct connections *list)
 {
-	struct jt_http_client *client = private_data;
-	struct connection *connection, *next;
+	while (!TAILQ_EMPTY(list)) {
+		struct connection *connection = TAILQ_FIRST(list);
 
-	DL_FOREACH_SAFE(client->retired, connection, next)
-	{
-		DL_DELETE(client->retired, connection);
+		TAILQ_REMOVE(list, connection, next);
 		talloc_free(connection);
 	}
+}
+
+static void on_retire(void *private_data)
+{
+	struct jt_http_client *client = private_data;
+
+	connections_free(&client->retired);
 	jt_event_loop_wake(client->events);
 }
 
@@ -131,19 +137,15 @@
 {
 	struct jt_http_client *client = connection->client;
 
-	DL_APPEND(client->retired, connection);
+	TAILQ_INSERT_TAIL(&client->retired, connection, next);
 	jt_timer_set(client->retire_timer, 0);
 }
 
 /* Connections go before the base that they use. */
 static int client_destructor(struct jt_http_client *client)
 {
-	struct connection *connection, *next;
-
-	DL_FOREACH_SAFE(client->kept, connection, next)
-	talloc_free(connection);
-	DL_FOREACH_SAFE(client->retired, connection, next)
-	talloc_free(connection);
+	connections_free(&client->kept);
+	connections_free(&client->retired);
 	return 0;
 }
 
@@ -156,6 +158,8 @@
 	if (client == NULL)
 		return NULL;
 	client->loop = loop;
+	TAILQ_INIT(&client->kept);
+	TAILQ_INIT(&client->retired);
 	client->events = jt_event_loop_create(client, loop);
 	client->retire_timer = jt_timer_create(client, loop, on_retire, client);
 	if (client->events == NULL || client->retire_timer == NULL) {
--- a/tests/test_http_plain.c
+++ b/tests/test_http_plain.c
@@ -334,11 +334,11 @@
 	}
 	while (pairs->heard < 2 * PAIRS)
 		tevent_loop_once(bench->loop);
-	talloc_free(bench);
 	for (int i = 0; i < PAIRS; i++) {
 		close(pairs->ends[i][0]);
 		close(pairs->ends[i][1]);
 	}
+	talloc_free(bench);
 }
 
 static void test_tls_and_streams_are_refused(void **state)
