New flows go by the endpoints' work of late, not by their open flows

A flow may carry one request or hundreds. A new endpoint has no flows, so every node gave it every new flow: over 100 requests a second for three slots that are cold and take 36.

Change: jt_work counts an endpoint's requests, half as much after 0.5 s; a placed flow counts for its first one at once. The choice takes the lowest (own work + mean of the peers' work + requests waiting + 1) x slowness / capacity. Peers tell their work beside their flows, which still count for connection limits. A newcomer begins with the mean of its service.

--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -18,7 +18,7 @@
 enum {
 	JT_ROUTE_PART_LIMIT = 16,	/* services that share one route */
 	JT_ENDPOINT_TABLE_LIMIT = 8192, /* incarnations known at once */
-	JT_LOAD_LIMIT = 128,		/* endpoints in one report of loads */
+	JT_LOAD_LIMIT = 96,		/* endpoints in one report of loads */
 };
 
 /* A service's part of a route's new flows. */
@@ -71,8 +71,11 @@
 struct jt_endpoint_load {
 	uint32_t label;
 	uint32_t flows;
+	uint32_t work_permille; /* requests lately, in thousandths */
 };
 
+enum { JT_WORK_UNIT = 1000 }; /* of work_permille in a request */
+
 /* How this node sees one incarnation. */
 enum jt_incarnation_state {
 	JT_INCARNATION_READY,
--- a/include/jaspertrack/director.h
+++ b/include/jaspertrack/director.h
@@ -50,7 +50,7 @@
 
 /* This node's share of the endpoints' flows; returns how many of @loads were
  * set. Endpoints past the limit take turns. */
-size_t jt_director_loads(struct jt_director *director,
+size_t jt_director_loads(struct jt_director *director, uint64_t now_ms,
 			 struct jt_endpoint_load loads[JT_LOAD_LIMIT]);
 
 /* The label that names an incarnation in a flow's packets; never 0. */
--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -1,6 +1,7 @@
 /* What a director node hears from the store and from its peers. */
 #include "jt_director_node_private.h"
 #include "jt_knowledge.h"
+#include "jt_net.h"
 
 /* The store */
 
@@ -251,7 +252,7 @@
 {
 	struct jt_director_node *node = private_data;
 
-	return jt_director_loads(node->director, loads);
+	return jt_director_loads(node->director, jt_clock_ms(), loads);
 }
 
 static void on_loads(uint64_t peer, const struct jt_endpoint_load *loads,
--- a/src/lab/label.c
+++ b/src/lab/label.c
@@ -210,7 +210,8 @@
 		event.u.loads.peer = n + 1u;
 		event.u.loads.loads = loads;
 		event.u.loads.count =
-			jt_director_loads(label->nodes[n].director, loads);
+			jt_director_loads(label->nodes[n].director,
+					  world_now(world) / 1000, loads);
 		for (int i = 0; i < 2; i++) {
 			uint16_t to = (uint16_t)(world_uniform(world) * count);
 
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -120,6 +120,23 @@
 	return incarnation->flows + mean * (double)(chooser->nodes - 1);
 }
 
+void jt_chooser_welcome(const struct jt_service_pool *pool,
+			struct jt_incarnation *newcomer, uint64_t now_ms)
+{
+	const struct jt_incarnation *in;
+	double sum = 0;
+	size_t count = 0;
+
+	for (in = pool->members; in != NULL; in = in->pool_next) {
+		if (in == newcomer || in->state != JT_INCARNATION_READY)
+			continue;
+		sum += jt_work_now(&in->work, now_ms);
+		count++;
+	}
+	if (count > 0)
+		jt_work_add(&newcomer->work, sum / (double)count, now_ms);
+}
+
 /* Whether a ready incarnation holds as many flows, by this node's count of all
  * nodes', as its service allows; a limit of 0 allows any number. */
 static bool incarnation_full(const struct jt_chooser *chooser,
@@ -204,8 +221,8 @@
 {
 	uint32_t capacity = in->entry.capacity ? in->entry.capacity : 1;
 	double work =
-		(double)in->flows + (double)in->waiting + 1.0 +
-		jt_peer_loads_mean(chooser->peer_loads, in->label, now_ms);
+		jt_work_now(&in->work, now_ms) + (double)in->waiting + 1.0 +
+		jt_peer_loads_work(chooser->peer_loads, in->label, now_ms);
 
 	return work * (double)slowness_permille(in, fastest_us, now_ms) /
 	       capacity;
--- a/src/label/jt_choose.h
+++ b/src/label/jt_choose.h
@@ -2,9 +2,9 @@
  * Which service and which endpoint of it a new flow gets.
  *
  * Parts of a route are kept exact: each new flow goes to the part that is
- * furthest behind its weight. In a service, the endpoint with the least load
- * for its capacity and measured speed is chosen, one of this node's zone as
- * long as its load is not clearly higher than elsewhere.
+ * furthest behind its weight. In a service, the endpoint that got the least
+ * work lately for its capacity and measured speed is chosen, one of this node's
+ * zone as long as its load is not clearly higher than elsewhere.
  */
 #ifndef JT_CHOOSE_H
 #define JT_CHOOSE_H
@@ -47,6 +47,10 @@
 double jt_chooser_flows(const struct jt_chooser *chooser,
 			const struct jt_incarnation *incarnation,
 			uint64_t now_ms);
+/* An incarnation that has just come counts as one that got as much work as the
+ * others of its service: it gets its share of new flows, not all of them. */
+void jt_chooser_welcome(const struct jt_service_pool *pool,
+			struct jt_incarnation *newcomer, uint64_t now_ms);
 /* A request of the route went to @service_id on a flow that is open. */
 void jt_chooser_count(struct jt_chooser *chooser, const struct jt_route *route,
 		      uint32_t service_id);
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -268,6 +268,9 @@
 					    actions);
 	} else if (is_new) {
 		incarnation->state = listed_state(incarnation);
+		if (incarnation->pool != NULL)
+			jt_chooser_welcome(incarnation->pool, incarnation,
+					   now_ms);
 		jt_director_action_about(actions, JT_DIRECTOR_SEEN, 0,
 					 incarnation, now_ms);
 	} else {
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -126,6 +126,9 @@
 		return;
 	flow->waiting_ms = now_ms;
 	incarnation->waiting++;
+	if (!flow->expected)
+		jt_work_add(&incarnation->work, 1, now_ms);
+	flow->expected = false;
 }
 
 void jt_director_flow_forget(struct jt_director *director,
@@ -211,8 +214,11 @@
 		return;
 	}
 	flow = flow_add(director, packet, chosen, now_ms);
-	if (flow != NULL)
+	if (flow != NULL) {
 		jt_flow_cache_opening(director->flows, flow, now_ms);
+		flow->expected = true;
+		jt_work_add(&chosen->work, 1, now_ms);
+	}
 	add_forward(director, packet, chosen, reason, now_ms, actions);
 }
 
--- a/src/label/jt_director_view.c
+++ b/src/label/jt_director_view.c
@@ -109,7 +109,22 @@
 	return count;
 }
 
-size_t jt_director_loads(struct jt_director *director,
+/* False when there is nothing to tell of the incarnation. */
+static bool load_of(const struct jt_incarnation *in, uint64_t now_ms,
+		    struct jt_endpoint_load *load)
+{
+	double work = jt_work_now(&in->work, now_ms) * JT_WORK_UNIT;
+
+	*load = (struct jt_endpoint_load){
+		.label = in->label,
+		.flows = in->flows,
+		.work_permille =
+			work < UINT32_MAX ? (uint32_t)work : UINT32_MAX,
+	};
+	return load->flows > 0 || load->work_permille > 0;
+}
+
+size_t jt_director_loads(struct jt_director *director, uint64_t now_ms,
 			 struct jt_endpoint_load loads[JT_LOAD_LIMIT])
 {
 	struct jt_incarnation *in =
@@ -118,10 +133,9 @@
 
 	for (; in != NULL && count < JT_LOAD_LIMIT;
 	     in = jt_endpoint_table_next(in), index++) {
-		if (index < director->loads_told || in->flows == 0)
-			continue;
-		loads[count++] =
-			(struct jt_endpoint_load){in->label, in->flows};
+		if (index >= director->loads_told &&
+		    load_of(in, now_ms, &loads[count]))
+			count++;
 	}
 	director->loads_told = in != NULL ? index : 0;
 	return count;
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -10,6 +10,8 @@
 
 #include "jaspertrack/director-t.h"
 
+#include "jt_work.h"
+
 #include <uthash.h>
 
 struct jt_service_pool;
@@ -26,6 +28,7 @@
 
 	/* Load, by this node's own flows. */
 	uint32_t flows;
+	struct jt_work work;
 	uint32_t waiting;    /* flows with a request not yet answered */
 	uint32_t latency_us; /* smoothed time to the answer; 0: unknown */
 
--- a/src/label/jt_flow_cache.h
+++ b/src/label/jt_flow_cache.h
@@ -21,6 +21,7 @@
 	uint64_t seen_ms;
 	uint64_t waiting_ms; /* since when a request waits, 0: none */
 	uint64_t opening_ms; /* when its first SYN came, 0: it is open */
+	bool expected;	     /* its first request counts as work already */
 	bool answered;	     /* got an answer after it had opened */
 	uint32_t resent;     /* times that the same data came again */
 	bool doubted;	     /* the endpoint was suspected for its silence */
--- a/src/label/jt_peer_loads.c
+++ b/src/label/jt_peer_loads.c
@@ -42,6 +42,7 @@
 		HASH_ADD(hh, peers->sums, label, sizeof(sum->label), sum);
 	}
 	sum->flows += load->flows;
+	sum->work_permille += load->work_permille;
 }
 
 static void sum_remove(struct jt_peer_loads *peers,
@@ -51,8 +52,9 @@
 
 	if (sum == NULL)
 		return;
-	sum->flows -= load->flows < sum->flows ? load->flows : sum->flows;
-	if (sum->flows > 0)
+	sum->flows -= load->flows;
+	sum->work_permille -= load->work_permille;
+	if (sum->flows > 0 || sum->work_permille > 0)
 		return;
 	HASH_DEL(peers->sums, sum);
 	talloc_free(sum);
@@ -132,16 +134,30 @@
 	reports_expire(peers, now_ms);
 }
 
+/* What the reports say of the endpoint, NULL when that is nothing. */
+static const struct jt_load_sum *sum_now(struct jt_peer_loads *peers,
+					 uint32_t label, uint64_t now_ms)
+{
+	if (now_ms >= peers->outdated_ms)
+		reports_expire(peers, now_ms);
+	return peers->report_count > 0 ? sum_find(peers, label) : NULL;
+}
+
 double jt_peer_loads_mean(struct jt_peer_loads *peers, uint32_t label,
 			  uint64_t now_ms)
 {
-	const struct jt_load_sum *sum;
+	const struct jt_load_sum *sum = sum_now(peers, label, now_ms);
 
-	if (now_ms >= peers->outdated_ms)
-		reports_expire(peers, now_ms);
-	if (peers->report_count == 0)
-		return 0;
-	sum = sum_find(peers, label);
 	return sum != NULL ? (double)sum->flows / (double)peers->report_count
 			   : 0;
 }
+
+double jt_peer_loads_work(struct jt_peer_loads *peers, uint32_t label,
+			  uint64_t now_ms)
+{
+	const struct jt_load_sum *sum = sum_now(peers, label, now_ms);
+
+	return sum != NULL ? (double)sum->work_permille / JT_WORK_UNIT /
+				     (double)peers->report_count
+			   : 0;
+}
--- a/src/label/jt_peer_loads.h
+++ b/src/label/jt_peer_loads.h
@@ -25,6 +25,7 @@
 struct jt_load_sum {
 	uint32_t label;
 	uint64_t flows;
+	uint64_t work_permille;
 	UT_hash_handle hh;
 };
 
@@ -44,5 +45,8 @@
  * outdated; 0 when there are none. */
 double jt_peer_loads_mean(struct jt_peer_loads *peers, uint32_t label,
 			  uint64_t now_ms);
+/* The same for the requests that the endpoint got from them lately. */
+double jt_peer_loads_work(struct jt_peer_loads *peers, uint32_t label,
+			  uint64_t now_ms);
 
 #endif
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -19,7 +19,7 @@
 #define JT_DIRECTOR_MAX_SERVICES 65536
 #define JT_DIRECTOR_MAX_ENTRIES 8192
 #define JT_DIRECTOR_MAX_NAME 63
-#define JT_DIRECTOR_MAX_LOADS 128
+#define JT_DIRECTOR_MAX_LOADS 96
 #define JT_DIRECTOR_MAX_NEWS 20
 
 struct jt_wire_peer {
@@ -57,6 +57,7 @@
 struct jt_wire_load {
 	u_int label;
 	u_int flows;
+	u_int work_permille;
 };
 typedef struct jt_wire_load jt_wire_load;
 
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -12,7 +12,7 @@
 const JT_DIRECTOR_MAX_SERVICES = 65536;
 const JT_DIRECTOR_MAX_ENTRIES = 8192;
 const JT_DIRECTOR_MAX_NAME = 63;
-const JT_DIRECTOR_MAX_LOADS = 128;
+const JT_DIRECTOR_MAX_LOADS = 96;
 const JT_DIRECTOR_MAX_NEWS = 20; /* entries that fit into one datagram */
 
 struct jt_wire_peer {
@@ -46,10 +46,11 @@
 struct jt_wire_load {
 	unsigned int label; /* of the endpoint */
 	unsigned int flows; /* open through the sender */
+	unsigned int work_permille; /* its requests lately, in thousandths */
 };
 
-/* The sender's share of the endpoints' flows; endpoints without any are left
- * out. */
+/* The sender's share of the endpoints' flows and work; endpoints without any
+ * are left out. */
 struct jt_wire_loads {
 	jt_wire_load loads<JT_DIRECTOR_MAX_LOADS>;
 };
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -191,6 +191,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->flows))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->work_permille))
+		 return FALSE;
 	return TRUE;
 }
 
