A live endpoint whose entry went with the store's outage keeps its new flows

Cause: after an outage in which entries lapse, a node learns within 0.3 s that most are gone; those that came back first got all new flows (26 to 30 of 32 in 0.2 s), as lapsed ones were a last resort. 26 refusals for want of room, p99 373 ms for a second.

Change: an entry that goes within a second after the node's knowledge of the store was older than 1.5 of its limit has lapsed with the outage. For 2.2 s (at most 75% of the drain limit) such an endpoint is as good as a ready one if a flow got on there in the last second, and is not avoided; without such life it stays a last resort. After that it gets none, as before. An entry that goes while the store is there stops new flows at once, as before.

Ruled out: the same grace at all times (a leaving endpoint would get new flows too late).

--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -173,7 +173,8 @@
 			size_t count;
 		} loads;
 		struct {
-			uint64_t nodes; /* known to live, this one too */
+			uint64_t nodes;	       /* known to live, this one too */
+			uint64_t store_age_ms; /* all it had then is known */
 		} tick;
 	} u;
 };
@@ -247,7 +248,11 @@
 	size_t flow_limit;	    /* flows remembered */
 	uint64_t flow_age_limit_ms; /* no flow lives longer */
 	uint32_t lapsed_grace_ms;   /* last resort after an entry went */
-	uint32_t probe_pause_ms;    /* between probes of one endpoint */
+	/* The same for one that went while the store was away: a live endpoint
+	 * is back by then. */
+	uint32_t returned_grace_ms;
+	uint32_t store_away_ms;	 /* knowledge that old: the store is away */
+	uint32_t probe_pause_ms; /* between probes of one endpoint */
 	uint32_t dead_probe_pause_ms;
 	uint64_t seed;		  /* breaks ties between equals */
 	unsigned break_mechanism; /* enum jt_director_break, tests only */
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -20,6 +20,13 @@
 	LEAVE_COST = 10 * 1000,
 	/* Part of the drain limit for which a lapsed endpoint may be used. */
 	LAPSED_PERCENT = 60,
+	/* The same where the entry went while the store was away, and live
+	 * endpoints are back two seconds after it. */
+	RETURNED_PERCENT = 75,
+	RETURNED_MS = 2200,
+	/* Knowledge older than this part of the limit at which a node reads
+	 * the store itself: the store is away. */
+	AWAY_PERCENT = 150,
 };
 
 static void watch_ready(struct jt_director_node *node);
@@ -347,12 +354,23 @@
 	node->on_left = NULL;
 }
 
+/* How old the knowledge of the store is. */
+static uint64_t store_age_ms(const struct jt_director_node *node)
+{
+	uint64_t from;
+
+	return jt_clock_ms() - jt_reader_as_of(&node->reader,
+					       jt_peer_exchange_id(node->peers),
+					       &from);
+}
+
 static void on_tick(void *private_data)
 {
 	struct jt_director_node *node = private_data;
 	struct jt_director_event event = {.kind = JT_DIRECTOR_TICK};
 
 	event.u.tick.nodes = jt_peer_exchange_live(node->peers) + 1;
+	event.u.tick.store_age_ms = store_age_ms(node);
 	jt_director_node_event(node, &event);
 	watch_ready(node);
 	jt_director_node_reader_look(node, event.now_ms);
@@ -482,6 +500,12 @@
 	options.flow_age_limit_ms = settings->flow_age_limit_ms;
 	options.lapsed_grace_ms =
 		settings->drain_limit_ms / 100 * LAPSED_PERCENT;
+	options.returned_grace_ms =
+		settings->drain_limit_ms / 100 * RETURNED_PERCENT;
+	if (options.returned_grace_ms > RETURNED_MS)
+		options.returned_grace_ms = RETURNED_MS;
+	options.store_away_ms =
+		settings->store_age_limit_ms / 100 * AWAY_PERCENT;
 	randombytes_buf(&options.seed, sizeof(options.seed));
 	jt_reader_init(&node->reader, settings->store_age_limit_ms,
 		       options.seed);
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -32,6 +32,7 @@
 	chooser->nodes = 1;
 	chooser->zone_id = opts->zone_id;
 	chooser->lapsed_grace_ms = opts->lapsed_grace_ms;
+	chooser->returned_grace_ms = opts->returned_grace_ms;
 	chooser->random.seed = opts->seed;
 	chooser->break_mechanism = opts->break_mechanism;
 	return chooser;
@@ -150,6 +151,26 @@
 /* How willing an incarnation is to take a new flow; lower is better. */
 enum willingness { WILLING, SUSPECTED, FULL, LAST_RESORT, UNWILLING };
 
+/*
+ * An entry that went while the store was away says little: live endpoints are
+ * back soon after it, and one that answers is as good as before. Otherwise the
+ * endpoint has crashed or is leaving.
+ */
+static enum willingness lapsed_willing(const struct jt_chooser *chooser,
+				       const struct jt_incarnation *in,
+				       uint64_t now_ms)
+{
+	uint32_t grace_ms = in->away_lapsed ? chooser->returned_grace_ms
+					    : chooser->lapsed_grace_ms;
+
+	if (in->entry.draining || now_ms - in->state_ms >= grace_ms)
+		return UNWILLING;
+	if (!jt_incarnation_outlives(in, now_ms))
+		return LAST_RESORT;
+	return in->suspected_ms != 0 || now_ms < in->avoid_until_ms ? SUSPECTED
+								    : WILLING;
+}
+
 static enum willingness incarnation_willing(const struct jt_chooser *chooser,
 					    const struct jt_incarnation *in,
 					    uint32_t connection_limit,
@@ -166,11 +187,7 @@
 			return SUSPECTED;
 		return WILLING;
 	case JT_INCARNATION_LAPSED:
-		if (in->entry.draining)
-			return UNWILLING;
-		if (now_ms - in->state_ms < chooser->lapsed_grace_ms)
-			return LAST_RESORT;
-		return UNWILLING;
+		return lapsed_willing(chooser, in, now_ms);
 	case JT_INCARNATION_DRAINING:
 		if (chooser->break_mechanism & JT_DIRECTOR_BREAK_DRAINING)
 			return WILLING;
--- a/src/label/jt_choose.h
+++ b/src/label/jt_choose.h
@@ -27,6 +27,7 @@
 	struct jt_split *splits;
 	uint32_t zone_id;
 	uint32_t lapsed_grace_ms;
+	uint32_t returned_grace_ms;
 	struct jt_peer_loads *peer_loads;
 	uint64_t nodes; /* that share the endpoints, this one too */
 	struct jt_random random;
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -6,6 +6,10 @@
 	DEFAULT_FLOW_LIMIT = 1 << 16,
 	DEFAULT_FLOW_AGE_LIMIT_MS = 3600 * 1000,
 	DEFAULT_LAPSED_GRACE_MS = 2000,
+	DEFAULT_RETURNED_GRACE_MS = 2200,
+	DEFAULT_STORE_AWAY_MS = 2500,
+	/* What went in an outage is learned within this time after it. */
+	AWAY_NEWS_MS = 1000,
 	DEFAULT_PROBE_PAUSE_MS = 500,
 	DEFAULT_DEAD_PROBE_PAUSE_MS = 1000,
 	DEFAULT_FLOW_IDLE_MS = 60 * 1000,
@@ -35,6 +39,8 @@
 		.flow_limit = DEFAULT_FLOW_LIMIT,
 		.flow_age_limit_ms = DEFAULT_FLOW_AGE_LIMIT_MS,
 		.lapsed_grace_ms = DEFAULT_LAPSED_GRACE_MS,
+		.returned_grace_ms = DEFAULT_RETURNED_GRACE_MS,
+		.store_away_ms = DEFAULT_STORE_AWAY_MS,
 		.probe_pause_ms = DEFAULT_PROBE_PAUSE_MS,
 		.dead_probe_pause_ms = DEFAULT_DEAD_PROBE_PAUSE_MS,
 		.seed = 1,
@@ -249,9 +255,13 @@
 	}
 	if (incarnation->state == JT_INCARNATION_DEAD)
 		return;
+	incarnation->away_lapsed =
+		director->store_away_until_ms != 0 &&
+		now_ms - director->store_away_until_ms < AWAY_NEWS_MS;
 	state_enter(incarnation, JT_INCARNATION_LAPSED, now_ms, actions);
 	/* It may have ended: flows that rest there are better off knowing. */
-	if (incarnation->flows > 0)
+	if (incarnation->flows > 0 &&
+	    !jt_incarnation_outlives(incarnation, now_ms))
 		jt_director_suspect(director, incarnation, JT_EVIDENCE_OPENING,
 				    now_ms, actions);
 }
@@ -599,6 +609,9 @@
 		director->nodes =
 			event->u.tick.nodes > 0 ? event->u.tick.nodes : 1;
 		director->chooser->nodes = director->nodes;
+		if (event->u.tick.store_age_ms >=
+		    director->options.store_away_ms)
+			director->store_away_until_ms = now_ms;
 		flows_expire(director, now_ms);
 		jt_director_openings(director, now_ms, actions);
 		endpoints_tick(director, now_ms, actions);
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -14,7 +14,8 @@
 struct jt_director {
 	struct jt_director_options options;
 	const struct jt_routing *routing; /* talloc child, NULL at first */
-	uint64_t started_ms;  /* since when it has known the endpoints */
+	uint64_t started_ms; /* since when it has known the endpoints */
+	uint64_t store_away_until_ms; /* last seen away then, 0: never */
 	uint64_t openings_ms; /* when overdue answers were last looked for */
 	double open_ms;	      /* smoothed time to a first packet's answer */
 	uint64_t nodes;	      /* that share the endpoints, this one too */
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -24,7 +24,8 @@
 	uint64_t learned_ms; /* when the entry was last taken */
 	uint64_t state_ms;   /* when the state was entered */
 	uint64_t cold_until_ms;
-	bool told; /* since the last complete list */
+	bool told;	  /* since the last complete list */
+	bool away_lapsed; /* its entry went while the store was away */
 
 	/* Load, by this node's own flows. */
 	uint32_t flows;
@@ -73,6 +74,16 @@
 	return in->entry.revision;
 }
 
+/* A flow that got on so lately shows that its endpoint lives. */
+enum { JT_LIVES_MS = 1000 };
+
+/* Whether its entry went just because the store was away. */
+static inline bool jt_incarnation_outlives(const struct jt_incarnation *in,
+					   uint64_t now_ms)
+{
+	return in->away_lapsed && now_ms - in->progress_ms < JT_LIVES_MS;
+}
+
 enum jt_entry_result {
 	JT_ENTRY_NEW,
 	JT_ENTRY_CHANGED,
