Mechanisms of a director node can be switched off by name, for experiments

The setting without = ( "NAME", ... ) switches any of 19 mechanisms off; an unknown name is refused with file, line and the name. All are on by default.

--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -256,6 +256,7 @@
 	uint32_t dead_probe_pause_ms;
 	uint64_t seed;		  /* breaks ties between equals */
 	unsigned break_mechanism; /* enum jt_director_break, tests only */
+	uint32_t without;	  /* mechanisms that are off, for experiments */
 };
 
 struct jt_director_counters {
--- /dev/null
+++ b/src/common/jt_mechanism.c
@@ -0,0 +1,27 @@
+#include "jt_mechanism.h"
+
+#include <stddef.h>
+#include <string.h>
+
+/* In the order of their bits. */
+static const char *const names[] = {
+	"zone-first",	 "peer-work",	   "slowness",	     "cold",
+	"newcomer-share", "doubt-opening", "doubt-resent",   "peer-suspicion",
+	"refuse-full",	 "parts-give-way", "outage-lapses",  "news",
+	"near-digests",	 "one-watcher",	   "few-readers",    "first-start",
+	"peers-first",	 "leave-in-turn",  "early-end",	     NULL,
+};
+
+uint32_t jt_mechanism_find(const char *name)
+{
+	for (unsigned bit = 0; names[bit] != NULL; bit++) {
+		if (strcmp(names[bit], name) == 0)
+			return 1u << bit;
+	}
+	return 0;
+}
+
+const char *const *jt_mechanism_names(void)
+{
+	return names;
+}
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -1,5 +1,6 @@
 #include "jt_director_node_private.h"
 #include "jt_director_log.h"
+#include "jt_mechanism.h"
 #include "jt_net.h"
 #include "jt_routing.h"
 #include "jt_timer.h"
@@ -331,6 +332,20 @@
 		    (unsigned long long)(now_ms - node->leave.packet_ms));
 }
 
+/* Without its turn, a node that leaves sees a zone in which all others serve;
+ * without an early end, one where nodes are removed. */
+static struct jt_zone_view zone_view(const struct jt_director_node *node)
+{
+	struct jt_zone_view zone = jt_peer_exchange_zone(node->peers);
+	uint32_t without = node->settings->without;
+
+	if (!jt_mechanism_on(without, JT_MECHANISM_LEAVE_IN_TURN))
+		zone.serving = zone.nodes;
+	if (!jt_mechanism_on(without, JT_MECHANISM_EARLY_END))
+		zone.removed = 1;
+	return zone;
+}
+
 static void watch_leave(struct jt_director_node *node, uint64_t now_ms)
 {
 	enum jt_leave_stage before = node->leave.stage, stage;
@@ -338,7 +353,7 @@
 
 	if (before == JT_LEAVE_STAYS || node->on_left == NULL)
 		return;
-	zone = jt_peer_exchange_zone(node->peers);
+	zone = zone_view(node);
 	stage = jt_leave_step(&node->leave, &zone, leave_limit_ms(node),
 			      now_ms);
 	if (stage == before)
@@ -426,6 +441,20 @@
 	return false;
 }
 
+/* How long the first list waits for what peers know. */
+static uint64_t first_wait_ms(struct jt_director_node *node)
+{
+	const struct jt_director_settings *settings = node->settings;
+	bool first_start =
+		settings->first_start &&
+		jt_mechanism_on(settings->without, JT_MECHANISM_FIRST_START);
+
+	if (!jt_mechanism_on(settings->without, JT_MECHANISM_PEERS_FIRST))
+		return 0;
+	return jt_reader_first_wait_ms(&node->reader, settings->reader_weight,
+				       first_start);
+}
+
 static bool start_parts(struct jt_director_node *node, uint64_t seed,
 			char **error)
 {
@@ -453,11 +482,7 @@
 		return false;
 	node->sync = jt_directory_sync_create(
 		node, node->loop, node->client, node->environment->directory,
-		node->settings->store, &watcher,
-		jt_reader_first_wait_ms(&node->reader,
-					node->settings->reader_weight,
-					node->settings->first_start),
-		seed);
+		node->settings->store, &watcher, first_wait_ms(node), seed);
 	node->tick = jt_timer_create(node, node->loop, on_tick, node);
 	if (node->sync == NULL || node->tick == NULL)
 		return false;
@@ -495,6 +520,7 @@
 		goto fail;
 	}
 	jt_director_options_init(&options);
+	options.without = settings->without;
 	options.zone_id = jt_name_id(settings->zone);
 	options.flow_limit = settings->flow_limit;
 	options.flow_age_limit_ms = settings->flow_age_limit_ms;
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -1,6 +1,7 @@
 #include "jt_peer_exchange_private.h"
 #include "jt_codec.h"
 #include "jt_http_server.h"
+#include "jt_mechanism.h"
 #include "jt_net.h"
 #include "jt_timer.h"
 
@@ -182,7 +183,8 @@
 
 void jt_peer_exchange_news(struct jt_peer_exchange *exchange)
 {
-	if (exchange->news_due)
+	if (exchange->news_due ||
+	    !jt_mechanism_on(exchange->membership->without, JT_MECHANISM_NEWS))
 		return;
 	exchange->news_due = true;
 	jt_timer_set(exchange->news_timer, NEWS_MS);
@@ -405,6 +407,8 @@
 	randombytes_buf(&id, sizeof(id));
 	exchange->membership = jt_membership_create(
 		exchange, id, settings->peer, jt_name_id(settings->zone));
+	if (exchange->membership != NULL)
+		exchange->membership->without = settings->without;
 	exchange->timer = jt_timer_create(exchange, loop, on_round, exchange);
 	exchange->news_timer =
 		jt_timer_create(exchange, loop, on_news_due, exchange);
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -1,4 +1,5 @@
 #include "jt_choose.h"
+#include "jt_mechanism.h"
 #include "jt_routing.h"
 
 #include <math.h>
@@ -35,6 +36,7 @@
 	chooser->returned_grace_ms = opts->returned_grace_ms;
 	chooser->random.seed = opts->seed;
 	chooser->break_mechanism = opts->break_mechanism;
+	chooser->without = opts->without;
 	return chooser;
 }
 
@@ -121,7 +123,8 @@
 	return incarnation->flows + mean * (double)(chooser->nodes - 1);
 }
 
-void jt_chooser_welcome(const struct jt_service_pool *pool,
+void jt_chooser_welcome(const struct jt_chooser *chooser,
+			const struct jt_service_pool *pool,
 			struct jt_incarnation *newcomer, uint64_t now_ms)
 {
 	const struct jt_incarnation *in;
@@ -134,7 +137,8 @@
 		sum += jt_work_now(&in->work, now_ms);
 		count++;
 	}
-	if (count > 0)
+	if (count > 0 &&
+	    jt_mechanism_on(chooser->without, JT_MECHANISM_NEWCOMER_SHARE))
 		jt_work_add(&newcomer->work, sum / (double)count, now_ms);
 }
 
@@ -145,6 +149,7 @@
 			     uint32_t connection_limit, uint64_t now_ms)
 {
 	return connection_limit > 0 && in->state == JT_INCARNATION_READY &&
+	       jt_mechanism_on(chooser->without, JT_MECHANISM_REFUSE_FULL) &&
 	       jt_chooser_flows(chooser, in, now_ms) >= connection_limit;
 }
 
@@ -213,20 +218,23 @@
 }
 
 /* Time that a request takes there, in thousandths of the fastest. */
-static uint64_t slowness_permille(const struct jt_incarnation *in,
+static uint64_t slowness_permille(const struct jt_chooser *chooser,
+				  const struct jt_incarnation *in,
 				  uint32_t fastest_us, uint64_t now_ms)
 {
 	uint64_t permille = 1000;
 
 	if (fastest_us < LATENCY_LEAST_US)
 		fastest_us = LATENCY_LEAST_US;
-	if (in->latency_us > fastest_us)
+	if (in->latency_us > fastest_us &&
+	    jt_mechanism_on(chooser->without, JT_MECHANISM_SLOWNESS))
 		permille = (uint64_t)in->latency_us * 1000 / fastest_us;
 	if (permille < SLOW_PERMILLE)
 		permille = 1000;
 	if (permille > SLOW_PERMILLE_MOST)
 		permille = SLOW_PERMILLE_MOST;
-	if (now_ms < in->cold_until_ms && permille < COLD_PERMILLE)
+	if (now_ms < in->cold_until_ms && permille < COLD_PERMILLE &&
+	    jt_mechanism_on(chooser->without, JT_MECHANISM_COLD))
 		permille = COLD_PERMILLE;
 	return permille;
 }
@@ -237,11 +245,13 @@
 			       uint32_t fastest_us, uint64_t now_ms)
 {
 	uint32_t capacity = in->entry.capacity ? in->entry.capacity : 1;
-	double work =
-		jt_work_now(&in->work, now_ms) + (double)in->waiting + 1.0 +
-		jt_peer_loads_work(chooser->peer_loads, in->label, now_ms);
+	double work = jt_work_now(&in->work, now_ms) + (double)in->waiting + 1;
 
-	return work * (double)slowness_permille(in, fastest_us, now_ms) /
+	if (jt_mechanism_on(chooser->without, JT_MECHANISM_PEER_WORK))
+		work += jt_peer_loads_work(chooser->peer_loads, in->label,
+					   now_ms);
+	return work *
+	       (double)slowness_permille(chooser, in, fastest_us, now_ms) /
 	       capacity;
 }
 
@@ -265,6 +275,13 @@
 		best->incarnation = in;
 }
 
+static bool is_near(const struct jt_chooser *chooser,
+		    const struct jt_incarnation *in)
+{
+	return in->entry.zone_id == chooser->zone_id ||
+	       !jt_mechanism_on(chooser->without, JT_MECHANISM_ZONE_FIRST);
+}
+
 static struct jt_incarnation *
 pool_choose(struct jt_chooser *chooser, const struct jt_service_pool *pool,
 	    uint32_t connection_limit, enum willingness most, uint64_t now_ms)
@@ -286,10 +303,8 @@
 			lowest = willing;
 		}
 		candidate_offer(
-			chooser,
-			in->entry.zone_id == chooser->zone_id ? &local
-							      : &remote,
-			in, incarnation_load(chooser, in, fastest_us, now_ms));
+			chooser, is_near(chooser, in) ? &local : &remote, in,
+			incarnation_load(chooser, in, fastest_us, now_ms));
 	}
 	if (local.incarnation == NULL)
 		return remote.incarnation;
@@ -385,12 +400,16 @@
 {
 	struct jt_split *split = split_find(chooser, route);
 	struct jt_incarnation *chosen = NULL;
+	int least =
+		jt_mechanism_on(chooser->without, JT_MECHANISM_PARTS_GIVE_WAY)
+			? WILLING
+			: LAST_RESORT;
 
 	*full = false;
 	if (split == NULL)
 		return NULL;
 	/* A part whose endpoints all seem to have ended gives way to others. */
-	for (int most = WILLING; most < UNWILLING && chosen == NULL; most++)
+	for (int most = least; most < UNWILLING && chosen == NULL; most++)
 		chosen = parts_choose(chooser, table, routing, split,
 				      (enum willingness)most, now_ms);
 	if (chosen == NULL)
--- a/src/label/jt_choose.h
+++ b/src/label/jt_choose.h
@@ -32,6 +32,7 @@
 	uint64_t nodes; /* that share the endpoints, this one too */
 	struct jt_random random;
 	unsigned break_mechanism;
+	uint32_t without; /* mechanisms that are off */
 };
 
 struct jt_chooser *jt_chooser_create(TALLOC_CTX *mem_ctx,
@@ -50,7 +51,8 @@
 			uint64_t now_ms);
 /* An incarnation that has just come counts as one that got as much work as the
  * others of its service: it gets its share of new flows, not all of them. */
-void jt_chooser_welcome(const struct jt_service_pool *pool,
+void jt_chooser_welcome(const struct jt_chooser *chooser,
+			const struct jt_service_pool *pool,
 			struct jt_incarnation *newcomer, uint64_t now_ms);
 /* A request of the route went to @service_id on a flow that is open. */
 void jt_chooser_count(struct jt_chooser *chooser, const struct jt_route *route,
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -1,4 +1,5 @@
 #include "jt_director_private.h"
+#include "jt_mechanism.h"
 
 #include <string.h>
 
@@ -186,11 +187,22 @@
 				 now_ms);
 }
 
+static bool evidence_counts(const struct jt_director *director,
+			    enum jt_evidence evidence)
+{
+	return jt_mechanism_on(director->options.without,
+			       evidence == JT_EVIDENCE_OPENING
+				       ? JT_MECHANISM_DOUBT_OPENING
+				       : JT_MECHANISM_DOUBT_RESENT);
+}
+
 void jt_director_suspect(struct jt_director *director,
 			 struct jt_incarnation *incarnation,
 			 enum jt_evidence evidence, uint64_t now_ms,
 			 struct jt_director_actions *actions)
 {
+	if (!evidence_counts(director, evidence))
+		return;
 	director->counters.suspicions++;
 	if (jt_detector_suspect(&director->detector, incarnation, evidence,
 				now_ms))
@@ -257,6 +269,8 @@
 		return;
 	incarnation->away_lapsed =
 		director->store_away_until_ms != 0 &&
+		jt_mechanism_on(director->options.without,
+				JT_MECHANISM_OUTAGE_LAPSES) &&
 		now_ms - director->store_away_until_ms < AWAY_NEWS_MS;
 	state_enter(incarnation, JT_INCARNATION_LAPSED, now_ms, actions);
 	/* It may have ended: flows that rest there are better off knowing. */
@@ -279,8 +293,8 @@
 	} else if (is_new) {
 		incarnation->state = listed_state(incarnation);
 		if (incarnation->pool != NULL)
-			jt_chooser_welcome(incarnation->pool, incarnation,
-					   now_ms);
+			jt_chooser_welcome(director->chooser, incarnation->pool,
+					   incarnation, now_ms);
 		jt_director_action_about(actions, JT_DIRECTOR_SEEN, 0,
 					 incarnation, now_ms);
 	} else {
@@ -364,7 +378,9 @@
 	struct jt_incarnation *incarnation =
 		jt_endpoint_table_by_id(director->endpoints, id);
 
-	if (incarnation != NULL && incarnation->state != JT_INCARNATION_DEAD)
+	if (incarnation != NULL && incarnation->state != JT_INCARNATION_DEAD &&
+	    jt_mechanism_on(director->options.without,
+			    JT_MECHANISM_PEER_SUSPICION))
 		jt_director_suspect(director, incarnation, JT_EVIDENCE_FLOW,
 				    now_ms, actions);
 }
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -1,4 +1,5 @@
 #include "jt_membership.h"
+#include "jt_mechanism.h"
 
 #include <string.h>
 
@@ -228,6 +229,7 @@
 static const struct jt_peer *peer_pick_round(struct jt_membership *membership)
 {
 	if (membership->count <= JT_DIRECTOR_MAX_PEERS ||
+	    !jt_mechanism_on(membership->without, JT_MECHANISM_NEAR_DIGESTS) ||
 	    jt_random_next(&membership->random) % FAR_ROUNDS == 0)
 		return peer_pick(membership, false);
 	return peer_pick_near(membership);
@@ -318,8 +320,12 @@
 jt_membership_reading_turn(const struct jt_membership *membership,
 			   uint32_t own_weight)
 {
+	if (!jt_mechanism_on(membership->without, JT_MECHANISM_FEW_READERS))
+		return JT_TURN_OF_ALL;
 	if (!jt_membership_reads_first(membership, own_weight))
 		return JT_TURN_NONE;
+	if (!jt_mechanism_on(membership->without, JT_MECHANISM_ONE_WATCHER))
+		return JT_TURN_OF_ALL;
 	return readers_before(membership, own_weight, false) == 0
 		       ? JT_TURN_OF_ALL
 		       : JT_TURN_OF_ZONE;
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -73,6 +73,7 @@
 	uint64_t fetch_next_ms;
 	bool fetching;
 	uint64_t fetching_from; /* the peer that is asked */
+	uint32_t without;	/* mechanisms that are off */
 };
 
 struct jt_membership *jt_membership_create(TALLOC_CTX *mem_ctx, uint64_t id,
--- a/src/settings/jt_director_settings.c
+++ b/src/settings/jt_director_settings.c
@@ -1,5 +1,6 @@
 #include "jt_director_settings.h"
 #include "jt_log.h"
+#include "jt_mechanism.h"
 #include "jt_settings_keys.h"
 #include "jt_settings_reader.h"
 
@@ -107,13 +108,40 @@
 	return 0;
 }
 
+static int read_without(struct jt_settings_reader *r,
+			const config_setting_t *root,
+			struct jt_director_settings *s)
+{
+	const config_setting_t *list =
+		config_setting_get_member(root, "without");
+
+	if (list == NULL)
+		return 0;
+	if (!config_setting_is_list(list) && !config_setting_is_array(list))
+		return jt_settings_wrong(r, list, "without",
+					 "must be a list of mechanisms");
+	for (int i = 0; i < config_setting_length(list); i++) {
+		const char *name = config_setting_get_string_elem(list, i);
+		uint32_t mechanism = name ? jt_mechanism_find(name) : 0;
+
+		if (mechanism == 0)
+			return jt_settings_wrong(
+				r, list, "without",
+				talloc_asprintf(r->error_ctx,
+						"there is no mechanism '%s'",
+						name ? name : "?"));
+		s->without |= mechanism;
+	}
+	return 0;
+}
+
 static int read_root(struct jt_settings_reader *r, const config_setting_t *root,
 		     struct jt_director_settings *s)
 {
 	static const char *const known[] = {
-		"placement", "environment", "node", "listen",
-		"store",     "seeds",	    "keys", "limits",
-		"log_level", "first_start", NULL};
+		"placement", "environment", "node",    "listen",
+		"store",     "seeds",	    "keys",    "limits",
+		"log_level", "first_start", "without", NULL};
 
 	if (jt_settings_check_keys(r, root, known) != 0 ||
 	    jt_settings_read_text(r, root, "environment", true,
@@ -125,7 +153,9 @@
 	    jt_settings_read_keys(r, root, &s->keys) != 0 ||
 	    read_limits(r, root, s) != 0)
 		return -1;
-	if (jt_settings_read_bool(r, root, "first_start", &s->first_start) != 0)
+	if (jt_settings_read_bool(r, root, "first_start", &s->first_start) !=
+		    0 ||
+	    read_without(r, root, s) != 0)
 		return -1;
 	return read_log_level(r, root, s);
 }
--- a/src/settings/jt_director_settings.h
+++ b/src/settings/jt_director_settings.h
@@ -33,6 +33,7 @@
 	uint32_t reader_weight;
 	/* Knowledge of the store that is older makes a node read it. */
 	uint32_t store_age_limit_ms;
+	uint32_t without; /* mechanisms that are off, for experiments */
 	int log_threshold;
 };
 
--- a/tests/test_director_settings.c
+++ b/tests/test_director_settings.c
@@ -3,6 +3,7 @@
 #include "test.h"
 
 #include "jt_director_settings.h"
+#include "jt_mechanism.h"
 
 #include <sodium.h>
 #include <stdio.h>
@@ -93,6 +94,36 @@
 		     "first_start: must be true or false");
 }
 
+static void test_mechanisms_can_be_off(void **state)
+{
+	const char *const *names = jt_mechanism_names();
+	struct jt_director_settings *settings;
+	uint32_t all = 0;
+	char *error;
+
+	(void)state;
+	settings = load(NULL, NULL, &error);
+	assert_int_equal(settings->without, 0);
+	talloc_free(settings);
+	settings = load("limits", "without = ( \"cold\", \"news\" );\nlimits",
+			&error);
+	assert_non_null(settings);
+	assert_false(jt_mechanism_on(settings->without, JT_MECHANISM_COLD));
+	assert_false(jt_mechanism_on(settings->without, JT_MECHANISM_NEWS));
+	assert_true(jt_mechanism_on(settings->without, JT_MECHANISM_SLOWNESS));
+	talloc_free(settings);
+	expect_error("limits", "without = ( \"magic\" );\nlimits",
+		     "without: there is no mechanism 'magic'");
+	/* Each has a name of its own, in the order of the bits. */
+	for (unsigned bit = 0; names[bit] != NULL; bit++) {
+		assert_int_equal(jt_mechanism_find(names[bit]), 1u << bit);
+		all |= 1u << bit;
+	}
+	assert_int_equal(all, 2 * JT_MECHANISM_EARLY_END - 1);
+	assert_int_equal(jt_mechanism_find("early-end"),
+			 JT_MECHANISM_EARLY_END);
+}
+
 /* What a node may believe follows from the times that bind it. */
 static void test_store_age_limit_is_half_of_the_tighter_bound(void **state)
 {
@@ -156,6 +187,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_example),
 		cmocka_unit_test(test_first_start),
+		cmocka_unit_test(test_mechanisms_can_be_off),
 		cmocka_unit_test(
 			test_store_age_limit_is_half_of_the_tighter_bound),
 		cmocka_unit_test(test_errors),
