--- a/src/common/jt_mechanism.h
+++ b/src/common/jt_mechanism.h
@@ -10,25 +10,25 @@
 
 /* Bits of a set of mechanisms. */
 enum jt_mechanism {
-	JT_MECHANISM_ZONE_FIRST = 1 << 0,      /* own zone's endpoints first */
-	JT_MECHANISM_PEER_WORK = 1 << 1,       /* peers' work counts */
-	JT_MECHANISM_SLOWNESS = 1 << 2,	       /* measured speed counts */
-	JT_MECHANISM_COLD = 1 << 3,	       /* cold endpoints get less */
-	JT_MECHANISM_NEWCOMER_SHARE = 1 << 4,  /* newcomers get no more */
-	JT_MECHANISM_DOUBT_OPENING = 1 << 5,   /* no answer to a first packet */
-	JT_MECHANISM_DOUBT_RESENT = 1 << 6,    /* data sent again */
-	JT_MECHANISM_PEER_SUSPICION = 1 << 7,  /* peers' verdicts are probed */
-	JT_MECHANISM_REFUSE_FULL = 1 << 8,     /* full endpoints get none */
-	JT_MECHANISM_PARTS_GIVE_WAY = 1 << 9,  /* to parts with better ones */
-	JT_MECHANISM_OUTAGE_LAPSES = 1 << 10,  /* live ones keep new flows */
-	JT_MECHANISM_NEWS = 1 << 11,	       /* changes are told at once */
-	JT_MECHANISM_NEAR_DIGESTS = 1 << 12,   /* most stay in their zone */
-	JT_MECHANISM_ONE_WATCHER = 1 << 13,    /* other readers only check */
-	JT_MECHANISM_FEW_READERS = 1 << 14,    /* most leave it to peers */
-	JT_MECHANISM_FIRST_START = 1 << 15,    /* is spread over time */
-	JT_MECHANISM_PEERS_FIRST = 1 << 16,    /* a start asks peers first */
-	JT_MECHANISM_LEAVE_IN_TURN = 1 << 17,  /* nodes of a zone */
-	JT_MECHANISM_EARLY_END = 1 << 18,      /* when packets stop */
+	JT_MECHANISM_ZONE_FIRST = 1 << 0,     /* own zone's endpoints first */
+	JT_MECHANISM_PEER_WORK = 1 << 1,      /* peers' work counts */
+	JT_MECHANISM_SLOWNESS = 1 << 2,	      /* measured speed counts */
+	JT_MECHANISM_COLD = 1 << 3,	      /* cold endpoints get less */
+	JT_MECHANISM_NEWCOMER_SHARE = 1 << 4, /* newcomers get no more */
+	JT_MECHANISM_DOUBT_OPENING = 1 << 5,  /* no answer to a first packet */
+	JT_MECHANISM_DOUBT_RESENT = 1 << 6,   /* data sent again */
+	JT_MECHANISM_PEER_SUSPICION = 1 << 7, /* peers' verdicts are probed */
+	JT_MECHANISM_REFUSE_FULL = 1 << 8,    /* full endpoints get none */
+	JT_MECHANISM_PARTS_GIVE_WAY = 1 << 9, /* to parts with better ones */
+	JT_MECHANISM_OUTAGE_LAPSES = 1 << 10, /* live ones keep new flows */
+	JT_MECHANISM_NEWS = 1 << 11,	      /* changes are told at once */
+	JT_MECHANISM_NEAR_DIGESTS = 1 << 12,  /* most stay in their zone */
+	JT_MECHANISM_ONE_WATCHER = 1 << 13,   /* other readers only check */
+	JT_MECHANISM_FEW_READERS = 1 << 14,   /* most leave it to peers */
+	JT_MECHANISM_FIRST_START = 1 << 15,   /* is spread over time */
+	JT_MECHANISM_PEERS_FIRST = 1 << 16,   /* a start asks peers first */
+	JT_MECHANISM_LEAVE_IN_TURN = 1 << 17, /* nodes of a zone */
+	JT_MECHANISM_EARLY_END = 1 << 18,     /* when packets stop */
 };
 
 /* The mechanism of that name, 0 when there is none. */
--- a/tests/director_fixture.h
+++ b/tests/director_fixture.h
@@ -28,7 +28,9 @@
 	uint32_t next_port;
 };
 
-static inline struct bench *bench_create(unsigned break_mechanism)
+/* A director with faults of tests in it, and without some mechanisms. */
+static inline struct bench *bench_create_without(unsigned break_mechanism,
+						 uint32_t without)
 {
 	struct bench *bench = talloc_zero(NULL, struct bench);
 	struct jt_director_options options;
@@ -36,6 +38,7 @@
 	jt_director_options_init(&options);
 	options.zone_id = ZONE_A;
 	options.break_mechanism = break_mechanism;
+	options.without = without;
 	bench->director = jt_director_create(bench, &options);
 	bench->actions = jt_director_actions_create(bench);
 	bench->now_ms = 100000;
@@ -43,6 +46,11 @@
 	return bench;
 }
 
+static inline struct bench *bench_create(unsigned break_mechanism)
+{
+	return bench_create_without(break_mechanism, 0);
+}
+
 /* Handle @event alone; its actions stay until the next one. */
 static inline void bench_event(struct bench *bench,
 			       struct jt_director_event *event)
@@ -252,10 +260,8 @@
 	flow_send(bench, flow, JT_PACKET_ACK, 0);
 }
 
-static inline struct bench *two_endpoints(unsigned break_mechanism)
+static inline struct bench *two_endpoints_of(struct bench *bench)
 {
-	struct bench *bench = bench_create(break_mechanism);
-
 	bench_routing(bench, 1, 50, 50);
 	bench_endpoint(bench, 0x101, SERVICE_BOARD, ZONE_A, 2);
 	bench_endpoint(bench, 0x102, SERVICE_BOARD, ZONE_A, 3);
@@ -265,6 +271,27 @@
 	return bench;
 }
 
+static inline struct bench *two_endpoints(unsigned break_mechanism)
+{
+	return two_endpoints_of(bench_create(break_mechanism));
+}
+
+/* Open so many new flows; returns how many came to the endpoint. */
+static inline unsigned flows_at(struct bench *bench, int count,
+				uint64_t endpoint_id)
+{
+	unsigned there = 0;
+
+	for (int i = 0; i < count; i++) {
+		struct caller_flow flow =
+			flow_new(bench, CALLER + (uint32_t)i, BOARD_PORT);
+
+		flow_open(bench, &flow);
+		there += flow.endpoint_id == endpoint_id;
+	}
+	return there;
+}
+
 static inline enum jt_incarnation_state state_of(const struct bench *bench,
 						 uint64_t id)
 {
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -597,21 +597,6 @@
 	talloc_free(bench);
 }
 
-/* Open so many new flows; returns how many came to the endpoint. */
-static unsigned flows_at(struct bench *bench, int count, uint64_t endpoint_id)
-{
-	unsigned there = 0;
-
-	for (int i = 0; i < count; i++) {
-		struct caller_flow flow =
-			flow_new(bench, CALLER + i, BOARD_PORT);
-
-		flow_open(bench, &flow);
-		there += flow.endpoint_id == endpoint_id;
-	}
-	return there;
-}
-
 static void test_slow_endpoint_gets_fewer(void **state)
 {
 	struct bench *bench = two_endpoints(0);
