A reset of a flow without an answer has a sequence at random (failure 41)

A node resets the flows of a dead endpoint that got no answer, with sequence 0, unless a copy of the first packet is overdue by 100 ms (failure 40). A copy that opened the flow through another node less than 0.3 s ago is not overdue yet, and a caller whose endpoint's sequences are low takes 0 for a reset of its own.

Change: such resets, and those that answer first packets, have a sequence at random: a caller that has not opened the flow takes any, one that has takes those near what it acknowledged, one of 28,000.

test_reset_of_an_unanswered_flow_hits_no_open_one fails before.

--- a/fuzz/fuzz_director.c
+++ b/fuzz/fuzz_director.c
@@ -37,6 +37,7 @@
 	VERDICTS = 4096,
 	SERVICES = 2,
 	OPEN_ACKNOWLEDGED = 0x40000000, /* of an endpoint's own choice */
+	RESET_WINDOW = 76800,		/* in which a reset is taken */
 	FULL_AT = 6,			/* flows that an endpoint holds */
 	LATE_MS = 1000,			/* how late a doubled packet may come */
 };
@@ -438,7 +439,9 @@
 		return;
 	/* A caller takes a reset of an open flow only near what it has
 	 * acknowledged; one meant for its first packet is not. */
-	if (flow->open && a->reset_sequence < OPEN_ACKNOWLEDGED)
+	if (flow->open &&
+	    a->reset_sequence - flow->acknowledged + RESET_WINDOW >
+		    2 * RESET_WINDOW)
 		return;
 	if (flow->open && flow->endpoint >= 0 &&
 	    lives(&world->endpoints[flow->endpoint]))
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -57,6 +57,7 @@
 		return NULL;
 	director->options = *opts;
 	director->nodes = 1;
+	director->random.seed = opts->seed;
 	jt_detector_init(&director->detector, opts);
 	director->endpoints = jt_endpoint_table_create(director);
 	director->flows = jt_flow_cache_create(director, opts->flow_limit);
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -22,8 +22,19 @@
 	return a != b && (uint32_t)(a - b) < 1u << 31;
 }
 
+/*
+ * The sequence of a reset for a flow without an answer. Its caller takes any;
+ * one that has opened the flow through another node takes only those near what
+ * it has acknowledged, which a sequence at random is not.
+ */
+static uint32_t opening_sequence(struct jt_director *director)
+{
+	return (uint32_t)jt_random_next(&director->random);
+}
+
+/* Answer a first packet with a reset. */
 static void add_reset(struct jt_director *director,
-		      const struct jt_flow_key *key, uint32_t sequence,
+		      const struct jt_flow_key *key,
 		      enum jt_director_reason reason,
 		      struct jt_director_actions *actions)
 {
@@ -34,7 +45,7 @@
 	if (action == NULL)
 		return;
 	action->key = *key;
-	action->reset_sequence = sequence;
+	action->reset_sequence = opening_sequence(director);
 	if (director->routing != NULL)
 		action->version = director->routing->version;
 }
@@ -169,8 +180,11 @@
 			    uint64_t now_ms,
 			    struct jt_director_actions *actions)
 {
-	reset_dead(director, &flow->key, flow->acknowledged, incarnation,
-		   now_ms, actions);
+	uint32_t sequence = flow->opening_ms != 0 ? opening_sequence(director)
+						  : flow->acknowledged;
+
+	reset_dead(director, &flow->key, sequence, incarnation, now_ms,
+		   actions);
 	jt_director_flow_forget(director, flow);
 }
 
@@ -207,7 +221,7 @@
 	chosen = jt_chooser_choose(director->chooser, director->endpoints,
 				   director->routing, route, now_ms, &full);
 	if (chosen == NULL) {
-		add_reset(director, &packet->key, 0,
+		add_reset(director, &packet->key,
 			  full ? JT_DIRECTOR_NO_CAPACITY
 			       : JT_DIRECTOR_NO_ENDPOINT,
 			  actions);
@@ -295,7 +309,7 @@
 		return;
 	}
 	if (route == NULL) {
-		add_reset(director, &packet->key, 0, JT_DIRECTOR_NO_ROUTE,
+		add_reset(director, &packet->key, JT_DIRECTOR_NO_ROUTE,
 			  actions);
 		return;
 	}
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -28,6 +28,7 @@
 	struct jt_detector detector;
 	struct jt_latency *latency;
 	struct jt_peer_loads *peer_loads;
+	struct jt_random random;
 	size_t loads_told; /* where the next report of loads begins */
 	struct jt_director_counters counters;
 };
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -305,6 +305,40 @@
 	talloc_free(bench);
 }
 
+/* Failure 41: the reset of a first packet without an answer had sequence 0,
+ * which hits a flow that the caller has opened through another node if its
+ * endpoint began there. */
+static void test_reset_of_an_unanswered_flow_hits_no_open_one(void **state)
+{
+	enum { RESETS = 100, WINDOW = 76800 };
+	unsigned near = 0;
+
+	(void)state;
+	for (int i = 0; i < RESETS; i++) {
+		struct bench *bench = two_endpoints(0);
+		struct caller_flow flow = flow_new(bench, CALLER, BOARD_PORT);
+		struct jt_endpoint_entry entry;
+		const struct jt_director_action *reset;
+
+		bench->next_port += (uint32_t)i;
+		flow_syn(bench, &flow);
+		for (int extra = 0; extra < i; extra++) {
+			struct caller_flow none = flow_new(bench, CALLER, 9999);
+
+			flow_syn(bench, &none);
+		}
+		entry = entry_of(0x200, SERVICE_EXPORT, ZONE_A, 50);
+		entry.address = entry_of(flow.endpoint_id, 0, 0, 0).address;
+		bench_entry(bench, entry);
+		reset = bench_find(bench, JT_DIRECTOR_RESET);
+		assert_non_null(reset);
+		near += reset->reset_sequence < WINDOW ||
+			reset->reset_sequence > UINT32_MAX - WINDOW;
+		talloc_free(bench);
+	}
+	assert_int_equal(near, 0);
+}
+
 static void test_reused_address_ends_the_former_endpoint(void **state)
 {
 	struct bench *bench = two_endpoints(0);
@@ -760,6 +794,8 @@
 		cmocka_unit_test(
 			test_lapse_of_an_outage_stops_no_live_endpoint),
 		cmocka_unit_test(test_lapse_without_an_outage_stops_new_flows),
+		cmocka_unit_test(
+			test_reset_of_an_unanswered_flow_hits_no_open_one),
 		cmocka_unit_test(test_reused_address_ends_the_former_endpoint),
 		cmocka_unit_test(test_peers_news_of_a_former_endpoint),
 		cmocka_unit_test(test_knowledge_is_what_has_changed_since),
--- a/tests/test_mechanisms.c
+++ b/tests/test_mechanisms.c
@@ -282,9 +282,9 @@
 		/* Of the own zone none goes before a node of weight 1000. */
 		membership->id = 1;
 		jt_membership_digest(membership, 7, stronger, &digest, 1000);
-		assert_int_equal(jt_membership_reading_turn(membership,
-							    cases[i].weight),
-				 cases[i].turn);
+		assert_int_equal(
+			jt_membership_reading_turn(membership, cases[i].weight),
+			cases[i].turn);
 		talloc_free(membership);
 	}
 }
