--- a/src/cli/log_lines.c
+++ b/src/cli/log_lines.c
@@ -5,7 +5,10 @@
 #include <string.h>
 #include <time.h>
 
-enum { PROGRAM_LENGTH = 13 }; /* of "jaspertrackd[" */
+/* Programs whose lines are read, as they stand before the process id. */
+static const char *const programs[] = {"jaspertrackd[",
+				       "jaspertrack-director["};
+enum { PROGRAMS = sizeof(programs) / sizeof(programs[0]) };
 
 struct log_lines *log_lines_create(TALLOC_CTX *mem_ctx)
 {
@@ -96,10 +99,25 @@
 	return &lines->items[lines->count++];
 }
 
+/* Where the program's name stands in the line, and its process id, or NULL. */
+static const char *find_program(const char *text, int *pid)
+{
+	for (size_t i = 0; i < PROGRAMS; i++) {
+		const char *at = strstr(text, programs[i]);
+
+		if (at == NULL)
+			continue;
+		*pid = atoi(at + strlen(programs[i]));
+		return at;
+	}
+	return NULL;
+}
+
 static void line_take(struct log_lines *lines, const char *text,
 		      const char *name)
 {
-	const char *program = strstr(text, "jaspertrackd[");
+	int pid = 0;
+	const char *program = find_program(text, &pid);
 	const char *event = strstr(text, "event=");
 	struct log_line *line;
 	int64_t wall_ms;
@@ -113,7 +131,7 @@
 	line = line_add(lines);
 	line->wall_ms = wall_ms;
 	line->text = talloc_strndup(lines, event, strcspn(event, "\n"));
-	line->process = process_of(lines, name, atoi(program + PROGRAM_LENGTH));
+	line->process = process_of(lines, name, pid);
 	up = log_line_field(lines, line, "up_ms");
 	line->up_ms = up != NULL ? strtoll(up, NULL, 10) : wall_ms;
 	node = log_line_field(line->process, line, "node");
--- a/src/label/jt_peer_loads.c
+++ b/src/label/jt_peer_loads.c
@@ -50,10 +50,12 @@
 {
 	struct jt_load_sum *sum = sum_find(peers, load->label);
 
-	if (sum == NULL)
+	if (sum == NULL || peers->sums == NULL)
 		return;
-	sum->flows -= load->flows;
-	sum->work_permille -= load->work_permille;
+	sum->flows -= load->flows < sum->flows ? load->flows : sum->flows;
+	sum->work_permille -= load->work_permille < sum->work_permille
+				      ? load->work_permille
+				      : sum->work_permille;
 	if (sum->flows > 0 || sum->work_permille > 0)
 		return;
 	HASH_DEL(peers->sums, sum);
