--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -324,7 +324,10 @@
 		return JT_TURN_OF_ALL;
 	if (!jt_membership_reads_first(membership, own_weight))
 		return JT_TURN_NONE;
-	if (!jt_mechanism_on(membership->without, JT_MECHANISM_ONE_WATCHER))
+	/* Where nodes are many, each zone has watchers of its own: what a peer
+	 * serves to all others may choke its link. */
+	if (membership->count > JT_DIRECTOR_MAX_PEERS ||
+	    !jt_mechanism_on(membership->without, JT_MECHANISM_ONE_WATCHER))
 		return JT_TURN_OF_ALL;
 	return readers_before(membership, own_weight, false) == 0
 		       ? JT_TURN_OF_ALL
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -103,7 +103,8 @@
  * There are three such nodes in all, and one in each zone, at the least. */
 bool jt_membership_reads_first(const struct jt_membership *membership,
 			       uint32_t own_weight);
-/* The same, and whether it is the first of all. */
+/* The same, and whether it is the first of all, or of its zone where nodes are
+ * many. */
 enum jt_reading_turn
 jt_membership_reading_turn(const struct jt_membership *membership,
 			   uint32_t own_weight);
--- a/src/label/jt_reader.c
+++ b/src/label/jt_reader.c
@@ -16,8 +16,11 @@
 	PEER_ANSWER_MS = 15,
 	/* Nobody sends packets yet when the whole system starts. */
 	FIRST_START_MS = 2000,
-	/* A node knows enough of its peers to be the one that watches. */
-	WATCH_AFTER_MS = 1500,
+	/* A node knows enough of its peers to be the one that watches. Longer,
+	 * and changes just after all were restarted would come late; where all
+	 * start for the first time, there is time. */
+	WATCH_AFTER_MS = 300,
+	WATCH_AFTER_FIRST_START_MS = 2500,
 };
 
 /* A new jitter for each time that this node steps in. */
@@ -31,6 +34,7 @@
 {
 	*reader = (struct jt_reader){
 		.limit_ms = limit_ms,
+		.watch_after_ms = WATCH_AFTER_MS,
 		.random = {.seed = seed},
 	};
 	jitter_draw(reader);
@@ -77,7 +81,7 @@
 	}
 	reader->reading = JT_READING_CHECKS;
 	if (turn == JT_TURN_OF_ALL &&
-	    now_ms - reader->began_ms >= WATCH_AFTER_MS)
+	    now_ms - reader->began_ms >= reader->watch_after_ms)
 		reader->reading = JT_READING_WATCHES;
 	return reader->reading;
 }
@@ -100,9 +104,10 @@
 
 	if (wait_ms < PEER_ANSWER_MS)
 		wait_ms = PEER_ANSWER_MS;
-	if (first_start)
-		wait_ms += jt_random_next(&reader->random) % FIRST_START_MS;
-	return wait_ms;
+	if (!first_start)
+		return wait_ms;
+	reader->watch_after_ms = WATCH_AFTER_FIRST_START_MS;
+	return wait_ms + jt_random_next(&reader->random) % FIRST_START_MS;
 }
 
 uint64_t jt_reader_as_of(const struct jt_reader *reader, uint64_t own_id,
--- a/src/label/jt_reader.h
+++ b/src/label/jt_reader.h
@@ -37,6 +37,7 @@
 	uint64_t heard_ms;   /* all that it had then is known from peers */
 	uint64_t heard_from; /* the node that read it */
 	uint64_t began_ms;   /* since when this node reads */
+	uint64_t watch_after_ms; /* and how long it only checks at first */
 	enum jt_reading reading;
 	struct jt_random random;
 };
