--- a/src/label/jt_detector.c
+++ b/src/label/jt_detector.c
@@ -20,9 +20,11 @@
 }
 
 void jt_detector_progress(struct jt_detector *detector,
-			  struct jt_incarnation *incarnation, uint64_t now_ms)
+			  struct jt_incarnation *incarnation, uint64_t sent_ms,
+			  uint64_t now_ms)
 {
-	detector->contact_ms = now_ms;
+	if (sent_ms > detector->contact_ms)
+		detector->contact_ms = sent_ms;
 	incarnation->progress_ms = now_ms;
 	incarnation->vain_connects = 0;
 	incarnation->failed_probes = 0;
@@ -114,17 +116,18 @@
 	if (!incarnation->flow_dead && !once_is_enough(incarnation, outcome) &&
 	    incarnation->failed_probes < PROBES_PROVE)
 		return false;
-	/* Where nobody answers, this node may be the one that is cut off. */
+	/* Where nobody answers what left after the probe, this node may be the
+	 * one that is cut off, or its link holds packets back. */
 	return outcome == JT_PROBE_REFUSED ||
 	       detector->contact_ms >= incarnation->probe_sent_ms;
 }
 
 /* Something answers at the address: is it this incarnation? */
 static enum jt_detector_verdict connected(struct jt_detector *detector,
-					  struct jt_incarnation *incarnation,
-					  uint64_t now_ms)
+					  struct jt_incarnation *incarnation)
 {
-	detector->contact_ms = now_ms;
+	if (incarnation->probe_sent_ms > detector->contact_ms)
+		detector->contact_ms = incarnation->probe_sent_ms;
 	incarnation->failed_probes = 0;
 	if (incarnation->state == JT_INCARNATION_DEAD ||
 	    incarnation->vain_connects > 0) {
@@ -151,7 +154,7 @@
 			       : detector->probe_pause_ms);
 	*cause = JT_DEATH_NONE;
 	if (outcome == JT_PROBE_CONNECTED)
-		return connected(detector, incarnation, now_ms);
+		return connected(detector, incarnation);
 	if (outcome == JT_PROBE_VOID) {
 		incarnation->probe_owed = incarnation->suspected_ms != 0;
 		return JT_VERDICT_NONE;
--- a/src/label/jt_detector.h
+++ b/src/label/jt_detector.h
@@ -13,7 +13,7 @@
 #include "jt_endpoint_table.h"
 
 struct jt_detector {
-	uint64_t contact_ms; /* last sign of life of any endpoint */
+	uint64_t contact_ms; /* when the last of what got an answer was sent */
 	uint32_t probe_pause_ms;
 	uint32_t dead_probe_pause_ms;
 	unsigned break_mechanism;
@@ -21,9 +21,10 @@
 
 void jt_detector_init(struct jt_detector *detector,
 		      const struct jt_director_options *options);
-/* A flow of the incarnation got an answer. */
+/* A flow of the incarnation got an answer to what was sent at @sent_ms. */
 void jt_detector_progress(struct jt_detector *detector,
-			  struct jt_incarnation *incarnation, uint64_t now_ms);
+			  struct jt_incarnation *incarnation, uint64_t sent_ms,
+			  uint64_t now_ms);
 /* What speaks against an incarnation. */
 enum jt_evidence {
 	/* A first packet has no answer, or the entry went: it may be full, or
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -364,7 +364,10 @@
 	if (answered || sequence_after(end, flow->sequence_end))
 		flow->resent = 0;
 	if (answered) {
-		jt_detector_progress(&director->detector, incarnation, now_ms);
+		jt_detector_progress(&director->detector, incarnation,
+				     flow->opening_ms != 0 ? flow->opening_ms
+							   : flow->waiting_ms,
+				     now_ms);
 		if (flow->opening_ms != 0)
 			flow_opened(director, flow, incarnation, now_ms);
 		else
--- a/tests/test_detector.c
+++ b/tests/test_detector.c
@@ -40,6 +40,28 @@
 	assert_false(dead_is_found(JT_DIRECTOR_BREAK_NO_DETECTOR));
 }
 
+/* Failure 43: a node whose link holds packets back hears the answers to what it
+ * sent long ago, while its probes and what it sends now seem to get none. */
+static void test_late_answers_are_no_contact(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	struct caller_flow suspected, other;
+
+	(void)state;
+	flow_at_each(bench, &suspected, &other);
+	flow_send(bench, &other, JT_PACKET_ACK, 100);
+	other.sequence += 100;
+	other.acknowledged += 600;
+	suspect(bench, &suspected);
+	bench->now_ms += 200;
+	/* The answer to what left before the probe. */
+	flow_send(bench, &other, JT_PACKET_ACK, 0);
+	bench_probed(bench, 0x101, JT_PROBE_SILENT);
+	assert_int_equal(state_of(bench, 0x101), JT_INCARNATION_READY);
+	assert_null(bench_find(bench, JT_DIRECTOR_RESET));
+	talloc_free(bench);
+}
+
 static void test_refused_probe_is_proof(void **state)
 {
 	struct bench *bench = two_endpoints(0);
@@ -393,6 +415,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_dead_endpoint_is_found),
+		cmocka_unit_test(test_late_answers_are_no_contact),
 		cmocka_unit_test(test_refused_probe_is_proof),
 		cmocka_unit_test(test_living_endpoint_keeps_its_flows),
 		cmocka_unit_test(
