A peer's verdict is probed only where a flow hangs on it

Change: who hears of a peer's verdict avoids the endpoint for 5 s, by which time discovery has dropped it. It probes where it has a flow there, or once a packet of such a flow comes by. A node that has heard the verdict from a peer does not tell it again.

--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -129,7 +129,7 @@
 	JT_DIRECTOR_CAUGHT_UP, /* all changes up to a revision are told */
 	JT_DIRECTOR_INFORMED,  /* a peer told all it knows at a revision */
 	JT_DIRECTOR_NEWS, /* entries that changed up to a revision were told */
-	JT_DIRECTOR_SUSPICION,	/* a peer takes the endpoint for dead */
+	JT_DIRECTOR_SUSPICION,	/* a peer has found the endpoint dead */
 	JT_DIRECTOR_IDENTIFIED, /* who answers at an endpoint's address */
 	JT_DIRECTOR_PROBED,	/* the outcome of a probe */
 	JT_DIRECTOR_LOADS,	/* a peer's share of the endpoints' flows */
@@ -221,6 +221,7 @@
 	uint64_t age_ms;     /* of the belief that decided */
 	uint64_t version;    /* of the routing that decided */
 	uint32_t service_id; /* of the endpoint */
+	bool peers_know;     /* of the verdict: a peer has told it to all */
 };
 
 /* A growing list of actions; clear it between events. */
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -183,7 +183,9 @@
 		break;
 	case JT_DIRECTOR_VERDICT:
 		jt_director_log_endpoint(node->log, action, "endpoint_dead");
-		jt_peer_exchange_suspect(node->peers, action->endpoint_id);
+		if (!action->peers_know)
+			jt_peer_exchange_suspect(node->peers,
+						 action->endpoint_id);
 		break;
 	case JT_DIRECTOR_REVIVED:
 		jt_director_log_endpoint(node->log, action, "endpoint_back");
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -1,4 +1,5 @@
 #include "jt_choose.h"
+#include "jt_detector.h"
 #include "jt_mechanism.h"
 #include "jt_routing.h"
 
@@ -160,8 +161,10 @@
 static enum willingness suspected_or_willing(const struct jt_incarnation *in,
 					     uint64_t now_ms)
 {
-	return in->suspected_ms != 0 || now_ms < in->avoid_until_ms ? SUSPECTED
-								    : WILLING;
+	if (in->suspected_ms != 0 || now_ms < in->avoid_until_ms ||
+	    jt_detector_peer_found_dead(in, now_ms))
+		return SUSPECTED;
+	return WILLING;
 }
 
 /*
--- a/src/label/jt_detector.c
+++ b/src/label/jt_detector.c
@@ -7,6 +7,10 @@
 	 * connection may get no answer because many nodes open one at that
 	 * moment, and an endpoint that leaves takes no more of them. */
 	PROBES_PROVE = 2,
+	/* A peer's verdict counts for so long. By then discovery has dropped
+	 * an endpoint that has ended (three heartbeats of 1.2 s and its lag);
+	 * where it has not, new flows show again whether it answers. */
+	PEER_VERDICT_MS = 5000,
 };
 
 void jt_detector_init(struct jt_detector *detector,
@@ -30,6 +34,20 @@
 	incarnation->failed_probes = 0;
 	incarnation->suspected_ms = 0;
 	incarnation->flow_dead = false;
+	incarnation->peer_verdict_ms = 0;
+}
+
+void jt_detector_peer_verdict(struct jt_incarnation *incarnation,
+			      uint64_t now_ms)
+{
+	incarnation->peer_verdict_ms = now_ms;
+}
+
+bool jt_detector_peer_found_dead(const struct jt_incarnation *incarnation,
+				 uint64_t now_ms)
+{
+	return incarnation->peer_verdict_ms != 0 &&
+	       now_ms - incarnation->peer_verdict_ms < PEER_VERDICT_MS;
 }
 
 /* Twice as long after each first packet without an answer. */
--- a/src/label/jt_detector.h
+++ b/src/label/jt_detector.h
@@ -42,6 +42,12 @@
 bool jt_detector_suspect(struct jt_detector *detector,
 			 struct jt_incarnation *incarnation,
 			 enum jt_evidence evidence, uint64_t now_ms);
+/* A peer has found the incarnation dead. */
+void jt_detector_peer_verdict(struct jt_incarnation *incarnation,
+			      uint64_t now_ms);
+/* Whether a peer has found it dead lately, and nothing shows the contrary. */
+bool jt_detector_peer_found_dead(const struct jt_incarnation *incarnation,
+				 uint64_t now_ms);
 /* A new flow has opened at the incarnation: it is not full. */
 void jt_detector_opened(struct jt_incarnation *incarnation);
 /* True when a dead incarnation is due for another probe. */
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -151,6 +151,8 @@
 			     enum jt_death_cause cause, uint64_t now_ms,
 			     struct jt_director_actions *actions)
 {
+	struct jt_director_action *action;
+
 	if (incarnation->state == JT_INCARNATION_DEAD) {
 		if (cause == JT_DEATH_REPLACED)
 			incarnation->cause = cause;
@@ -160,8 +162,11 @@
 	incarnation->state_ms = now_ms;
 	incarnation->cause = cause;
 	director->counters.deaths[cause]++;
-	jt_director_action_about(actions, JT_DIRECTOR_VERDICT, 0, incarnation,
-				 now_ms);
+	action = jt_director_action_about(actions, JT_DIRECTOR_VERDICT, 0,
+					  incarnation, now_ms);
+	if (action != NULL)
+		action->peers_know =
+			jt_detector_peer_found_dead(incarnation, now_ms);
 	flows_reset(director, incarnation, now_ms, actions);
 }
 
@@ -380,9 +385,14 @@
 	struct jt_incarnation *incarnation =
 		jt_endpoint_table_by_id(director->endpoints, id);
 
-	if (incarnation != NULL && incarnation->state != JT_INCARNATION_DEAD &&
-	    jt_mechanism_on(director->options.without,
-			    JT_MECHANISM_PEER_SUSPICION))
+	if (incarnation == NULL || incarnation->state == JT_INCARNATION_DEAD ||
+	    !jt_mechanism_on(director->options.without,
+			     JT_MECHANISM_PEER_SUSPICION))
+		return;
+	jt_detector_peer_verdict(incarnation, now_ms);
+	/* Without flows there, nothing hangs on a verdict of this node's own:
+	 * one probe for each of many nodes would be for nothing. */
+	if (incarnation->flows > 0)
 		jt_director_suspect(director, incarnation, JT_EVIDENCE_FLOW,
 				    now_ms, actions);
 }
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -458,6 +458,10 @@
 	if (flow == NULL) {
 		if (!(packet->flags & JT_PACKET_RST))
 			flow = flow_add(director, packet, incarnation, now_ms);
+		/* Now a flow here hangs on whether the peer was right. */
+		if (jt_detector_peer_found_dead(incarnation, now_ms))
+			jt_director_suspect(director, incarnation,
+					    JT_EVIDENCE_FLOW, now_ms, actions);
 	} else {
 		jt_flow_cache_touch(director->flows, flow, now_ms);
 		flow_observe(director, flow, incarnation, packet, now_ms,
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -39,10 +39,11 @@
 	bool flow_dead;		 /* surely nothing, not only late */
 	uint32_t unanswered;	 /* first packets without an answer, in a row */
 	uint64_t avoid_until_ms; /* no new flows until then, for that */
-	uint64_t probe_sent_ms;	 /* of the probe under way */
-	uint64_t probe_next_ms;	 /* not before */
-	uint32_t vain_connects;	 /* since the last sign of life on a flow */
-	uint32_t failed_probes;	 /* in a row, since the last sign of life */
+	uint64_t peer_verdict_ms; /* a peer found it dead then, 0: none did */
+	uint64_t probe_sent_ms;	  /* of the probe under way */
+	uint64_t probe_next_ms;	  /* not before */
+	uint32_t vain_connects;	  /* since the last sign of life on a flow */
+	uint32_t failed_probes;	  /* in a row, since the last sign of life */
 	bool probing;
 	bool probe_owed; /* the last one said nothing, and is made up for */
 
--- a/tests/director_fixture.h
+++ b/tests/director_fixture.h
@@ -178,6 +178,15 @@
 	bench_event(bench, &event);
 }
 
+/* A peer has found the endpoint dead. */
+static inline void bench_suspicion(struct bench *bench, uint64_t id)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_SUSPICION};
+
+	event.u.suspicion.id = id;
+	bench_event(bench, &event);
+}
+
 static inline void bench_tick(struct bench *bench, uint64_t later_ms)
 {
 	struct jt_director_event event = {.kind = JT_DIRECTOR_TICK};
--- a/tests/test_detector.c
+++ b/tests/test_detector.c
@@ -411,6 +411,77 @@
 	talloc_free(bench);
 }
 
+/* A peer's verdict where this node has no flow: each of many nodes that probed
+ * for itself would cost as many connections for one dead endpoint. */
+static void test_peers_verdict_without_flows_needs_no_probe(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+
+	(void)state;
+	bench_suspicion(bench, 0x101);
+	assert_null(bench_find(bench, JT_DIRECTOR_PROBE));
+	assert_int_equal(state_of(bench, 0x101), JT_INCARNATION_READY);
+	assert_int_equal(flows_at(bench, 20, 0x101), 0);
+	bench_tick(bench, 6000);
+	assert_in_range(flows_at(bench, 20, 0x101), 5, 20);
+	talloc_free(bench);
+}
+
+/* A flow of that endpoint comes this way: its caller needs a verdict. */
+static void test_flow_at_what_a_peer_found_dead_is_probed(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	struct caller_flow flow = flow_new(bench, CALLER, BOARD_PORT);
+
+	(void)state;
+	flow.label = jt_flow_label(0x101);
+	bench_suspicion(bench, 0x101);
+	flow_send(bench, &flow, JT_PACKET_ACK, 100);
+	assert_int_equal(bench_count(bench, JT_DIRECTOR_PROBE), 1);
+	assert_non_null(bench_find(bench, JT_DIRECTOR_FORWARD));
+	bench_probed(bench, 0x101, JT_PROBE_REFUSED);
+	assert_int_equal(state_of(bench, 0x101), JT_INCARNATION_DEAD);
+	assert_int_equal(bench_count(bench, JT_DIRECTOR_RESET), 1);
+	talloc_free(bench);
+}
+
+/* What shows that the endpoint lives ends the peer's verdict. */
+static void test_progress_ends_a_peers_verdict(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	struct caller_flow first, second;
+
+	(void)state;
+	flow_at_each(bench, &first, &second);
+	bench_suspicion(bench, 0x101);
+	assert_int_equal(bench_count(bench, JT_DIRECTOR_PROBE), 1);
+	flow_request(bench, &first, 20);
+	assert_in_range(flows_at(bench, 20, 0x101), 5, 20);
+	talloc_free(bench);
+}
+
+/* The first to find an endpoint dead tells all; the others need not. */
+static void test_verdict_is_told_by_the_first_alone(void **state)
+{
+	(void)state;
+	for (int told = 0; told < 2; told++) {
+		struct bench *bench = two_endpoints(0);
+		const struct jt_director_action *verdict;
+		struct caller_flow dead, other;
+
+		flow_at_each(bench, &dead, &other);
+		if (told)
+			bench_suspicion(bench, 0x101);
+		else
+			suspect(bench, &dead);
+		bench_probed(bench, 0x101, JT_PROBE_REFUSED);
+		verdict = bench_find(bench, JT_DIRECTOR_VERDICT);
+		assert_non_null(verdict);
+		assert_int_equal(verdict->peers_know, told);
+		talloc_free(bench);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -432,6 +503,11 @@
 		cmocka_unit_test(test_dead_endpoint_comes_back),
 		cmocka_unit_test(test_who_answers_for_a_dead_endpoint),
 		cmocka_unit_test(test_who_answers_where_flows_get_nothing),
+		cmocka_unit_test(
+			test_peers_verdict_without_flows_needs_no_probe),
+		cmocka_unit_test(test_flow_at_what_a_peer_found_dead_is_probed),
+		cmocka_unit_test(test_progress_ends_a_peers_verdict),
+		cmocka_unit_test(test_verdict_is_told_by_the_first_alone),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
