Starts learn from strong peers; a node that is ready tells no knowledge

Cause: after a kill of 177 of 295 nodes the first state came 1.2 s after a start in the median. 209 nodes asked one node of 0.038 cores for what it knows: it was the one live seed of the starters, and it had just told all 295 peers that it is ready, with a routing version that nobody else had yet. Ruled out: the store (answers in 4 ms), strong nodes (ready 7 ms after their start).

Change: who knows nothing also asks peers that it only heard of, each as likely as it is strong and lately heard; a seed answers a starter with its best sources; a starter turns to another source after 250 ms. Whether a node takes flows is now a message of its own, without versions.

--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -98,6 +98,25 @@
 	talloc_free(frame);
 }
 
+/* To a node that looks for peers to learn from. */
+static void sources_send(struct jt_peer_exchange *exchange,
+			 struct jt_address to, const struct jt_own_state *own,
+			 uint64_t now_ms)
+{
+	jt_wire_director_message message = {
+		.from = exchange->membership->id,
+		.body.kind = JT_WIRE_DIGEST,
+	};
+	TALLOC_CTX *frame = talloc_new(exchange);
+
+	jt_membership_source_digest(
+		exchange->membership, frame, own, now_ms,
+		&message.body.jt_wire_director_body_u.digest);
+	message_send(exchange, to, &message);
+	exchange->counters.digests_sent++;
+	talloc_free(frame);
+}
+
 /* To every live peer, or to those of this node's zone alone; returns to how
  * many. */
 static size_t message_send_peers(struct jt_peer_exchange *exchange,
@@ -119,25 +138,29 @@
 	return sent;
 }
 
-/* How this node stands, without the peers that a digest tells of. */
-static void state_tell(struct jt_peer_exchange *exchange, bool only_zone)
+/* Whether this node takes flows, to all at once. */
+static void standing_tell(struct jt_peer_exchange *exchange, bool only_zone)
 {
 	jt_wire_director_message message = {
 		.from = exchange->membership->id,
-		.body.kind = JT_WIRE_DIGEST,
+		.body.kind = JT_WIRE_STANDING,
 	};
 	struct jt_own_state own = {0};
 
 	exchange->handler.own_state(&own, exchange->handler.private_data);
-	jt_membership_own_state(exchange->membership, &own, jt_clock_ms(),
-				&message.body.jt_wire_director_body_u.digest);
-	exchange->counters.digests_sent +=
-		message_send_peers(exchange, &message, only_zone);
+	message.body.jt_wire_director_body_u.standing = (jt_wire_standing){
+		.zone = exchange->membership->zone_id,
+		.started = own.started,
+		.leaving = own.leaving,
+		.ready = own.ready,
+		.weight = own.weight,
+	};
+	(void)message_send_peers(exchange, &message, only_zone);
 }
 
 void jt_peer_exchange_tell_all(struct jt_peer_exchange *exchange)
 {
-	state_tell(exchange, false);
+	standing_tell(exchange, false);
 }
 
 struct jt_zone_view
@@ -218,22 +241,27 @@
 
 /* Datagrams */
 
+static void peer_seen(const struct jt_peer_exchange *exchange,
+		      struct jt_address address)
+{
+	char text[JT_ADDRESS_TEXT];
+
+	jt_log_line(exchange->log, LOG_NOTICE, "event=peer_seen peer=%s",
+		    jt_address_format(address, text));
+}
+
 static void digest_take(struct jt_peer_exchange *exchange, uint64_t peer,
 			struct jt_address from, const jt_wire_digest *digest)
 {
-	char text[JT_ADDRESS_TEXT];
 	struct jt_own_state own = {0};
 	uint64_t now_ms = jt_clock_ms();
 
 	if (jt_membership_digest(exchange->membership, peer, from, digest,
 				 now_ms))
-		jt_log_line(exchange->log, LOG_NOTICE,
-			    "event=peer_seen peer=%s",
-			    jt_address_format(from, text));
+		peer_seen(exchange, from);
 	exchange->handler.own_state(&own, exchange->handler.private_data);
-	/* It looks for somebody to learn from. */
 	if (own.started && !digest->started)
-		digests_send(exchange, &from, 1, now_ms);
+		sources_send(exchange, from, &own, now_ms);
 	if (digest->revision <= own.revision &&
 	    digest->routing_version <= own.routing_version &&
 	    digest->store_reader != exchange->membership->id &&
@@ -262,6 +290,13 @@
 		exchange->handler.news(news, exchange->handler.private_data);
 		digest_take(exchange, message->from, from, &news->digest);
 		break;
+	case JT_WIRE_STANDING:
+		if (jt_membership_standing(
+			    exchange->membership, message->from, from,
+			    &message->body.jt_wire_director_body_u.standing,
+			    jt_clock_ms()))
+			peer_seen(exchange, from);
+		break;
 	case JT_WIRE_LOADS:
 		loads_take(exchange, message->from,
 			   &message->body.jt_wire_director_body_u.loads);
@@ -341,7 +376,7 @@
 	exchange->handler.own_state(&own, exchange->handler.private_data);
 	/* Who leaves when hangs on it: a datagram that was lost is made up. */
 	if (own.leaving)
-		state_tell(exchange, true);
+		standing_tell(exchange, true);
 	jt_peer_knowledge_look(exchange, now_ms);
 	jt_timer_set(exchange->timer,
 		     now_ms - exchange->created_ms < ROUND_FAST_FOR_MS
--- a/src/director/jt_peer_knowledge.c
+++ b/src/director/jt_peer_knowledge.c
@@ -9,6 +9,9 @@
 
 enum {
 	FETCH_TIMEOUT_MS = 1000,
+	/* A node that has just started rather asks another peer: the first may
+	 * have lost power together with it. */
+	FETCH_START_TIMEOUT_MS = 250,
 	KNOWLEDGE_MOST = 8 << 20,
 	FETCH_LOOK_MS = 70, /* a node that is behind looks again after that */
 };
@@ -67,8 +70,7 @@
 			const struct jt_peer *peer)
 {
 	char from[JT_ADDRESS_TEXT], to[JT_ADDRESS_TEXT];
-	struct jt_http_call call = {.method = "GET",
-				    .timeout_ms = FETCH_TIMEOUT_MS};
+	struct jt_http_call call = {.method = "GET"};
 	struct jt_own_state own = {0};
 	char *url;
 
@@ -79,6 +81,8 @@
 		    (unsigned long long)peer->revision,
 		    (unsigned long long)peer->routing_version);
 	exchange->handler.own_state(&own, exchange->handler.private_data);
+	call.timeout_ms =
+		own.started ? FETCH_TIMEOUT_MS : FETCH_START_TIMEOUT_MS;
 	url = talloc_asprintf(
 		exchange,
 		"http://%s" KNOWLEDGE_PATH "?to=%s&since=%llu&version=%llu", to,
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -26,6 +26,13 @@
 	RESTART_MOST_MS = 1500,
 	/* One round in so many also tries a seed, or a peer that was lost. */
 	RETRY_ROUNDS = 4,
+	/* A peer that was heard of so long ago is half as good to learn from
+	 * as one that was heard just now: it may have ended since. */
+	SOURCE_HALF_MS = 250,
+	/* A source of the own zone counts for so many of other zones. */
+	SOURCE_NEAR = 4,
+	/* Keeps the rank of the weakest source above 0. */
+	SOURCE_UNIT = 1000,
 };
 
 struct jt_membership *jt_membership_create(TALLOC_CTX *mem_ctx, uint64_t id,
@@ -142,34 +149,71 @@
 	peer->lost = false;
 }
 
-bool jt_membership_digest(struct jt_membership *membership, uint64_t from,
-			  struct jt_address address,
-			  const jt_wire_digest *digest, uint64_t now_ms)
+/* The process @from at @address was heard; NULL when that is this one, or
+ * memory runs out. A process that is new there knows nothing yet. */
+static struct jt_peer *peer_heard(struct jt_membership *membership,
+				  uint64_t from, struct jt_address address,
+				  const jt_wire_standing *standing,
+				  uint64_t now_ms, bool *news)
 {
 	struct jt_peer *peer;
-	bool news;
 
+	*news = false;
 	if (from == membership->id ||
 	    jt_address_same(address, membership->address))
-		return false;
+		return NULL;
 	peer = peer_find(membership, address);
 	if (peer == NULL)
 		peer = peer_add(membership, address);
 	if (peer == NULL)
-		return false;
-	news = !peer->heard || peer->id != from;
+		return NULL;
+	*news = !peer->heard || peer->id != from;
+	if (peer->id != from) {
+		peer->routing_version = 0;
+		peer->revision = 0;
+	}
 	peer->id = from;
-	peer->zone_id = digest->zone;
 	peer->heard_ms = now_ms;
 	peer->heard = true;
 	peer->lost = false;
 	peer->no_answer = false;
+	peer->zone_id = standing->zone;
+	peer->started = standing->started;
+	peer->leaving = standing->leaving;
+	peer->ready = standing->ready;
+	peer->weight = standing->weight;
+	return peer;
+}
+
+bool jt_membership_standing(struct jt_membership *membership, uint64_t from,
+			    struct jt_address address,
+			    const jt_wire_standing *standing, uint64_t now_ms)
+{
+	bool news;
+
+	(void)peer_heard(membership, from, address, standing, now_ms, &news);
+	return news;
+}
+
+bool jt_membership_digest(struct jt_membership *membership, uint64_t from,
+			  struct jt_address address,
+			  const jt_wire_digest *digest, uint64_t now_ms)
+{
+	const jt_wire_standing standing = {
+		.zone = digest->zone,
+		.started = digest->started,
+		.leaving = digest->leaving,
+		.ready = digest->ready,
+		.weight = digest->weight,
+	};
+	struct jt_peer *peer;
+	bool news;
+
+	peer = peer_heard(membership, from, address, &standing, now_ms, &news);
+	if (peer == NULL)
+		return false;
 	peer->routing_version = digest->routing_version;
 	peer->revision = digest->revision;
-	peer->started = digest->started;
-	peer->leaving = digest->leaving;
-	peer->ready = digest->ready;
-	peer->weight = digest->weight;
 	for (u_int i = 0; i < digest->peers.peers_len; i++)
 		peer_hearsay(membership, &digest->peers.peers_val[i], now_ms);
 	return news;
@@ -405,6 +449,19 @@
 	digest->store_reader = own->store_reader;
 }
 
+/* What a digest tells of @peer. */
+static jt_wire_peer peer_tell(const struct jt_peer *peer, uint64_t now_ms)
+{
+	return (jt_wire_peer){
+		.id = peer->id,
+		.address = peer->address.ip,
+		.port = peer->address.port,
+		.zone = peer->zone_id,
+		.age_ms = (uint32_t)(now_ms - peer->heard_ms),
+		.weight = peer->weight,
+	};
+}
+
 void jt_membership_own_digest(struct jt_membership *membership,
 			      TALLOC_CTX *mem_ctx,
 			      const struct jt_own_state *own, uint64_t now_ms,
@@ -423,21 +480,84 @@
 		const struct jt_peer *peer =
 			&membership->peers[(start + i) % membership->count];
 
-		if (!jt_peer_lives(peer))
-			continue;
-		peers[told++] = (jt_wire_peer){
-			.id = peer->id,
-			.address = peer->address.ip,
-			.port = peer->address.port,
-			.zone = peer->zone_id,
-			.age_ms = (uint32_t)(now_ms - peer->heard_ms),
-			.weight = peer->weight,
-		};
+		if (jt_peer_lives(peer))
+			peers[told++] = peer_tell(peer, now_ms);
 	}
 	digest->peers.peers_val = peers;
 	digest->peers.peers_len = (u_int)told;
 }
 
+/* Who can read the store has started, even where only others tell of it. */
+static bool peer_started(const struct jt_peer *peer)
+{
+	return jt_peer_lives(peer) &&
+	       (peer->heard ? peer->started : peer->weight > 0);
+}
+
+/*
+ * How good a source the peer is for a node that knows nothing: to tell all is
+ * work, so the stronger a peer and the likelier it lives, the better.
+ */
+static uint64_t source_rank(const struct jt_membership *membership,
+			    const struct jt_peer *peer, uint64_t now_ms)
+{
+	uint64_t weight = peer->weight > 0 ? peer->weight : 1;
+	uint64_t age_ms = now_ms - peer->heard_ms;
+
+	if (peer->zone_id == membership->zone_id)
+		weight *= SOURCE_NEAR;
+	return 1 + weight * SOURCE_UNIT * SOURCE_HALF_MS /
+			   (SOURCE_HALF_MS + age_ms);
+}
+
+/* Puts @peer in its place among the @count best sources, best first; returns
+ * how many there are then. */
+static size_t source_insert(const struct jt_membership *membership,
+			    const struct jt_peer **best, size_t count,
+			    const struct jt_peer *peer, uint64_t now_ms)
+{
+	uint64_t rank = source_rank(membership, peer, now_ms);
+	size_t place = count;
+
+	while (place > 0 &&
+	       source_rank(membership, best[place - 1], now_ms) < rank)
+		place--;
+	if (place == JT_DIRECTOR_MAX_PEERS)
+		return count;
+	if (count < JT_DIRECTOR_MAX_PEERS)
+		count++;
+	memmove(&best[place + 1], &best[place],
+		(count - 1 - place) * sizeof(best[0]));
+	best[place] = peer;
+	return count;
+}
+
+void jt_membership_source_digest(struct jt_membership *membership,
+				 TALLOC_CTX *mem_ctx,
+				 const struct jt_own_state *own,
+				 uint64_t now_ms, jt_wire_digest *digest)
+{
+	const struct jt_peer *best[JT_DIRECTOR_MAX_PEERS];
+	size_t count = 0;
+	jt_wire_peer *peers;
+
+	jt_membership_own_state(membership, own, now_ms, digest);
+	peers = talloc_zero_array(mem_ctx, jt_wire_peer, JT_DIRECTOR_MAX_PEERS);
+	if (peers == NULL)
+		return;
+	for (size_t i = 0; i < membership->count; i++) {
+		const struct jt_peer *peer = &membership->peers[i];
+
+		if (peer_started(peer) && !peer->no_answer)
+			count = source_insert(membership, best, count, peer,
+					      now_ms);
+	}
+	for (size_t i = 0; i < count; i++)
+		peers[i] = peer_tell(best[i], now_ms);
+	digest->peers.peers_val = peers;
+	digest->peers.peers_len = (u_int)count;
+}
+
 static void peer_forget(struct jt_membership *membership, size_t index)
 {
 	membership->peers[index] = membership->peers[--membership->count];
@@ -468,12 +588,39 @@
 static bool knows_more(const struct jt_peer *peer,
 		       const struct jt_own_state *own)
 {
+	if (!own->started)
+		return peer_started(peer);
 	if (!peer->heard || peer->lost || !peer->started)
 		return false;
-	return !own->started || peer->revision > own->revision ||
+	return peer->revision > own->revision ||
 	       peer->routing_version > own->routing_version;
 }
 
+/*
+ * A peer to learn everything from: at random, each as likely as it is good, so
+ * that many nodes that start at once share the work among all that know.
+ */
+static const struct jt_peer *peer_source(struct jt_membership *membership,
+					 const struct jt_own_state *own,
+					 uint64_t now_ms)
+{
+	const struct jt_peer *chosen = NULL;
+	uint64_t sum = 0;
+
+	for (size_t i = 0; i < membership->count; i++) {
+		const struct jt_peer *peer = &membership->peers[i];
+		uint64_t rank;
+
+		if (!knows_more(peer, own) || peer->no_answer)
+			continue;
+		rank = source_rank(membership, peer, now_ms);
+		sum += rank;
+		if (jt_random_next(&membership->random) % sum < rank)
+			chosen = peer;
+	}
+	return chosen;
+}
+
 /* How gladly a peer is asked: one that answers, and of the own zone. */
 static int fetch_rank(const struct jt_membership *membership,
 		      const struct jt_peer *peer)
@@ -509,8 +656,12 @@
 					  const struct jt_own_state *own,
 					  uint64_t now_ms)
 {
-	const struct jt_peer *peer = peer_ahead(membership, own);
+	const struct jt_peer *peer = NULL;
 
+	if (!own->started)
+		peer = peer_source(membership, own, now_ms);
+	if (peer == NULL)
+		peer = peer_ahead(membership, own);
 	if (peer == NULL) {
 		membership->behind_ms = 0;
 		return NULL;
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -86,6 +86,10 @@
 bool jt_membership_digest(struct jt_membership *membership, uint64_t from,
 			  struct jt_address address,
 			  const jt_wire_digest *digest, uint64_t now_ms);
+/* The same for a peer that tells whether it takes flows. */
+bool jt_membership_standing(struct jt_membership *membership, uint64_t from,
+			    struct jt_address address,
+			    const jt_wire_standing *standing, uint64_t now_ms);
 /*
  * Choose whom to tell in this round; returns how many of @targets were set.
  */
@@ -116,6 +120,12 @@
 			      TALLOC_CTX *mem_ctx,
 			      const struct jt_own_state *own, uint64_t now_ms,
 			      jt_wire_digest *digest);
+/* The digest for a node that has just started: its peers are the best to learn
+ * from, the strongest and the last heard. */
+void jt_membership_source_digest(struct jt_membership *membership,
+				 TALLOC_CTX *mem_ctx,
+				 const struct jt_own_state *own,
+				 uint64_t now_ms, jt_wire_digest *digest);
 /* The next peer that was lost and not yet told, NULL when there is none. */
 const struct jt_peer *jt_membership_next_lost(struct jt_membership *membership,
 					      uint64_t now_ms);
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -49,6 +49,15 @@
 };
 typedef struct jt_wire_digest jt_wire_digest;
 
+struct jt_wire_standing {
+	u_int zone;
+	bool_t started;
+	bool_t leaving;
+	bool_t ready;
+	u_int weight;
+};
+typedef struct jt_wire_standing jt_wire_standing;
+
 struct jt_wire_suspicion {
 	u_quad_t endpoint_id;
 };
@@ -149,6 +158,7 @@
 	JT_WIRE_KNOWLEDGE = 3,
 	JT_WIRE_LOADS = 4,
 	JT_WIRE_NEWS = 5,
+	JT_WIRE_STANDING = 6,
 };
 typedef enum jt_wire_director_kind jt_wire_director_kind;
 
@@ -160,6 +170,7 @@
 		jt_wire_knowledge knowledge;
 		jt_wire_loads loads;
 		jt_wire_news news;
+		jt_wire_standing standing;
 	} jt_wire_director_body_u;
 };
 typedef struct jt_wire_director_body jt_wire_director_body;
@@ -175,6 +186,7 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_jt_wire_peer (XDR *, jt_wire_peer*);
 extern  bool_t xdr_jt_wire_digest (XDR *, jt_wire_digest*);
+extern  bool_t xdr_jt_wire_standing (XDR *, jt_wire_standing*);
 extern  bool_t xdr_jt_wire_suspicion (XDR *, jt_wire_suspicion*);
 extern  bool_t xdr_jt_wire_load (XDR *, jt_wire_load*);
 extern  bool_t xdr_jt_wire_loads (XDR *, jt_wire_loads*);
@@ -192,6 +204,7 @@
 #else /* K&R C */
 extern bool_t xdr_jt_wire_peer ();
 extern bool_t xdr_jt_wire_digest ();
+extern bool_t xdr_jt_wire_standing ();
 extern bool_t xdr_jt_wire_suspicion ();
 extern bool_t xdr_jt_wire_load ();
 extern bool_t xdr_jt_wire_loads ();
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -38,6 +38,19 @@
 	jt_wire_peer peers<JT_DIRECTOR_MAX_PEERS>;
 };
 
+/*
+ * Sent to every peer at once when the sender starts or stops taking flows. It
+ * tells nothing of what the sender knows: all that lack the same would fetch
+ * it from this one node in the same moment.
+ */
+struct jt_wire_standing {
+	unsigned int zone;
+	bool started;
+	bool leaving;
+	bool ready;          /* routers were told that it is */
+	unsigned int weight; /* as a reader of the store; 0: not now */
+};
+
 /* The sender has found the endpoint dead. */
 struct jt_wire_suspicion {
 	unsigned hyper endpoint_id;
@@ -121,7 +134,8 @@
 	JT_WIRE_SUSPICION = 2,
 	JT_WIRE_KNOWLEDGE = 3,
 	JT_WIRE_LOADS = 4,
-	JT_WIRE_NEWS = 5
+	JT_WIRE_NEWS = 5,
+	JT_WIRE_STANDING = 6
 };
 
 union jt_wire_director_body switch (jt_wire_director_kind kind) {
@@ -135,6 +149,8 @@
 	jt_wire_loads loads;
 case JT_WIRE_NEWS:
 	jt_wire_news news;
+case JT_WIRE_STANDING:
+	jt_wire_standing standing;
 };
 
 struct jt_wire_director_message {
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -172,6 +172,69 @@
 	return TRUE;
 }
 
+bool_t
+xdr_jt_wire_standing (XDR *xdrs, jt_wire_standing *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->zone))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->started))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->ready))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->weight))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->zone);
+			IXDR_PUT_BOOL(buf, objp->started);
+			IXDR_PUT_BOOL(buf, objp->leaving);
+			IXDR_PUT_BOOL(buf, objp->ready);
+			IXDR_PUT_U_LONG(buf, objp->weight);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->zone))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->started))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->ready))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->weight))
+				 return FALSE;
+		} else {
+			objp->zone = IXDR_GET_U_LONG(buf);
+			objp->started = IXDR_GET_BOOL(buf);
+			objp->leaving = IXDR_GET_BOOL(buf);
+			objp->ready = IXDR_GET_BOOL(buf);
+			objp->weight = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->started))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->ready))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->weight))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_jt_wire_suspicion (XDR *xdrs, jt_wire_suspicion *objp)
 {
@@ -482,6 +545,10 @@
 		 if (!xdr_jt_wire_news (xdrs, &objp->jt_wire_director_body_u.news))
 			 return FALSE;
 		break;
+	case JT_WIRE_STANDING:
+		 if (!xdr_jt_wire_standing (xdrs, &objp->jt_wire_director_body_u.standing))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -245,6 +245,132 @@
 	talloc_free(membership);
 }
 
+enum { STRONG = 500, WEAK = 38, STRONG_PEERS = 15, WEAK_PEERS = 100 };
+
+/* A seed of weight WEAK that has heard of many peers. */
+static struct jt_membership *seed_of_many(void)
+{
+	struct jt_membership *seed =
+		jt_membership_create(NULL, 2, address_of(1), 1);
+
+	for (uint32_t i = 0; i < STRONG_PEERS + WEAK_PEERS; i++) {
+		const jt_wire_digest digest = {
+			.zone = 1,
+			.started = TRUE,
+			.revision = 12,
+			.weight = i % 8 == 0 && i / 8 < STRONG_PEERS ? STRONG
+								     : WEAK,
+		};
+
+		jt_membership_digest(seed, 100 + i, address_of(100 + (int)i),
+				     &digest, 1000);
+	}
+	return seed;
+}
+
+/* The digest that a seed answers a node with that knows nothing. */
+static void seed_answers(struct jt_membership *seed,
+			 struct jt_membership *starter, uint64_t now_ms)
+{
+	const struct jt_own_state own = {
+		.started = true, .revision = 12, .weight = WEAK};
+	TALLOC_CTX *frame = talloc_new(seed);
+	jt_wire_digest digest;
+
+	jt_membership_source_digest(seed, frame, &own, now_ms, &digest);
+	assert_int_equal(digest.peers.peers_len, JT_DIRECTOR_MAX_PEERS);
+	jt_membership_digest(starter, seed->id, seed->address, &digest, now_ms);
+	talloc_free(frame);
+}
+
+/* All nodes that lost power together know nobody but a seed, which may be the
+ * weakest node of all: they must not all learn from it. */
+static void test_starts_learn_from_strong_peers(void **state)
+{
+	struct jt_membership *seed = seed_of_many();
+	const struct jt_own_state own = {0};
+	unsigned from_seed = 0, from_strong = 0;
+
+	(void)state;
+	for (uint64_t id = 5000; id < 5200; id++) {
+		struct jt_membership *starter =
+			jt_membership_create(NULL, id, address_of((int)id), 1);
+		const struct jt_peer *source;
+
+		seed_answers(seed, starter, 1100);
+		source = jt_membership_fetch(starter, &own, 1101);
+		assert_non_null(source);
+		from_seed += source->id == seed->id;
+		from_strong += source->weight == STRONG;
+		talloc_free(starter);
+	}
+	assert_in_range(from_seed, 0, 10);
+	assert_in_range(from_strong, 150, 200);
+	talloc_free(seed);
+}
+
+/* A source that gave no answer is not asked again at once. */
+static void test_start_turns_to_another_source(void **state)
+{
+	struct jt_membership *seed = seed_of_many();
+	const struct jt_own_state own = {0};
+	uint64_t asked[5];
+
+	(void)state;
+	for (uint64_t id = 5000; id < 5050; id++) {
+		struct jt_membership *starter =
+			jt_membership_create(NULL, id, address_of((int)id), 1);
+		uint64_t now_ms = 1101;
+
+		seed_answers(seed, starter, 1100);
+		for (size_t i = 0; i < 5; i++) {
+			const struct jt_peer *source =
+				jt_membership_fetch(starter, &own, now_ms);
+
+			assert_non_null(source);
+			asked[i] = source->id;
+			for (size_t j = 0; j < i; j++)
+				assert_int_not_equal(asked[j], asked[i]);
+			now_ms += 250;
+			jt_membership_fetched(starter, false, now_ms);
+			now_ms += 250;
+		}
+		talloc_free(starter);
+	}
+	talloc_free(seed);
+}
+
+/* A node that has just become ready tells all peers. Those that lack what it
+ * knows must not all fetch it from this one node. */
+static void test_standing_tells_no_knowledge(void **state)
+{
+	struct jt_membership *membership =
+		jt_membership_create(NULL, 1, address_of(0), 1);
+	const struct jt_own_state own = {.started = true, .revision = 11};
+	jt_wire_digest digest = {.revision = 12, .started = TRUE};
+	const jt_wire_standing standing = {
+		.zone = 1, .started = TRUE, .ready = TRUE};
+
+	(void)state;
+	assert_true(jt_membership_standing(membership, 2, address_of(1),
+					   &standing, 1000));
+	assert_false(jt_membership_standing(membership, 2, address_of(1),
+					    &standing, 1001));
+	assert_int_equal(jt_membership_zone(membership, 1001).serving, 1);
+	assert_null(jt_membership_fetch(membership, &own, 2000));
+	assert_null(jt_membership_fetch(membership, &own, 3000));
+	/* What a digest told stays, but only of that process. */
+	jt_membership_digest(membership, 2, address_of(1), &digest, 3001);
+	jt_membership_standing(membership, 2, address_of(1), &standing, 3002);
+	assert_null(jt_membership_fetch(membership, &own, 3002));
+	assert_non_null(jt_membership_fetch(membership, &own, 4000));
+	membership->fetching = false;
+	jt_membership_standing(membership, 3, address_of(1), &standing, 4001);
+	assert_null(jt_membership_fetch(membership, &own, 4500));
+	assert_null(jt_membership_fetch(membership, &own, 5500));
+	talloc_free(membership);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -256,6 +382,9 @@
 		cmocka_unit_test(test_failed_fetch_turns_to_another_peer),
 		cmocka_unit_test(test_node_that_starts_fetches_at_once),
 		cmocka_unit_test(test_own_address_is_no_peer),
+		cmocka_unit_test(test_starts_learn_from_strong_peers),
+		cmocka_unit_test(test_start_turns_to_another_source),
+		cmocka_unit_test(test_standing_tells_no_knowledge),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
