Sources for the starter's own zone; seeds tell them before they have started

Cause: what is heard of many peers is seconds old, so that weak nodes heard just now stood before strong ones, and a seed ranked by its own zone. After all lost power a seed that had not started yet kept what it knew of those that had.

--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -100,8 +100,8 @@
 
 /* To a node that looks for peers to learn from. */
 static void sources_send(struct jt_peer_exchange *exchange,
-			 struct jt_address to, const struct jt_own_state *own,
-			 uint64_t now_ms)
+			 struct jt_address to, uint32_t zone_id,
+			 const struct jt_own_state *own, uint64_t now_ms)
 {
 	jt_wire_director_message message = {
 		.from = exchange->membership->id,
@@ -110,7 +110,7 @@
 	TALLOC_CTX *frame = talloc_new(exchange);
 
 	jt_membership_source_digest(
-		exchange->membership, frame, own, now_ms,
+		exchange->membership, frame, own, zone_id, now_ms,
 		&message.body.jt_wire_director_body_u.digest);
 	message_send(exchange, to, &message);
 	exchange->counters.digests_sent++;
@@ -260,8 +260,9 @@
 				 now_ms))
 		peer_seen(exchange, from);
 	exchange->handler.own_state(&own, exchange->handler.private_data);
-	if (own.started && !digest->started)
-		sources_send(exchange, from, &own, now_ms);
+	if (!digest->started &&
+	    (own.started || jt_membership_knows_source(exchange->membership)))
+		sources_send(exchange, from, digest->zone, &own, now_ms);
 	if (digest->revision <= own.revision &&
 	    digest->routing_version <= own.routing_version &&
 	    digest->store_reader != exchange->membership->id &&
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -27,8 +27,9 @@
 	/* One round in so many also tries a seed, or a peer that was lost. */
 	RETRY_ROUNDS = 4,
 	/* A peer that was heard of so long ago is half as good to learn from
-	 * as one that was heard just now: it may have ended since. */
-	SOURCE_HALF_MS = 250,
+	 * as one that was heard just now: it may have ended since. Of many
+	 * peers each is heard of every few seconds. */
+	SOURCE_HALF_MS = 2000,
 	/* A source of the own zone counts for so many of other zones. */
 	SOURCE_NEAR = 4,
 	/* Keeps the rank of the weakest source above 0. */
@@ -495,32 +496,42 @@
 }
 
 /*
- * How good a source the peer is for a node that knows nothing: to tell all is
- * work, so the stronger a peer and the likelier it lives, the better.
+ * How good a source the peer is for a node of @zone_id that knows nothing: to
+ * tell all is work, so the stronger a peer and the likelier it lives, the
+ * better.
  */
-static uint64_t source_rank(const struct jt_membership *membership,
-			    const struct jt_peer *peer, uint64_t now_ms)
+static uint64_t source_rank(const struct jt_peer *peer, uint32_t zone_id,
+			    uint64_t now_ms)
 {
 	uint64_t weight = peer->weight > 0 ? peer->weight : 1;
 	uint64_t age_ms = now_ms - peer->heard_ms;
 
-	if (peer->zone_id == membership->zone_id)
+	if (peer->zone_id == zone_id)
 		weight *= SOURCE_NEAR;
 	return 1 + weight * SOURCE_UNIT * SOURCE_HALF_MS /
 			   (SOURCE_HALF_MS + age_ms);
 }
 
+bool jt_membership_knows_source(const struct jt_membership *membership)
+{
+	for (size_t i = 0; i < membership->count; i++) {
+		if (peer_started(&membership->peers[i]))
+			return true;
+	}
+	return false;
+}
+
 /* Puts @peer in its place among the @count best sources, best first; returns
  * how many there are then. */
-static size_t source_insert(const struct jt_membership *membership,
-			    const struct jt_peer **best, size_t count,
-			    const struct jt_peer *peer, uint64_t now_ms)
+static size_t source_insert(const struct jt_peer **best, size_t count,
+			    const struct jt_peer *peer, uint32_t zone_id,
+			    uint64_t now_ms)
 {
-	uint64_t rank = source_rank(membership, peer, now_ms);
+	uint64_t rank = source_rank(peer, zone_id, now_ms);
 	size_t place = count;
 
 	while (place > 0 &&
-	       source_rank(membership, best[place - 1], now_ms) < rank)
+	       source_rank(best[place - 1], zone_id, now_ms) < rank)
 		place--;
 	if (place == JT_DIRECTOR_MAX_PEERS)
 		return count;
@@ -535,7 +546,8 @@
 void jt_membership_source_digest(struct jt_membership *membership,
 				 TALLOC_CTX *mem_ctx,
 				 const struct jt_own_state *own,
-				 uint64_t now_ms, jt_wire_digest *digest)
+				 uint32_t zone_id, uint64_t now_ms,
+				 jt_wire_digest *digest)
 {
 	const struct jt_peer *best[JT_DIRECTOR_MAX_PEERS];
 	size_t count = 0;
@@ -549,7 +561,7 @@
 		const struct jt_peer *peer = &membership->peers[i];
 
 		if (peer_started(peer) && !peer->no_answer)
-			count = source_insert(membership, best, count, peer,
+			count = source_insert(best, count, peer, zone_id,
 					      now_ms);
 	}
 	for (size_t i = 0; i < count; i++)
@@ -613,7 +625,7 @@
 
 		if (!knows_more(peer, own) || peer->no_answer)
 			continue;
-		rank = source_rank(membership, peer, now_ms);
+		rank = source_rank(peer, membership->zone_id, now_ms);
 		sum += rank;
 		if (jt_random_next(&membership->random) % sum < rank)
 			chosen = peer;
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -120,12 +120,15 @@
 			      TALLOC_CTX *mem_ctx,
 			      const struct jt_own_state *own, uint64_t now_ms,
 			      jt_wire_digest *digest);
-/* The digest for a node that has just started: its peers are the best to learn
- * from, the strongest and the last heard. */
+/* The digest for a node of @zone_id that has just started: its peers are the
+ * best to learn from, the strongest and the last heard. */
 void jt_membership_source_digest(struct jt_membership *membership,
 				 TALLOC_CTX *mem_ctx,
 				 const struct jt_own_state *own,
-				 uint64_t now_ms, jt_wire_digest *digest);
+				 uint32_t zone_id, uint64_t now_ms,
+				 jt_wire_digest *digest);
+/* Whether a peer has started, as far as is known. */
+bool jt_membership_knows_source(const struct jt_membership *membership);
 /* The next peer that was lost and not yet told, NULL when there is none. */
 const struct jt_peer *jt_membership_next_lost(struct jt_membership *membership,
 					      uint64_t now_ms);
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -277,7 +277,8 @@
 	TALLOC_CTX *frame = talloc_new(seed);
 	jt_wire_digest digest;
 
-	jt_membership_source_digest(seed, frame, &own, now_ms, &digest);
+	jt_membership_source_digest(seed, frame, &own, starter->zone_id, now_ms,
+				    &digest);
 	assert_int_equal(digest.peers.peers_len, JT_DIRECTOR_MAX_PEERS);
 	jt_membership_digest(starter, seed->id, seed->address, &digest, now_ms);
 	talloc_free(frame);
