Outlier detection: new flows avoid endpoints that leave requests unanswered

A node saw nothing: an endpoint that is reset or hangs has acknowledged the request, so that no caller sends again. Ruled out: flows opened before (288 of the 470), which nobody may move; endpoints that answer 500, whose answers a node can't read (open).

Change: a request without any answer for 8 times the service's usual time, 0.3 s at the least, keeps new flows from its endpoint for 2 s, longer after a relapse; nodes tell each other, since each of 295 sees 0.1 requests of an endpoint in 6 s. Where over a third of a service seems to fail none is avoided. No flow is ended. Mechanism 'outliers' can be switched off.

test_mechanisms_can_be_off counts the new name, too.

--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -130,6 +130,7 @@
 	JT_DIRECTOR_INFORMED,  /* a peer told all it knows at a revision */
 	JT_DIRECTOR_NEWS, /* entries that changed up to a revision were told */
 	JT_DIRECTOR_SUSPICION,	/* a peer has found the endpoint dead */
+	JT_DIRECTOR_OVERDUE,	/* a peer gets no answers from the endpoint */
 	JT_DIRECTOR_IDENTIFIED, /* who answers at an endpoint's address */
 	JT_DIRECTOR_PROBED,	/* the outcome of a probe */
 	JT_DIRECTOR_LOADS,	/* a peer's share of the endpoints' flows */
@@ -158,7 +159,7 @@
 		} news;
 		struct {
 			uint64_t id;
-		} suspicion;
+		} suspicion; /* and overdue */
 		struct {
 			uint64_t id;
 			enum jt_probe_outcome outcome;
@@ -187,8 +188,9 @@
 	JT_DIRECTOR_PROBE,    /* open a connection to an endpoint */
 	JT_DIRECTOR_IDENTIFY, /* ask who answers at an endpoint's address */
 	JT_DIRECTOR_VERDICT,  /* an endpoint is dead: tell peers */
-	JT_DIRECTOR_REVIVED,  /* a dead endpoint lives */
-	JT_DIRECTOR_SEEN,     /* an endpoint's state changed */
+	JT_DIRECTOR_FAILING, /* an endpoint's answers are overdue: tell peers */
+	JT_DIRECTOR_REVIVED, /* a dead endpoint lives */
+	JT_DIRECTOR_SEEN,    /* an endpoint's state changed */
 };
 
 enum jt_director_reason {
@@ -271,6 +273,7 @@
 	uint64_t routing_refused; /* versions not above the one in force */
 	uint64_t entries_refused; /* older than what is known, or no room */
 	uint64_t resent;	  /* packets that were sent again */
+	uint64_t overdue;	  /* requests whose answers were overdue */
 };
 
 struct jt_director;
--- a/src/common/jt_mechanism.h
+++ b/src/common/jt_mechanism.h
@@ -29,6 +29,7 @@
 	JT_MECHANISM_PEERS_FIRST = 1 << 16,   /* a start asks peers first */
 	JT_MECHANISM_LEAVE_IN_TURN = 1 << 17, /* nodes of a zone */
 	JT_MECHANISM_EARLY_END = 1 << 18,     /* when packets stop */
+	JT_MECHANISM_OUTLIERS = 1 << 19, /* what fails requests gets none */
 };
 
 /* The mechanism of that name, 0 when there is none. */
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -185,8 +185,14 @@
 		jt_director_log_endpoint(node->log, action, "endpoint_dead");
 		if (!action->peers_know)
 			jt_peer_exchange_suspect(node->peers,
+						 JT_WIRE_FOUND_DEAD,
 						 action->endpoint_id);
 		break;
+	case JT_DIRECTOR_FAILING:
+		jt_director_log_endpoint(node->log, action, "endpoint_failing");
+		jt_peer_exchange_suspect(node->peers, JT_WIRE_ANSWERS_OVERDUE,
+					 action->endpoint_id);
+		break;
 	case JT_DIRECTOR_REVIVED:
 		jt_director_log_endpoint(node->log, action, "endpoint_back");
 		break;
--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -266,10 +266,13 @@
 	jt_director_node_event(private_data, &event);
 }
 
-static void on_suspicion(uint64_t endpoint_id, void *private_data)
+static void on_suspicion(jt_wire_suspicion_kind kind, uint64_t endpoint_id,
+			 void *private_data)
 {
 	struct jt_director_event event = {.kind = JT_DIRECTOR_SUSPICION};
 
+	if (kind == JT_WIRE_ANSWERS_OVERDUE)
+		event.kind = JT_DIRECTOR_OVERDUE;
 	event.u.suspicion.id = endpoint_id;
 	jt_director_node_event(private_data, &event);
 }
--- a/src/director/jt_director_pages.c
+++ b/src/director/jt_director_pages.c
@@ -103,6 +103,8 @@
 			  counters->revived);
 	text = add_metric(text, "suspicions_total", "counter",
 			  counters->suspicions);
+	text = add_metric(text, "requests_overdue_total", "counter",
+			  counters->overdue);
 	text = add_metric(text, "probes_total", "counter", counters->probes);
 	text = add_metric(text, "probes_void_total", "counter",
 			  counters->probes_void);
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -227,15 +227,17 @@
 }
 
 void jt_peer_exchange_suspect(struct jt_peer_exchange *exchange,
-			      uint64_t endpoint_id)
+			      jt_wire_suspicion_kind kind, uint64_t endpoint_id)
 {
 	jt_wire_director_message message = {
 		.from = exchange->membership->id,
 		.body.kind = JT_WIRE_SUSPICION,
 	};
 
-	message.body.jt_wire_director_body_u.suspicion.endpoint_id =
-		endpoint_id;
+	message.body.jt_wire_director_body_u.suspicion = (jt_wire_suspicion){
+		.kind = kind,
+		.endpoint_id = endpoint_id,
+	};
 	message_send_peers(exchange, &message, false);
 }
 
@@ -304,6 +306,7 @@
 		break;
 	case JT_WIRE_SUSPICION:
 		exchange->handler.suspicion(
+			message->body.jt_wire_director_body_u.suspicion.kind,
 			message->body.jt_wire_director_body_u.suspicion
 				.endpoint_id,
 			exchange->handler.private_data);
--- a/src/director/jt_peer_exchange.h
+++ b/src/director/jt_peer_exchange.h
@@ -32,8 +32,9 @@
 	/* A peer's share of them. */
 	void (*loads)(uint64_t peer, const struct jt_endpoint_load *loads,
 		      size_t count, void *private_data);
-	/* A peer has found an endpoint dead. */
-	void (*suspicion)(uint64_t endpoint_id, void *private_data);
+	/* A peer has found an endpoint dead, or gets no answers from it. */
+	void (*suspicion)(jt_wire_suspicion_kind kind, uint64_t endpoint_id,
+			  void *private_data);
 	void *private_data;
 };
 
@@ -59,6 +60,7 @@
 			const struct jt_peer_handler *handler, char **error);
 /* Tell every peer that is heard. */
 void jt_peer_exchange_suspect(struct jt_peer_exchange *exchange,
+			      jt_wire_suspicion_kind kind,
 			      uint64_t endpoint_id);
 /* Tell every live peer at once how this node stands. */
 void jt_peer_exchange_tell_all(struct jt_peer_exchange *exchange);
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -1,6 +1,7 @@
 #include "jt_choose.h"
 #include "jt_detector.h"
 #include "jt_mechanism.h"
+#include "jt_outlier.h"
 #include "jt_routing.h"
 
 #include <math.h>
@@ -297,12 +298,18 @@
 	struct candidate local = {0}, remote = {0};
 	enum willingness lowest = most;
 	uint32_t fastest_us = pool_latency(pool);
+	bool avoid_failing =
+		jt_mechanism_on(chooser->without, JT_MECHANISM_OUTLIERS) &&
+		jt_outlier_few(pool, now_ms);
 	struct jt_incarnation *in;
 
 	for (in = pool->members; in != NULL; in = in->pool_next) {
 		enum willingness willing = incarnation_willing(
 			chooser, in, connection_limit, now_ms);
 
+		if (willing == WILLING && avoid_failing &&
+		    jt_outlier_failing(in, now_ms))
+			willing = SUSPECTED;
 		if (willing > lowest)
 			continue;
 		if (willing < lowest) {
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -1,5 +1,6 @@
 #include "jt_director_private.h"
 #include "jt_mechanism.h"
+#include "jt_outlier.h"
 
 #include <string.h>
 
@@ -397,6 +398,16 @@
 				    now_ms, actions);
 }
 
+static void event_overdue(struct jt_director *director, uint64_t id,
+			  uint64_t now_ms)
+{
+	struct jt_incarnation *incarnation =
+		jt_endpoint_table_by_id(director->endpoints, id);
+
+	if (incarnation != NULL)
+		jt_outlier_told(incarnation, now_ms);
+}
+
 static void verdict_act(struct jt_director *director,
 			struct jt_incarnation *incarnation,
 			enum jt_detector_verdict verdict,
@@ -542,6 +553,45 @@
 	}
 }
 
+/* The flow's request has waited too long: its endpoint may fail requests. Where
+ * its caller sends data again, the failure detector looks after it. */
+static void overdue_note(struct jt_director *director,
+			 struct jt_cached_flow *flow, uint64_t now_ms,
+			 struct jt_director_actions *actions)
+{
+	struct jt_incarnation *incarnation =
+		jt_endpoint_table_by_label(director->endpoints, flow->label);
+
+	jt_flow_cache_overdue(director->flows, flow);
+	if (incarnation == NULL || flow->resent > 0 ||
+	    incarnation->state == JT_INCARNATION_DEAD)
+		return;
+	director->counters.overdue++;
+	if (jt_outlier_overdue(incarnation, now_ms))
+		jt_director_action_about(actions, JT_DIRECTOR_FAILING, 0,
+					 incarnation, now_ms);
+}
+
+void jt_director_overdue(struct jt_director *director, uint64_t now_ms,
+			 struct jt_director_actions *actions)
+{
+	struct jt_cached_flow *flow = director->flows->waiting;
+	uint64_t least_ms = jt_outlier_least_ms();
+
+	while (flow != NULL && now_ms - flow->waiting_ms >= least_ms) {
+		struct jt_cached_flow *next = flow->waiting_next;
+		const struct jt_incarnation *incarnation =
+			jt_endpoint_table_by_label(director->endpoints,
+						   flow->label);
+
+		if (incarnation == NULL ||
+		    now_ms - flow->waiting_ms >=
+			    jt_outlier_limit_ms(incarnation))
+			overdue_note(director, flow, now_ms, actions);
+		flow = next;
+	}
+}
+
 static bool incarnation_outdated(const struct jt_director *director,
 				 const struct jt_incarnation *incarnation,
 				 uint64_t now_ms)
@@ -620,6 +670,9 @@
 		event_suspicion(director, event->u.suspicion.id, now_ms,
 				actions);
 		break;
+	case JT_DIRECTOR_OVERDUE:
+		event_overdue(director, event->u.suspicion.id, now_ms);
+		break;
 	case JT_DIRECTOR_PROBED:
 		event_probed(director, event->u.probed.id,
 			     event->u.probed.outcome, now_ms, actions);
@@ -642,6 +695,7 @@
 			director->store_away_until_ms = now_ms;
 		flows_expire(director, now_ms);
 		jt_director_openings(director, now_ms, actions);
+		jt_director_overdue(director, now_ms, actions);
 		endpoints_tick(director, now_ms, actions);
 		break;
 	}
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -1,5 +1,6 @@
 /* What becomes of one packet of a caller. */
 #include "jt_director_private.h"
+#include "jt_outlier.h"
 
 /* No flow carries so much from its caller. */
 #define FLOW_BYTES_MOST (1u << 24)
@@ -105,7 +106,8 @@
 		return;
 	took_us = (now_ms - flow->waiting_ms) * 1000;
 	jt_latency_add(director->latency, now_ms - flow->waiting_ms);
-	flow->waiting_ms = 0;
+	jt_outlier_answered(incarnation, now_ms - flow->waiting_ms);
+	jt_flow_cache_answered(director->flows, flow);
 	if (incarnation->waiting > 0)
 		incarnation->waiting--;
 	if (took_us > UINT32_MAX / 8)
@@ -130,12 +132,13 @@
 	jt_detector_opened(incarnation);
 }
 
-static void flow_waits(struct jt_cached_flow *flow,
+static void flow_waits(struct jt_director *director,
+		       struct jt_cached_flow *flow,
 		       struct jt_incarnation *incarnation, uint64_t now_ms)
 {
 	if (flow->waiting_ms != 0)
 		return;
-	flow->waiting_ms = now_ms;
+	jt_flow_cache_waits(director->flows, flow, now_ms);
 	incarnation->waiting++;
 	if (!flow->expected)
 		jt_work_add(&incarnation->work, 1, now_ms);
@@ -388,7 +391,7 @@
 				jt_chooser_count(director->chooser, route,
 						 incarnation->entry.service_id);
 		}
-		flow_waits(flow, incarnation, now_ms);
+		flow_waits(director, flow, incarnation, now_ms);
 	} else if (!answered && now_ms - flow->sent_ms >= RESEND_LEAST_MS) {
 		director->counters.resent++;
 		flow->resent++;
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -60,6 +60,9 @@
 /* Suspect the endpoints whose answer to a first packet is long overdue. */
 void jt_director_openings(struct jt_director *director, uint64_t now_ms,
 			  struct jt_director_actions *actions);
+/* Note the endpoints whose answers to requests are overdue. */
+void jt_director_overdue(struct jt_director *director, uint64_t now_ms,
+			 struct jt_director_actions *actions);
 /* The flow's first packet got no answer: suspect its endpoint, once. */
 void jt_director_doubt(struct jt_director *director,
 		       struct jt_cached_flow *flow, uint64_t now_ms,
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -47,6 +47,12 @@
 	bool probing;
 	bool probe_owed; /* the last one said nothing, and is made up for */
 
+	/* Requests left unanswered (jt_outlier.h). */
+	uint64_t failing_until_ms; /* new flows avoid it until then */
+	uint64_t failed_ms;	   /* the last sign of it */
+	uint64_t failing_told_ms;  /* when this node or a peer told all */
+	uint32_t relapses;
+
 	struct jt_service_pool *pool;
 	struct jt_incarnation *pool_next, *pool_prev; /* in the pool */
 	UT_hash_handle by_id;
@@ -57,6 +63,7 @@
 struct jt_service_pool {
 	uint32_t service_id;
 	struct jt_incarnation *members;
+	double answer_ms; /* smoothed time to an answer; 0: unknown */
 	UT_hash_handle hh;
 };
 
--- a/src/label/jt_flow_cache.c
+++ b/src/label/jt_flow_cache.c
@@ -85,10 +85,36 @@
 	DL_DELETE2(cache->opening, flow, opening_prev, opening_next);
 }
 
+void jt_flow_cache_waits(struct jt_flow_cache *cache,
+			 struct jt_cached_flow *flow, uint64_t now_ms)
+{
+	flow->waiting_ms = now_ms;
+	flow->overdue = false;
+	DL_APPEND2(cache->waiting, flow, waiting_prev, waiting_next);
+}
+
+void jt_flow_cache_overdue(struct jt_flow_cache *cache,
+			   struct jt_cached_flow *flow)
+{
+	flow->overdue = true;
+	DL_DELETE2(cache->waiting, flow, waiting_prev, waiting_next);
+}
+
+void jt_flow_cache_answered(struct jt_flow_cache *cache,
+			    struct jt_cached_flow *flow)
+{
+	if (flow->waiting_ms == 0)
+		return;
+	flow->waiting_ms = 0;
+	if (!flow->overdue)
+		DL_DELETE2(cache->waiting, flow, waiting_prev, waiting_next);
+}
+
 void jt_flow_cache_remove(struct jt_flow_cache *cache,
 			  struct jt_cached_flow *flow)
 {
 	jt_flow_cache_opened(cache, flow);
+	jt_flow_cache_answered(cache, flow);
 	HASH_DEL(cache->flows, flow);
 	DL_DELETE2(cache->rested, flow, older, newer);
 	cache->count--;
--- a/src/label/jt_flow_cache.h
+++ b/src/label/jt_flow_cache.h
@@ -20,6 +20,7 @@
 	uint32_t acknowledged; /* highest that the caller acknowledged */
 	uint64_t seen_ms;
 	uint64_t waiting_ms; /* since when a request waits, 0: none */
+	bool overdue;	     /* that request's answer is known to be overdue */
 	uint64_t opening_ms; /* when its first SYN came, 0: it is open */
 	bool expected;	     /* its first request counts as work already */
 	bool answered;	     /* got an answer after it had opened */
@@ -28,6 +29,7 @@
 	bool closing;	     /* the caller has sent FIN */
 	struct jt_cached_flow *newer, *older;
 	struct jt_cached_flow *opening_next, *opening_prev;
+	struct jt_cached_flow *waiting_next, *waiting_prev;
 	UT_hash_handle hh;
 };
 
@@ -35,6 +37,7 @@
 	struct jt_cached_flow *flows;	/* hash by key */
 	struct jt_cached_flow *rested;	/* list, longest at rest first */
 	struct jt_cached_flow *opening; /* list, oldest first */
+	struct jt_cached_flow *waiting; /* list, oldest first; not overdue */
 	size_t count;
 	size_t limit;
 };
@@ -56,6 +59,15 @@
 /* The flow's endpoint has answered. */
 void jt_flow_cache_opened(struct jt_flow_cache *cache,
 			  struct jt_cached_flow *flow);
+/* A request of the flow, which has none, waits for its answer from now on. */
+void jt_flow_cache_waits(struct jt_flow_cache *cache,
+			 struct jt_cached_flow *flow, uint64_t now_ms);
+/* The answer is overdue: noted once for each request. */
+void jt_flow_cache_overdue(struct jt_flow_cache *cache,
+			   struct jt_cached_flow *flow);
+/* The answer has come. */
+void jt_flow_cache_answered(struct jt_flow_cache *cache,
+			    struct jt_cached_flow *flow);
 void jt_flow_cache_remove(struct jt_flow_cache *cache,
 			  struct jt_cached_flow *flow);
 bool jt_flow_cache_full(const struct jt_flow_cache *cache);
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -58,7 +58,14 @@
 };
 typedef struct jt_wire_standing jt_wire_standing;
 
+enum jt_wire_suspicion_kind {
+	JT_WIRE_FOUND_DEAD = 1,
+	JT_WIRE_ANSWERS_OVERDUE = 2,
+};
+typedef enum jt_wire_suspicion_kind jt_wire_suspicion_kind;
+
 struct jt_wire_suspicion {
+	jt_wire_suspicion_kind kind;
 	u_quad_t endpoint_id;
 };
 typedef struct jt_wire_suspicion jt_wire_suspicion;
@@ -187,6 +194,7 @@
 extern  bool_t xdr_jt_wire_peer (XDR *, jt_wire_peer*);
 extern  bool_t xdr_jt_wire_digest (XDR *, jt_wire_digest*);
 extern  bool_t xdr_jt_wire_standing (XDR *, jt_wire_standing*);
+extern  bool_t xdr_jt_wire_suspicion_kind (XDR *, jt_wire_suspicion_kind*);
 extern  bool_t xdr_jt_wire_suspicion (XDR *, jt_wire_suspicion*);
 extern  bool_t xdr_jt_wire_load (XDR *, jt_wire_load*);
 extern  bool_t xdr_jt_wire_loads (XDR *, jt_wire_loads*);
@@ -205,6 +213,7 @@
 extern bool_t xdr_jt_wire_peer ();
 extern bool_t xdr_jt_wire_digest ();
 extern bool_t xdr_jt_wire_standing ();
+extern bool_t xdr_jt_wire_suspicion_kind ();
 extern bool_t xdr_jt_wire_suspicion ();
 extern bool_t xdr_jt_wire_load ();
 extern bool_t xdr_jt_wire_loads ();
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -51,8 +51,14 @@
 	unsigned int weight; /* as a reader of the store; 0: not now */
 };
 
-/* The sender has found the endpoint dead. */
+/* What speaks against an endpoint. */
+enum jt_wire_suspicion_kind {
+	JT_WIRE_FOUND_DEAD = 1,
+	JT_WIRE_ANSWERS_OVERDUE = 2 /* it lives, but leaves requests waiting */
+};
+
 struct jt_wire_suspicion {
+	jt_wire_suspicion_kind kind;
 	unsigned hyper endpoint_id;
 };
 
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -235,11 +235,23 @@
 	return TRUE;
 }
 
+bool_t
+xdr_jt_wire_suspicion_kind (XDR *xdrs, jt_wire_suspicion_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_jt_wire_suspicion (XDR *xdrs, jt_wire_suspicion *objp)
 {
 	register int32_t *buf;
 
+	 if (!xdr_jt_wire_suspicion_kind (xdrs, &objp->kind))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->endpoint_id))
 		 return FALSE;
 	return TRUE;
--- a/tests/test_mechanisms.c
+++ b/tests/test_mechanisms.c
@@ -149,6 +149,22 @@
 	}
 }
 
+static void test_outliers(void **state)
+{
+	(void)state;
+	for (int off = 0; off < 2; off++) {
+		struct bench *bench = two_without(JT_MECHANISM_OUTLIERS, off);
+		struct jt_director_event event = {.kind = JT_DIRECTOR_OVERDUE};
+
+		bench_endpoint(bench, 0x103, SERVICE_BOARD, ZONE_A, 9);
+		event.u.suspicion.id = 0x101;
+		bench_event(bench, &event);
+		assert_in_range(flows_at(bench, 12, 0x101), off ? 1 : 0,
+				off ? 12 : 0);
+		talloc_free(bench);
+	}
+}
+
 static void test_refuse_full(void **state)
 {
 	(void)state;
@@ -303,6 +319,7 @@
 		cmocka_unit_test(test_doubt_opening),
 		cmocka_unit_test(test_doubt_resent),
 		cmocka_unit_test(test_peer_suspicion),
+		cmocka_unit_test(test_outliers),
 		cmocka_unit_test(test_refuse_full),
 		cmocka_unit_test(test_parts_give_way),
 		cmocka_unit_test(test_outage_lapses),
