Tries of the store in an outage are shared; what is fetched says as of when

Change: a node whose call failed while peers know no more than it does tries again within 25 ms for each node there is, so that some 40 tries a second see the store come back, whatever the number of nodes. A node that hears no peer goes on as before. Knowledge that is fetched tells as of when the store is known.

--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -124,10 +124,16 @@
 				  uint64_t now_ms)
 {
 	enum jt_reading was = node->reader.reading, reading;
+	uint64_t failures = jt_directory_sync_failures(node->sync);
 	enum jt_reading_turn turn =
 		jt_peer_exchange_reading_turn(node->peers, reader_weight(node));
 
 	jt_reader_read(&node->reader, jt_directory_sync_as_of_ms(node->sync));
+	if (failures > node->store_failures)
+		jt_reader_failed(&node->reader,
+				 jt_peer_exchange_live(node->peers) + 1,
+				 now_ms);
+	node->store_failures = failures;
 	reading = jt_reader_decide(&node->reader, turn,
 				   jt_director_started(node->director), now_ms);
 	if (reading == was)
@@ -194,6 +200,18 @@
 	}
 }
 
+/* The peer knew all that the store had a while ago; now this node does. */
+static void knowledge_date_take(struct jt_director_node *node,
+				const jt_wire_knowledge *knowledge)
+{
+	uint64_t now_ms = jt_clock_ms();
+
+	if (knowledge->store_reader != jt_peer_exchange_id(node->peers) &&
+	    knowledge->store_age_ms < now_ms)
+		jt_reader_heard(&node->reader, now_ms - knowledge->store_age_ms,
+				knowledge->store_reader);
+}
+
 /*
  * A peer's knowledge is complete up to its revision, what is gone included,
  * but for what it took this node to know.
@@ -217,6 +235,7 @@
 		    (unsigned long long)knowledge->revision,
 		    knowledge->entries.entries_len);
 	revision_take(node, JT_DIRECTOR_INFORMED, knowledge->revision);
+	knowledge_date_take(node, knowledge);
 	jt_directory_sync_informed(node->sync, knowledge->revision);
 	jt_director_node_started_look(node);
 }
@@ -244,6 +263,8 @@
 {
 	struct jt_director_node *node = private_data;
 
+	if (as_of_ms <= node->reader.heard_ms)
+		jt_reader_peer_as_old(&node->reader, jt_clock_ms());
 	jt_reader_heard(&node->reader, as_of_ms, reader);
 }
 
--- a/src/director/jt_director_node_private.h
+++ b/src/director/jt_director_node_private.h
@@ -34,6 +34,7 @@
 	struct jt_peer_exchange *peers;
 	struct jt_director_pages *pages;
 	struct jt_reader reader;
+	uint64_t store_failures; /* calls that had failed at the last look */
 	struct jt_timer *tick;
 	int data_fd;
 	uint8_t buffer[JT_HEADROOM_MAX + JT_DATAGRAM_MAX];
--- a/src/director/jt_directory_sync.c
+++ b/src/director/jt_directory_sync.c
@@ -387,6 +387,11 @@
 	return sync->lost;
 }
 
+uint64_t jt_directory_sync_failures(const struct jt_directory_sync *sync)
+{
+	return sync->follower.failures_ever;
+}
+
 uint64_t jt_directory_sync_as_of_ms(const struct jt_directory_sync *sync)
 {
 	return sync->follower.as_of_ms;
--- a/src/director/jt_directory_sync.h
+++ b/src/director/jt_directory_sync.h
@@ -53,6 +53,8 @@
 			    enum jt_reading reading);
 /* Whether the store does not answer this node. */
 bool jt_directory_sync_lost(const struct jt_directory_sync *sync);
+/* Calls that had no answer, or one that does not help, since the start. */
+uint64_t jt_directory_sync_failures(const struct jt_directory_sync *sync);
 /* When this node last knew all that the store had; 0: never. */
 uint64_t jt_directory_sync_as_of_ms(const struct jt_directory_sync *sync);
 /* The store's address has changed. */
--- a/src/director/jt_peer_knowledge.c
+++ b/src/director/jt_peer_knowledge.c
@@ -110,6 +110,20 @@
 	return text != NULL ? strtoull(text, NULL, 10) : 0;
 }
 
+/* As of when, and by whose reading, this node knows the store. */
+static void knowledge_date(const struct jt_peer_exchange *exchange,
+			   jt_wire_knowledge *knowledge)
+{
+	struct jt_own_state own = {0};
+	jt_wire_digest digest;
+
+	exchange->handler.own_state(&own, exchange->handler.private_data);
+	jt_membership_own_state(exchange->membership, &own, jt_clock_ms(),
+				&digest);
+	knowledge->store_age_ms = digest.store_age_ms;
+	knowledge->store_reader = digest.store_reader;
+}
+
 static void knowledge_reply(struct jt_peer_exchange *exchange,
 			    struct jt_http_request *request,
 			    struct jt_address to)
@@ -120,14 +134,16 @@
 	};
 	xdrproc_t encode = (xdrproc_t)xdr_jt_wire_director_message;
 	TALLOC_CTX *frame = talloc_new(exchange);
+	jt_wire_knowledge *knowledge =
+		&message.body.jt_wire_director_body_u.knowledge;
 	uint8_t *body = NULL;
 	size_t room, length = 0;
 
-	if (exchange->handler.knowledge(
-		    frame, query_number(request, "since"),
-		    query_number(request, "version"),
-		    &message.body.jt_wire_director_body_u.knowledge,
-		    exchange->handler.private_data)) {
+	if (exchange->handler.knowledge(frame, query_number(request, "since"),
+					query_number(request, "version"),
+					knowledge,
+					exchange->handler.private_data)) {
+		knowledge_date(exchange, knowledge);
 		room = xdr_sizeof(encode, &message) + JT_FRAME_HEADER +
 		       JT_TAG_BYTES;
 		if (room <= KNOWLEDGE_MOST)
--- a/src/label/jt_follower.c
+++ b/src/label/jt_follower.c
@@ -101,6 +101,7 @@
 	wait_ms = wait_ms / 2 +
 		  jt_random_next(&follower->random) % (wait_ms / 2 + 1);
 	follower->failures++;
+	follower->failures_ever++;
 	follower->due_ms = now_ms + wait_ms;
 }
 
--- a/src/label/jt_follower.h
+++ b/src/label/jt_follower.h
@@ -55,6 +55,7 @@
 	bool listed;	   /* a list is complete */
 	bool paging;	   /* a list has begun */
 	uint32_t failures; /* in a row */
+	uint64_t failures_ever;
 	uint64_t due_ms;
 	uint64_t answered_ms; /* last answer that made sense */
 	uint64_t as_of_ms;    /* all that the store had then is known */
--- a/src/label/jt_reader.c
+++ b/src/label/jt_reader.c
@@ -3,6 +3,13 @@
 enum {
 	/* The jitter is at most this part of the limit. */
 	JITTER_PART = 4,
+	/* A peer that knew no more so lately speaks for the others. */
+	AS_OLD_MS = 1000,
+	/* Where the store is away from all, one node tries in that time: 40
+	 * tries a second see it back soon, and hardly load it. */
+	TRY_SHARE_MS = 25,
+	/* No node tries again sooner, on the average, than in half of it. */
+	TRY_LEAST_MS = 1600,
 	/* Knowledge is fresh again when it is younger than this part. */
 	FRESH_PART = 2,
 	/* A node that has begun to read does so for a while. */
@@ -54,6 +61,29 @@
 	reader->heard_from = from;
 }
 
+void jt_reader_peer_as_old(struct jt_reader *reader, uint64_t now_ms)
+{
+	reader->as_old_ms = now_ms;
+}
+
+/* Whether peers lately knew no more of the store than this node does. */
+static bool peers_as_old(const struct jt_reader *reader, uint64_t now_ms)
+{
+	return reader->as_old_ms != 0 && now_ms - reader->as_old_ms < AS_OLD_MS;
+}
+
+void jt_reader_failed(struct jt_reader *reader, size_t nodes, uint64_t now_ms)
+{
+	uint64_t spread_ms = (uint64_t)nodes * TRY_SHARE_MS;
+
+	if (!peers_as_old(reader, now_ms))
+		return;
+	if (spread_ms < TRY_LEAST_MS)
+		spread_ms = TRY_LEAST_MS;
+	reader->try_after_ms =
+		now_ms + jt_random_next(&reader->random) % spread_ms;
+}
+
 static bool wanted(const struct jt_reader *reader, enum jt_reading_turn turn,
 		   bool started, uint64_t now_ms)
 {
@@ -61,6 +91,8 @@
 
 	if (turn != JT_TURN_NONE || !started)
 		return true;
+	if (now_ms < reader->try_after_ms && peers_as_old(reader, now_ms))
+		return false;
 	if (reader->reading == JT_READING_NOT)
 		return age_ms > reader->limit_ms + reader->jitter_ms;
 	return age_ms > reader->limit_ms / FRESH_PART ||
--- a/src/label/jt_reader.h
+++ b/src/label/jt_reader.h
@@ -38,6 +38,8 @@
 	uint64_t heard_from; /* the node that read it */
 	uint64_t began_ms;   /* since when this node reads */
 	uint64_t watch_after_ms; /* and how long it only checks at first */
+	uint64_t as_old_ms;	 /* a peer's knowledge was no newer then */
+	uint64_t try_after_ms;	 /* the store gave no answer: not before then */
 	enum jt_reading reading;
 	struct jt_random random;
 };
@@ -49,6 +51,14 @@
 /* A peer that knows no more than this node has all that @from read then. */
 void jt_reader_heard(struct jt_reader *reader, uint64_t as_of_ms,
 		     uint64_t from);
+/* A peer told, and knows the store as of no later than this node does. */
+void jt_reader_peer_as_old(struct jt_reader *reader, uint64_t now_ms);
+/*
+ * The store gave this node no answer. Where peers are no better off it is away
+ * from all: of @nodes nodes one tries in each share of time, and tells the
+ * others when it answers again.
+ */
+void jt_reader_failed(struct jt_reader *reader, size_t nodes, uint64_t now_ms);
 /*
  * How to read the store now. @turn: where this node stands among those that
  * can; @started: it knows routing and endpoints.
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -151,6 +151,8 @@
 struct jt_wire_knowledge {
 	u_quad_t since;
 	u_quad_t revision;
+	u_int store_age_ms;
+	u_quad_t store_reader;
 	jt_wire_routing routing;
 	struct {
 		u_int entries_len;
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -131,6 +131,8 @@
 struct jt_wire_knowledge {
 	unsigned hyper since;
 	unsigned hyper revision;
+	unsigned int store_age_ms;   /* all that the store had then is in it */
+	unsigned hyper store_reader; /* the node that read it */
 	jt_wire_routing routing;
 	jt_wire_entry entries<JT_DIRECTOR_MAX_ENTRIES>;
 };
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -511,6 +511,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->store_age_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store_reader))
+		 return FALSE;
 	 if (!xdr_jt_wire_routing (xdrs, &objp->routing))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, JT_DIRECTOR_MAX_ENTRIES,
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -145,6 +145,49 @@
 			 JT_READING_NOT);
 }
 
+enum { MANY_NODES = 300 };
+
+/* How many of MANY_NODES try the store in a second of an outage, when each has
+ * failed to reach it once; @peers: they hear of each other meanwhile. */
+static unsigned tries_in_outage(bool peers)
+{
+	unsigned tries = 0;
+
+	for (uint64_t seed = 1; seed <= MANY_NODES; seed++) {
+		struct jt_reader reader;
+		uint64_t now_ms = 1000 + 2 * LIMIT_MS;
+
+		jt_reader_init(&reader, LIMIT_MS, seed);
+		jt_reader_heard(&reader, 1000, OTHER);
+		if (peers)
+			jt_reader_peer_as_old(&reader, now_ms);
+		assert_int_equal(
+			jt_reader_decide(&reader, JT_TURN_NONE, true, now_ms),
+			JT_READING_CHECKS);
+		jt_reader_failed(&reader, MANY_NODES, now_ms);
+		if (peers)
+			jt_reader_peer_as_old(&reader, now_ms + 900);
+		tries += jt_reader_decide(&reader, JT_TURN_NONE, true,
+					  now_ms + 1000) != JT_READING_NOT;
+	}
+	return tries;
+}
+
+/* An outage of the store costs a call of some nodes, not of all, and its end
+ * is seen by somebody within a tenth of a second. */
+static void test_nodes_share_the_tries_in_an_outage(void **state)
+{
+	(void)state;
+	assert_in_range(tries_in_outage(true), 10, 60);
+}
+
+/* A node that no peer speaks to may be the only one that lost the store. */
+static void test_node_without_peers_tries_on(void **state)
+{
+	(void)state;
+	assert_int_equal(tries_in_outage(false), MANY_NODES);
+}
+
 /* Which nodes read, by their membership */
 
 static struct jt_address address_of(uint32_t index)
@@ -472,6 +515,8 @@
 		cmocka_unit_test(test_every_node_gives_peers_time_to_answer),
 		cmocka_unit_test(test_first_start_is_spread),
 		cmocka_unit_test(test_one_node_watches),
+		cmocka_unit_test(test_nodes_share_the_tries_in_an_outage),
+		cmocka_unit_test(test_node_without_peers_tries_on),
 		cmocka_unit_test(test_first_of_all_has_the_turn_to_watch),
 		cmocka_unit_test(test_check_of_what_peers_have_told),
 		cmocka_unit_test(
