Seeds list the store first when the whole system starts

Cause: at the first start of 295 nodes 66 to 82 list the store before they have heard of its entries from a peer: all starts are spread over the same 2 s, also that of the seeds, whom all others ask.

Change: seeds list at once, the others from 1 s on.

--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -449,6 +449,16 @@
 	return false;
 }
 
+/* Whether other nodes look for this one first. */
+static bool is_seed(const struct jt_director_settings *settings)
+{
+	for (size_t i = 0; i < settings->seed_count; i++) {
+		if (settings->seeds[i].ip == settings->peer.ip)
+			return true;
+	}
+	return false;
+}
+
 /* How long the first list waits for what peers know. */
 static uint64_t first_wait_ms(struct jt_director_node *node)
 {
@@ -460,7 +470,7 @@
 	if (!jt_mechanism_on(settings->without, JT_MECHANISM_PEERS_FIRST))
 		return 0;
 	return jt_reader_first_wait_ms(&node->reader, settings->reader_weight,
-				       first_start);
+				       first_start, is_seed(settings));
 }
 
 static bool start_parts(struct jt_director_node *node, uint64_t seed,
--- a/src/label/jt_reader.c
+++ b/src/label/jt_reader.c
@@ -21,7 +21,9 @@
 	START_WAIT_MOST_MS = 1000,
 	/* A live peer has answered by then. */
 	PEER_ANSWER_MS = 15,
-	/* Nobody sends packets yet when the whole system starts. */
+	/* Nobody sends packets yet when the whole system starts: seeds have
+	 * that long to list, then the others do so one after the other. */
+	FIRST_START_SEEDS_MS = 1000,
 	FIRST_START_MS = 2000,
 	/* A node knows enough of its peers to be the one that watches. Longer,
 	 * and changes just after all were restarted would come late; where all
@@ -130,7 +132,7 @@
 }
 
 uint64_t jt_reader_first_wait_ms(struct jt_reader *reader, uint32_t weight,
-				 bool first_start)
+				 bool first_start, bool is_seed)
 {
 	uint64_t wait_ms = jt_reader_start_wait_ms(weight);
 
@@ -139,7 +141,10 @@
 	if (!first_start)
 		return wait_ms;
 	reader->watch_after_ms = WATCH_AFTER_FIRST_START_MS;
-	return wait_ms + jt_random_next(&reader->random) % FIRST_START_MS;
+	if (is_seed)
+		return wait_ms;
+	return wait_ms + FIRST_START_SEEDS_MS +
+	       jt_random_next(&reader->random) % FIRST_START_MS;
 }
 
 uint64_t jt_reader_as_of(const struct jt_reader *reader, uint64_t own_id,
--- a/src/label/jt_reader.h
+++ b/src/label/jt_reader.h
@@ -75,10 +75,11 @@
 /*
  * The same for any node: long enough for a live peer to answer, and where the
  * whole system starts for the first time (@first_start), long enough for one
- * that has read the store to tell.
+ * that has read the store to tell. Those that all others know (@is_seed) read
+ * it first.
  */
 uint64_t jt_reader_first_wait_ms(struct jt_reader *reader, uint32_t weight,
-				 bool first_start);
+				 bool first_start, bool is_seed);
 /* "not", "checks" or "watches". */
 const char *jt_reading_name(enum jt_reading reading);
 /* As of when the store is known, and by whose reading. */
