Director: flows' ends and suspicion in files of their own: a circle less

jt_director.c and jt_director_packet.c called each other. What ends cached flows (jt_director_flow) and what flows show of endpoints (jt_director_suspicion) now lie below both.

--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -1,4 +1,6 @@
-#include "jt_director_private.h"
+#include "jt_director_flow.h"
+#include "jt_director_packet.h"
+#include "jt_director_suspicion.h"
 #include "jt_mechanism.h"
 #include "jt_outlier.h"
 
@@ -21,13 +23,6 @@
 	 * other nodes may have. */
 	FULL_MARGIN = 4,
 	FULL_MARGIN_FLOWS = 4,
-	/* A first packet's answer is overdue after so many times the usual,
-	 * and after so long at the least. */
-	OPENING_TIMES = 4,
-	OPENING_LEAST_MS = 20,
-	OPENING_LOOK_MS = 5,
-	/* Its caller has given up by then: the flow never opened. */
-	OPENING_END_MS = 3000,
 	/* When callers send copies of a first packet, and give up. */
 	FIRST_COPY_MS = 200,
 	SECOND_COPY_MS = 600,
@@ -184,51 +179,6 @@
 				 now_ms);
 }
 
-static void probe_send(struct jt_director *director,
-		       struct jt_incarnation *incarnation, uint64_t now_ms,
-		       struct jt_director_actions *actions)
-{
-	jt_detector_probe_sent(incarnation, now_ms);
-	director->counters.probes++;
-	jt_director_action_about(actions, JT_DIRECTOR_PROBE, 0, incarnation,
-				 now_ms);
-}
-
-static bool evidence_counts(const struct jt_director *director,
-			    enum jt_evidence evidence)
-{
-	return jt_mechanism_on(director->options.without,
-			       evidence == JT_EVIDENCE_OPENING
-				       ? JT_MECHANISM_DOUBT_OPENING
-				       : JT_MECHANISM_DOUBT_RESENT);
-}
-
-void jt_director_suspect(struct jt_director *director,
-			 struct jt_incarnation *incarnation,
-			 enum jt_evidence evidence, uint64_t now_ms,
-			 struct jt_director_actions *actions)
-{
-	if (!evidence_counts(director, evidence))
-		return;
-	director->counters.suspicions++;
-	if (jt_detector_suspect(&director->detector, incarnation, evidence,
-				now_ms))
-		probe_send(director, incarnation, now_ms, actions);
-}
-
-void jt_director_doubt(struct jt_director *director,
-		       struct jt_cached_flow *flow, uint64_t now_ms,
-		       struct jt_director_actions *actions)
-{
-	struct jt_incarnation *incarnation =
-		jt_endpoint_table_by_label(director->endpoints, flow->label);
-
-	flow->doubted = true;
-	if (incarnation != NULL)
-		jt_director_suspect(director, incarnation, JT_EVIDENCE_OPENING,
-				    now_ms, actions);
-}
-
 /*
  * An address belongs to the incarnation whose entry is the newest; whoever
  * had it before is gone.
@@ -423,7 +373,8 @@
 		break;
 	case JT_VERDICT_AGAIN:
 		if (incarnation->suspected_ms != 0)
-			probe_send(director, incarnation, now_ms, actions);
+			jt_director_probe(director, incarnation, now_ms,
+					  actions);
 		break;
 	case JT_VERDICT_IDENTIFY:
 		director->counters.identifications++;
@@ -523,75 +474,6 @@
 	}
 }
 
-/* How long a first packet's answer may take before it is overdue. */
-static double opening_limit_ms(const struct jt_director *director)
-{
-	double limit_ms = director->open_ms * OPENING_TIMES;
-
-	return limit_ms > OPENING_LEAST_MS ? limit_ms : OPENING_LEAST_MS;
-}
-
-void jt_director_openings(struct jt_director *director, uint64_t now_ms,
-			  struct jt_director_actions *actions)
-{
-	struct jt_cached_flow *flow = director->flows->opening;
-	double limit_ms = opening_limit_ms(director);
-
-	/* Packets come far more often than answers are overdue. */
-	if (now_ms - director->openings_ms < OPENING_LOOK_MS)
-		return;
-	director->openings_ms = now_ms;
-	while (flow != NULL &&
-	       (double)(now_ms - flow->opening_ms) >= limit_ms) {
-		struct jt_cached_flow *next = flow->opening_next;
-
-		if (now_ms - flow->opening_ms >= OPENING_END_MS)
-			jt_director_flow_forget(director, flow);
-		else if (!flow->doubted)
-			jt_director_doubt(director, flow, now_ms, actions);
-		flow = next;
-	}
-}
-
-/* The flow's request has waited too long: its endpoint may fail requests. Where
- * its caller sends data again, the failure detector looks after it. */
-static void overdue_note(struct jt_director *director,
-			 struct jt_cached_flow *flow, uint64_t now_ms,
-			 struct jt_director_actions *actions)
-{
-	struct jt_incarnation *incarnation =
-		jt_endpoint_table_by_label(director->endpoints, flow->label);
-
-	jt_flow_cache_overdue(director->flows, flow);
-	if (incarnation == NULL || flow->resent > 0 ||
-	    incarnation->state == JT_INCARNATION_DEAD)
-		return;
-	director->counters.overdue++;
-	if (jt_outlier_overdue(incarnation, now_ms))
-		jt_director_action_about(actions, JT_DIRECTOR_FAILING, 0,
-					 incarnation, now_ms);
-}
-
-void jt_director_overdue(struct jt_director *director, uint64_t now_ms,
-			 struct jt_director_actions *actions)
-{
-	struct jt_cached_flow *flow = director->flows->waiting;
-	uint64_t least_ms = jt_outlier_least_ms();
-
-	while (flow != NULL && now_ms - flow->waiting_ms >= least_ms) {
-		struct jt_cached_flow *next = flow->waiting_next;
-		const struct jt_incarnation *incarnation =
-			jt_endpoint_table_by_label(director->endpoints,
-						   flow->label);
-
-		if (incarnation == NULL ||
-		    now_ms - flow->waiting_ms >=
-			    jt_outlier_limit_ms(incarnation))
-			overdue_note(director, flow, now_ms, actions);
-		flow = next;
-	}
-}
-
 static bool incarnation_outdated(const struct jt_director *director,
 				 const struct jt_incarnation *incarnation,
 				 uint64_t now_ms)
@@ -621,7 +503,8 @@
 		next = jt_endpoint_table_next(incarnation);
 		if (jt_detector_probe_due(&director->detector, incarnation,
 					  now_ms))
-			probe_send(director, incarnation, now_ms, actions);
+			jt_director_probe(director, incarnation, now_ms,
+					  actions);
 		if (incarnation_outdated(director, incarnation, now_ms))
 			incarnation_forget(director, incarnation);
 	}
--- /dev/null
+++ b/src/label/jt_director_flow.c
@@ -0,0 +1,61 @@
+/* Ends of cached flows: forgotten silently, or with a reset to the caller. */
+#include "jt_director_flow.h"
+
+/*
+ * The sequence of a reset for a flow without an answer. Its caller takes any;
+ * one that has opened the flow through another node takes only those near what
+ * it has acknowledged, which a sequence at random is not.
+ */
+uint32_t jt_director_opening_sequence(struct jt_director *director)
+{
+	return (uint32_t)jt_random_next(&director->random);
+}
+
+void jt_director_flow_forget(struct jt_director *director,
+			     struct jt_cached_flow *flow)
+{
+	struct jt_incarnation *incarnation =
+		jt_endpoint_table_by_label(director->endpoints, flow->label);
+
+	if (incarnation != NULL) {
+		if (!flow->closing && incarnation->flows > 0)
+			incarnation->flows--;
+		if (flow->waiting_ms != 0 && incarnation->waiting > 0)
+			incarnation->waiting--;
+	}
+	jt_flow_cache_remove(director->flows, flow);
+}
+
+/* The flow's endpoint is dead. */
+void jt_director_reset_dead(struct jt_director *director,
+			    const struct jt_flow_key *key,
+			    uint32_t acknowledged,
+			    const struct jt_incarnation *incarnation,
+			    uint64_t now_ms,
+			    struct jt_director_actions *actions)
+{
+	struct jt_director_action *action = jt_director_action_about(
+		actions, JT_DIRECTOR_RESET, JT_DIRECTOR_ENDPOINT_DEAD,
+		incarnation, now_ms);
+
+	director->counters.by_reason[JT_DIRECTOR_ENDPOINT_DEAD]++;
+	if (action == NULL)
+		return;
+	action->key = *key;
+	action->reset_sequence = acknowledged;
+}
+
+void jt_director_flow_reset(struct jt_director *director,
+			    struct jt_cached_flow *flow,
+			    const struct jt_incarnation *incarnation,
+			    uint64_t now_ms,
+			    struct jt_director_actions *actions)
+{
+	uint32_t sequence = flow->opening_ms != 0
+				    ? jt_director_opening_sequence(director)
+				    : flow->acknowledged;
+
+	jt_director_reset_dead(director, &flow->key, sequence, incarnation,
+			       now_ms, actions);
+	jt_director_flow_forget(director, flow);
+}
--- /dev/null
+++ b/src/label/jt_director_flow.h
@@ -0,0 +1,28 @@
+/* Ends of cached flows: forgotten silently, or with a reset to the caller. */
+#ifndef JT_DIRECTOR_FLOW_H
+#define JT_DIRECTOR_FLOW_H
+
+#include "jt_director_private.h"
+
+/* The sequence of a reset that a caller takes only while its flow is not
+ * open. */
+uint32_t jt_director_opening_sequence(struct jt_director *director);
+/* Forget @flow and take it out of its endpoint's load. */
+void jt_director_flow_forget(struct jt_director *director,
+			     struct jt_cached_flow *flow);
+/* Tell the caller of @key, who acknowledged @acknowledged last, that the
+ * flow's endpoint is dead. */
+void jt_director_reset_dead(struct jt_director *director,
+			    const struct jt_flow_key *key,
+			    uint32_t acknowledged,
+			    const struct jt_incarnation *incarnation,
+			    uint64_t now_ms,
+			    struct jt_director_actions *actions);
+/* Tell the caller that @flow is over; the flow is forgotten. */
+void jt_director_flow_reset(struct jt_director *director,
+			    struct jt_cached_flow *flow,
+			    const struct jt_incarnation *incarnation,
+			    uint64_t now_ms,
+			    struct jt_director_actions *actions);
+
+#endif
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -1,5 +1,7 @@
 /* What becomes of one packet of a caller. */
-#include "jt_director_private.h"
+#include "jt_director_packet.h"
+#include "jt_director_flow.h"
+#include "jt_director_suspicion.h"
 #include "jt_outlier.h"
 
 /* No flow carries so much from its caller. */
@@ -23,16 +25,6 @@
 	return a != b && (uint32_t)(a - b) < 1u << 31;
 }
 
-/*
- * The sequence of a reset for a flow without an answer. Its caller takes any;
- * one that has opened the flow through another node takes only those near what
- * it has acknowledged, which a sequence at random is not.
- */
-static uint32_t opening_sequence(struct jt_director *director)
-{
-	return (uint32_t)jt_random_next(&director->random);
-}
-
 /* Answer a first packet with a reset. */
 static void add_reset(struct jt_director *director,
 		      const struct jt_flow_key *key,
@@ -46,7 +38,7 @@
 	if (action == NULL)
 		return;
 	action->key = *key;
-	action->reset_sequence = opening_sequence(director);
+	action->reset_sequence = jt_director_opening_sequence(director);
 	if (director->routing != NULL)
 		action->version = director->routing->version;
 }
@@ -145,52 +137,6 @@
 	flow->expected = false;
 }
 
-void jt_director_flow_forget(struct jt_director *director,
-			     struct jt_cached_flow *flow)
-{
-	struct jt_incarnation *incarnation =
-		jt_endpoint_table_by_label(director->endpoints, flow->label);
-
-	if (incarnation != NULL) {
-		if (!flow->closing && incarnation->flows > 0)
-			incarnation->flows--;
-		if (flow->waiting_ms != 0 && incarnation->waiting > 0)
-			incarnation->waiting--;
-	}
-	jt_flow_cache_remove(director->flows, flow);
-}
-
-/* The flow's endpoint is dead. */
-static void reset_dead(struct jt_director *director,
-		       const struct jt_flow_key *key, uint32_t acknowledged,
-		       const struct jt_incarnation *incarnation,
-		       uint64_t now_ms, struct jt_director_actions *actions)
-{
-	struct jt_director_action *action = jt_director_action_about(
-		actions, JT_DIRECTOR_RESET, JT_DIRECTOR_ENDPOINT_DEAD,
-		incarnation, now_ms);
-
-	director->counters.by_reason[JT_DIRECTOR_ENDPOINT_DEAD]++;
-	if (action == NULL)
-		return;
-	action->key = *key;
-	action->reset_sequence = acknowledged;
-}
-
-void jt_director_flow_reset(struct jt_director *director,
-			    struct jt_cached_flow *flow,
-			    const struct jt_incarnation *incarnation,
-			    uint64_t now_ms,
-			    struct jt_director_actions *actions)
-{
-	uint32_t sequence = flow->opening_ms != 0 ? opening_sequence(director)
-						  : flow->acknowledged;
-
-	reset_dead(director, &flow->key, sequence, incarnation, now_ms,
-		   actions);
-	jt_director_flow_forget(director, flow);
-}
-
 /* A flow of @incarnation that this node has not seen before. */
 static struct jt_cached_flow *flow_add(struct jt_director *director,
 				       const struct jt_label_packet *packet,
@@ -454,8 +400,9 @@
 		if (flow != NULL)
 			jt_director_flow_forget(director, flow);
 		if (!(packet->flags & JT_PACKET_RST))
-			reset_dead(director, &packet->key, packet->acknowledged,
-				   incarnation, now_ms, actions);
+			jt_director_reset_dead(director, &packet->key,
+					       packet->acknowledged,
+					       incarnation, now_ms, actions);
 		return;
 	}
 	if (flow == NULL) {
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -44,33 +44,4 @@
 	enum jt_director_reason reason,
 	const struct jt_incarnation *incarnation, uint64_t now_ms);
 
-/* One packet of a caller (jt_director_packet.c). */
-void jt_director_packet(struct jt_director *director,
-			const struct jt_label_packet *packet, uint64_t now_ms,
-			struct jt_director_actions *actions);
-/* Tell the caller that @flow is over; the flow is forgotten. */
-void jt_director_flow_reset(struct jt_director *director,
-			    struct jt_cached_flow *flow,
-			    const struct jt_incarnation *incarnation,
-			    uint64_t now_ms,
-			    struct jt_director_actions *actions);
-/* Forget @flow and take it out of its endpoint's load. */
-void jt_director_flow_forget(struct jt_director *director,
-			     struct jt_cached_flow *flow);
-/* Suspect the endpoints whose answer to a first packet is long overdue. */
-void jt_director_openings(struct jt_director *director, uint64_t now_ms,
-			  struct jt_director_actions *actions);
-/* Note the endpoints whose answers to requests are overdue. */
-void jt_director_overdue(struct jt_director *director, uint64_t now_ms,
-			 struct jt_director_actions *actions);
-/* The flow's first packet got no answer: suspect its endpoint, once. */
-void jt_director_doubt(struct jt_director *director,
-		       struct jt_cached_flow *flow, uint64_t now_ms,
-		       struct jt_director_actions *actions);
-/* Something speaks against the incarnation: probe it if that is due. */
-void jt_director_suspect(struct jt_director *director,
-			 struct jt_incarnation *incarnation,
-			 enum jt_evidence evidence, uint64_t now_ms,
-			 struct jt_director_actions *actions);
-
 #endif
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -537,8 +537,8 @@
 		return count;
 	if (count < JT_DIRECTOR_MAX_PEERS)
 		count++;
-	memmove(&best[place + 1], &best[place],
-		(count - 1 - place) * sizeof(best[0]));
+	for (size_t i = count - 1; i > place; i--)
+		best[i] = best[i - 1];
 	best[place] = peer;
 	return count;
 }
