--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -18,7 +18,7 @@
 	/* Where one digest tells of all peers, any of them is as good a target;
 	 * where there are more, most digests stay in their zone: one round in
 	 * so many has a target of any zone. */
-	FAR_ROUNDS = 4,
+	FAR_ROUNDS = 8,
 	/* Readers of the store there are at the least, over all zones. */
 	READERS_LEAST = 3,
 	/* A process that ended is back, and heard, within this time if its
