A node of another zone that takes its time to leave is not taken for removed

Cause: nodes that leave stay to their limit (5.4 s instead of about 1) where peers left and did not come back.

Change: what was heard of another zone's node counts for 8 s.

--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -24,6 +24,10 @@
 	/* A process that ended is back, and heard, within this time if its
 	 * machine starts it again. */
 	RESTART_MOST_MS = 1500,
+	/* A node that leaves tells its own zone several times a second; other
+	 * zones hear of it again only when its successor is ready: after the
+	 * longest leave (6 s of grace on the users' platform) and a start. */
+	FAR_RESTART_MOST_MS = 8000,
 	/* One round in so many also tries a seed, or a peer that was lost. */
 	RETRY_ROUNDS = 4,
 	/* A peer that was heard of so long ago is half as good to learn from
@@ -389,10 +393,15 @@
 }
 
 /* Whether the peer has left and did not come back as a new process. */
-static bool peer_removed(const struct jt_peer *peer, uint64_t now_ms)
+static bool peer_removed(const struct jt_membership *membership,
+			 const struct jt_peer *peer, uint64_t now_ms)
 {
+	uint64_t most_ms = peer->zone_id == membership->zone_id
+				   ? RESTART_MOST_MS
+				   : FAR_RESTART_MOST_MS;
+
 	return peer->leaving && !peer->ready &&
-	       now_ms - peer->heard_ms >= RESTART_MOST_MS;
+	       now_ms - peer->heard_ms >= most_ms;
 }
 
 /* Count a peer of this node's zone. */
@@ -421,7 +430,7 @@
 
 		if (peer->id == 0)
 			continue;
-		if (peer_removed(peer, now_ms))
+		if (peer_removed(membership, peer, now_ms))
 			view.removed++;
 		if (peer->zone_id == membership->zone_id)
 			zone_count(membership, peer, &view);
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -372,6 +372,29 @@
 	talloc_free(membership);
 }
 
+/* Nodes of other zones that leave are heard when they begin and when their
+ * successors are ready: one that takes its time is not removed for good. Then
+ * none of many that leave in turn would end early. */
+static void test_far_node_that_leaves_slowly_is_not_removed(void **state)
+{
+	struct jt_membership *membership =
+		jt_membership_create(NULL, 1, address_of(0), 1);
+	jt_wire_standing leaving = {
+		.zone = 2, .started = TRUE, .leaving = TRUE};
+
+	(void)state;
+	jt_membership_standing(membership, 2, address_of(1), &leaving, 1000);
+	assert_int_equal(jt_membership_zone(membership, 7000).removed, 0);
+	assert_int_equal(jt_membership_zone(membership, 9500).removed, 1);
+	/* In the own zone it would have been heard. */
+	leaving.zone = 1;
+	jt_membership_standing(membership, 3, address_of(2), &leaving, 10000);
+	jt_membership_standing(membership, 2, address_of(1), &leaving, 10000);
+	assert_int_equal(jt_membership_zone(membership, 11000).removed, 0);
+	assert_int_equal(jt_membership_zone(membership, 11600).removed, 2);
+	talloc_free(membership);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -386,6 +409,8 @@
 		cmocka_unit_test(test_starts_learn_from_strong_peers),
 		cmocka_unit_test(test_start_turns_to_another_source),
 		cmocka_unit_test(test_standing_tells_no_knowledge),
+		cmocka_unit_test(
+			test_far_node_that_leaves_slowly_is_not_removed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
