Review: peers' suspicions are logged; how long a node may leave follows the settings

What a peer says of an endpoint changes where new flows go, and had no line: event=peer_suspects. A node of another zone counts as removed after the settings' limit for leaving and a restart, instead of 8 s. Names and comments from reading the change.

--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -201,8 +201,8 @@
 }
 
 /* The peer knew all that the store had a while ago; now this node does. */
-static void knowledge_date_take(struct jt_director_node *node,
-				const jt_wire_knowledge *knowledge)
+static void knowledge_age_take(struct jt_director_node *node,
+			       const jt_wire_knowledge *knowledge)
 {
 	uint64_t now_ms = jt_clock_ms();
 
@@ -235,7 +235,7 @@
 		    (unsigned long long)knowledge->revision,
 		    knowledge->entries.entries_len);
 	revision_take(node, JT_DIRECTOR_INFORMED, knowledge->revision);
-	knowledge_date_take(node, knowledge);
+	knowledge_age_take(node, knowledge);
 	jt_directory_sync_informed(node->sync, knowledge->revision);
 	jt_director_node_started_look(node);
 }
@@ -290,12 +290,18 @@
 static void on_suspicion(jt_wire_suspicion_kind kind, uint64_t endpoint_id,
 			 void *private_data)
 {
+	struct jt_director_node *node = private_data;
 	struct jt_director_event event = {.kind = JT_DIRECTOR_SUSPICION};
+	bool overdue = kind == JT_WIRE_ANSWERS_OVERDUE;
 
-	if (kind == JT_WIRE_ANSWERS_OVERDUE)
+	if (overdue)
 		event.kind = JT_DIRECTOR_OVERDUE;
 	event.u.suspicion.id = endpoint_id;
-	jt_director_node_event(private_data, &event);
+	jt_director_node_event(node, &event);
+	jt_log_line(node->log, LOG_NOTICE,
+		    "event=peer_suspects endpoint=%llx cause=%s",
+		    (unsigned long long)endpoint_id,
+		    overdue ? "overdue" : "dead");
 }
 
 void jt_director_node_handlers(struct jt_director_node *node,
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -262,6 +262,7 @@
 				 now_ms))
 		peer_seen(exchange, from);
 	exchange->handler.own_state(&own, exchange->handler.private_data);
+	/* It looks for somebody to learn from. */
 	if (!digest->started &&
 	    (own.started || jt_membership_knows_source(exchange->membership)))
 		sources_send(exchange, from, digest->zone, &own, now_ms);
@@ -412,6 +413,8 @@
 			     const struct jt_director_settings *settings)
 {
 	exchange->keys = settings->keys;
+	if (settings->leave_limit_ms > 0)
+		exchange->membership->leave_limit_ms = settings->leave_limit_ms;
 	seeds_take(exchange, settings);
 }
 
--- a/src/director/jt_peer_knowledge.c
+++ b/src/director/jt_peer_knowledge.c
@@ -111,8 +111,8 @@
 }
 
 /* As of when, and by whose reading, this node knows the store. */
-static void knowledge_date(const struct jt_peer_exchange *exchange,
-			   jt_wire_knowledge *knowledge)
+static void knowledge_set_age(const struct jt_peer_exchange *exchange,
+			      jt_wire_knowledge *knowledge)
 {
 	struct jt_own_state own = {0};
 	jt_wire_digest digest;
@@ -143,7 +143,7 @@
 					query_number(request, "version"),
 					knowledge,
 					exchange->handler.private_data)) {
-		knowledge_date(exchange, knowledge);
+		knowledge_set_age(exchange, knowledge);
 		room = xdr_sizeof(encode, &message) + JT_FRAME_HEADER +
 		       JT_TAG_BYTES;
 		if (room <= KNOWLEDGE_MOST)
--- a/src/label/jt_detector.c
+++ b/src/label/jt_detector.c
@@ -7,9 +7,9 @@
 	 * connection may get no answer because many nodes open one at that
 	 * moment, and an endpoint that leaves takes no more of them. */
 	PROBES_PROVE = 2,
-	/* A peer's verdict counts for so long. By then discovery has dropped
-	 * an endpoint that has ended (three heartbeats of 1.2 s and its lag);
-	 * where it has not, new flows show again whether it answers. */
+	/* A peer's verdict counts for so long: by then discovery has dropped
+	 * most endpoints that have ended. Where heartbeats are slow and it has
+	 * not, new flows show again whether the endpoint answers. */
 	PEER_VERDICT_MS = 5000,
 };
 
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -24,10 +24,8 @@
 	/* A process that ended is back, and heard, within this time if its
 	 * machine starts it again. */
 	RESTART_MOST_MS = 1500,
-	/* A node that leaves tells its own zone several times a second; other
-	 * zones hear of it again only when its successor is ready: after the
-	 * longest leave (6 s of grace on the users' platform) and a start. */
-	FAR_RESTART_MOST_MS = 8000,
+	/* How long a node may take to leave where the settings don't say. */
+	DEFAULT_LEAVE_LIMIT_MS = 6000,
 	/* One round in so many also tries a seed, or a peer that was lost. */
 	RETRY_ROUNDS = 4,
 	/* A peer that was heard of so long ago is half as good to learn from
@@ -53,6 +51,7 @@
 	membership->address = address;
 	membership->zone_id = zone_id;
 	membership->random.seed = id;
+	membership->leave_limit_ms = DEFAULT_LEAVE_LIMIT_MS;
 	return membership;
 }
 
@@ -396,10 +395,12 @@
 static bool peer_removed(const struct jt_membership *membership,
 			 const struct jt_peer *peer, uint64_t now_ms)
 {
-	uint64_t most_ms = peer->zone_id == membership->zone_id
-				   ? RESTART_MOST_MS
-				   : FAR_RESTART_MOST_MS;
+	uint64_t most_ms = RESTART_MOST_MS;
 
+	/* A node that leaves tells its own zone several times a second; other
+	 * zones hear of it again only when its successor is ready. */
+	if (peer->zone_id != membership->zone_id)
+		most_ms += membership->leave_limit_ms;
 	return peer->leaving && !peer->ready &&
 	       now_ms - peer->heard_ms >= most_ms;
 }
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -72,8 +72,9 @@
 	uint64_t behind_ms; /* since when a peer knows more, 0: none does */
 	uint64_t fetch_next_ms;
 	bool fetching;
-	uint64_t fetching_from; /* the peer that is asked */
-	uint32_t without;	/* mechanisms that are off */
+	uint64_t fetching_from;	 /* the peer that is asked */
+	uint64_t leave_limit_ms; /* a node that leaves has ended by then */
+	uint32_t without;	 /* mechanisms that are off */
 };
 
 struct jt_membership *jt_membership_create(TALLOC_CTX *mem_ctx, uint64_t id,
