--- a/src/cli/why.c
+++ b/src/cli/why.c
@@ -34,6 +34,7 @@
 	int64_t last_ms;
 	const struct log_line *decision; /* the last about one of the flows */
 	const struct log_line *death;	 /* of their endpoint, after that */
+	const struct log_line *failing;	 /* it left requests unanswered */
 };
 
 static bool names_have(const struct names *names, const char *name)
@@ -232,25 +233,25 @@
 			"packet waited for that"},
 };
 
-/* The first time that the endpoint of the last decision was found dead. */
-static void find_death(struct story *story)
+/* The first @event of the last decision's endpoint from then on, or NULL. */
+static const struct log_line *endpoint_event(const struct story *story,
+					     const char *event)
 {
 	char *endpoint;
 
 	if (story->decision == NULL)
-		return;
+		return NULL;
 	endpoint = log_line_field(story->lines, story->decision, "endpoint");
-	for (size_t i = 0; i < story->lines->count; i++) {
+	for (size_t i = 0; i < story->lines->count && endpoint != NULL; i++) {
 		const struct log_line *line = &story->lines->items[i];
 		char *of = log_line_field(story->lines, line, "endpoint");
 
-		if (event_is(line, "endpoint_dead") && endpoint != NULL &&
-		    of != NULL && strcmp(of, endpoint) == 0 &&
-		    line->time_ms >= story->decision->time_ms) {
-			story->death = line;
-			return;
-		}
+		if (event_is(line, event) && of != NULL &&
+		    strcmp(of, endpoint) == 0 &&
+		    line->time_ms >= story->decision->time_ms)
+			return line;
 	}
+	return NULL;
 }
 
 static void print_conclusion(const struct story *story)
@@ -275,6 +276,10 @@
 		       "request that was running there ended with it.\n",
 		       log_line_node(story->death),
 		       log_line_field(story->lines, story->death, "cause"));
+	if (story->failing != NULL)
+		printf("then: %s found that its endpoint leaves requests "
+		       "unanswered: it hangs, or resets its connections.\n",
+		       log_line_node(story->failing));
 }
 
 /* Processes of the story that say nothing more soon after it. */
@@ -329,7 +334,8 @@
 		goto out;
 	}
 	find_involved(&story);
-	find_death(&story);
+	story.death = endpoint_event(&story, "endpoint_dead");
+	story.failing = endpoint_event(&story, "endpoint_failing");
 	print_story(&story);
 out:
 	talloc_free(story.lines);
