--- a/src/label/jt_reader.c
+++ b/src/label/jt_reader.c
@@ -12,7 +12,8 @@
 	TRY_LEAST_MS = 1600,
 	/* Knowledge is fresh again when it is younger than this part. */
 	FRESH_PART = 2,
-	/* A node that has begun to read does so for a while. */
+	/* A node that has begun to read does so for a while, and one whose
+	 * watch fails watches on for as long. */
 	HOLD_MS = 1000,
 	/* What a list costs at the least, in thousandths of a core times
 	 * milliseconds, and how long it may take before waiting pays. */
@@ -78,6 +79,14 @@
 {
 	uint64_t spread_ms = (uint64_t)nodes * TRY_SHARE_MS;
 
+	/* Not long ago somebody could read it: this node goes on as it is for a
+	 * while, whoever has the turn now. A store that drops its history ends
+	 * all watches, and its cheap checks are seconds behind meanwhile: only
+	 * another watch shows that. */
+	if (now_ms - reader->heard_ms <= reader->limit_ms) {
+		reader->hold_until_ms = now_ms + HOLD_MS;
+		return;
+	}
 	if (!peers_as_old(reader, now_ms))
 		return;
 	if (spread_ms < TRY_LEAST_MS)
@@ -105,6 +114,9 @@
 				 enum jt_reading_turn turn, bool started,
 				 uint64_t now_ms)
 {
+	if (reader->reading == JT_READING_WATCHES &&
+	    now_ms < reader->hold_until_ms)
+		return reader->reading;
 	if (!wanted(reader, turn, started, now_ms)) {
 		reader->reading = JT_READING_NOT;
 		return reader->reading;
--- a/src/label/jt_reader.h
+++ b/src/label/jt_reader.h
@@ -39,7 +39,8 @@
 	uint64_t began_ms;   /* since when this node reads */
 	uint64_t watch_after_ms; /* and how long it only checks at first */
 	uint64_t as_old_ms;	 /* a peer's knowledge was no newer then */
-	uint64_t try_after_ms;	 /* the store gave no answer: not before then */
+	uint64_t hold_until_ms; /* its watch failed: it watches on until then */
+	uint64_t try_after_ms;	/* the store gave no answer: not before then */
 	enum jt_reading reading;
 	struct jt_random random;
 };
@@ -54,9 +55,10 @@
 /* A peer told, and knows the store as of no later than this node does. */
 void jt_reader_peer_as_old(struct jt_reader *reader, uint64_t now_ms);
 /*
- * The store gave this node no answer. Where peers are no better off it is away
- * from all: of @nodes nodes one tries in each share of time, and tells the
- * others when it answers again.
+ * The store gave this node no answer. Where knowledge is still fresh a node
+ * that watches does so for a while longer. Where it is old and peers are no
+ * better off, the store is away from all: of @nodes nodes one tries in each
+ * share of time, and tells the others when it answers again.
  */
 void jt_reader_failed(struct jt_reader *reader, size_t nodes, uint64_t now_ms);
 /*
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -187,6 +187,31 @@
 	assert_in_range(tries_in_outage(true), 10, 60);
 }
 
+/* All watchers lose their watches together when the store drops its history.
+ * Peers still seem to know the newest, since cheap checks are seconds behind:
+ * who watched tries on, also when the turn has gone to others (failure 49). */
+static void test_reader_that_fails_tries_on(void **state)
+{
+	struct jt_reader reader = reader_at(1000);
+
+	(void)state;
+	assert_int_equal(jt_reader_decide(&reader, JT_TURN_OF_ALL, true, 1000),
+			 JT_READING_CHECKS);
+	for (uint64_t now_ms = 1000; now_ms <= 9000; now_ms += 100) {
+		jt_reader_heard(&reader, now_ms - 300, OTHER);
+		jt_reader_peer_as_old(&reader, now_ms);
+		(void)jt_reader_decide(&reader, JT_TURN_OF_ALL, true, now_ms);
+	}
+	jt_reader_failed(&reader, MANY_NODES, 9000);
+	assert_int_equal(jt_reader_decide(&reader, JT_TURN_NONE, true, 9100),
+			 JT_READING_WATCHES);
+	assert_int_equal(jt_reader_decide(&reader, JT_TURN_NONE, true, 9900),
+			 JT_READING_WATCHES);
+	jt_reader_heard(&reader, 10000, OTHER);
+	assert_int_equal(jt_reader_decide(&reader, JT_TURN_NONE, true, 10100),
+			 JT_READING_NOT);
+}
+
 /* A node that no peer speaks to may be the only one that lost the store. */
 static void test_node_without_peers_tries_on(void **state)
 {
@@ -523,6 +548,7 @@
 		cmocka_unit_test(test_one_node_watches),
 		cmocka_unit_test(test_nodes_share_the_tries_in_an_outage),
 		cmocka_unit_test(test_node_without_peers_tries_on),
+		cmocka_unit_test(test_reader_that_fails_tries_on),
 		cmocka_unit_test(test_first_of_all_has_the_turn_to_watch),
 		cmocka_unit_test(test_check_of_what_peers_have_told),
 		cmocka_unit_test(
