--- a/tests/soak/soak_oracle.c
+++ b/tests/soak/soak_oracle.c
@@ -142,6 +142,16 @@
 			(unsigned long long)(sent_ms - endpoint->no_new_ms));
 }
 
+/* Whether the route led to the service at some time since @since_ms: a first
+ * packet sent then may have gone there, whatever the route says now. */
+static bool route_led_to(const struct soak *soak, uint16_t route_port,
+			 uint32_t service, uint64_t since_ms)
+{
+	if (route_port == SOAK_STEADY_PORT)
+		return service == 0;
+	return version_with(soak, version_at(soak, since_ms), service) != 0;
+}
+
 void soak_check_refused(struct soak *soak, int node, uint16_t route_port,
 			uint64_t sent_ms)
 {
@@ -163,7 +173,8 @@
 			   endpoint->disturbed_ms + SOAK_CONTACT_MS < sent_ms);
 		/* The first packet may have gone there: then the reset tells
 		 * the caller of that endpoint's end. */
-		ended = ended || (endpoint->service == service &&
+		ended = ended || (route_led_to(soak, route_port,
+					       endpoint->service, sent_ms) &&
 				  endpoint->life == SOAK_ENDED &&
 				  endpoint->end_ms + ENDED_KNOWN_MS > sent_ms);
 	}
