--- a/fuzz/fuzz_director.c
+++ b/fuzz/fuzz_director.c
@@ -12,10 +12,13 @@
  *   a flow's packets reach no endpoint but its own;
  *   a first packet reaches a service that some configuration ever allowed;
  *   an endpoint that a node was told leaves gets no first packet from it;
+ *   one of a zone that a node was told is drained gets none until it is told
+ *   that the drain has ended;
  *   routing never goes back on a node.
  */
 #include "jaspertrack/director.h"
 #include "jt_knowledge.h"
+#include "jt_net.h"
 #include "jt_routing.h"
 
 #include <stdio.h>
@@ -36,6 +39,7 @@
 	NEWS = 256,
 	VERDICTS = 4096,
 	SERVICES = 2,
+	ZONES = 2,
 	OPEN_ACKNOWLEDGED = 0x40000000, /* of an endpoint's own choice */
 	RESET_WINDOW = 76800,		/* in which a reset is taken */
 	FULL_AT = 6,			/* flows that an endpoint holds */
@@ -72,9 +76,16 @@
 	uint64_t packet;  /* that packet, counted by the node */
 };
 
+/* What a node was told of the drain of a zone, by the newest revision. */
+struct told_zone {
+	uint64_t revision;
+	bool draining;
+};
+
 struct news {
 	struct jt_director_event event;
-	uint64_t routing_version; /* 0: event is about an endpoint */
+	struct jt_zone_drain zone; /* of JT_DIRECTOR_ZONE_DRAINS */
+	uint64_t routing_version;  /* 0: the event says it */
 };
 
 struct world {
@@ -82,6 +93,8 @@
 	struct jt_director_actions *actions;
 	size_t heard[NODES]; /* news that each node was told so far */
 	uint64_t versions[NODES];
+	struct jt_zone_drain zones[ZONES]; /* as the store has them */
+	struct told_zone told_zones[NODES][ZONES];
 	unsigned node_lives[NODES];   /* starts of each node */
 	uint64_t node_packets[NODES]; /* that each node got */
 	bool late_copy; /* the packet in hand was doubled by the network */
@@ -98,6 +111,8 @@
 	size_t size;
 };
 
+static const char *const zone_names[ZONES] = {"zone-a", "zone-b"};
+
 static uint8_t next_byte(struct world *world)
 {
 	if (world->size == 0)
@@ -186,7 +201,7 @@
 	endpoint->entry = (struct jt_endpoint_entry){
 		.id = 0x1000 + (uint64_t)world->endpoint_count,
 		.service_id = 1 + choice / ADDRESSES % SERVICES,
-		.zone_id = 1 + choice % 2,
+		.zone_id = jt_name_id(zone_names[choice % ZONES]),
 		.address = {address, 80},
 		.capacity = 2,
 	};
@@ -304,6 +319,71 @@
 	world->versions[node] = now->version;
 }
 
+/* Zones */
+
+static void zone_publish(struct world *world, uint8_t choice)
+{
+	struct news news = {.event.kind = JT_DIRECTOR_ZONE_DRAINS};
+	struct jt_zone_drain *zone = &world->zones[choice % ZONES];
+
+	snprintf(zone->zone, sizeof(zone->zone), "%s",
+		 zone_names[choice % ZONES]);
+	zone->draining = !zone->draining;
+	zone->revision = ++world->revision;
+	news.zone = *zone;
+	news_add(world, &news);
+}
+
+static void zone_note(struct world *world, int node,
+		      const struct jt_zone_drain *drain)
+{
+	for (int i = 0; i < ZONES; i++) {
+		struct told_zone *told = &world->told_zones[node][i];
+
+		if (strcmp(zone_names[i], drain->zone) == 0 &&
+		    drain->revision > told->revision)
+			*told = (struct told_zone){drain->revision,
+						   drain->draining};
+	}
+}
+
+static void zones_tell(struct world *world, int node,
+		       const struct jt_zone_drain *drains, size_t count,
+		       bool complete, uint64_t revision)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_ZONE_DRAINS};
+
+	event.u.zones.drains = drains;
+	event.u.zones.count = count;
+	event.u.zones.complete = complete;
+	event.u.zones.revision = revision;
+	for (size_t i = 0; i < count; i++)
+		zone_note(world, node, &drains[i]);
+	tell(world, node, &event);
+}
+
+/* The node was told all that the store had at @revision. */
+static void zones_note_all(struct world *world, int node, uint64_t revision)
+{
+	for (size_t i = 0; i < world->news_count; i++) {
+		const struct news *news = &world->news[i];
+
+		if (news->event.kind == JT_DIRECTOR_ZONE_DRAINS &&
+		    news->zone.revision <= revision)
+			zone_note(world, node, &news->zone);
+	}
+}
+
+/* The drains that a list holds; one that it lacks has ended. */
+static void zones_list(struct world *world, int node)
+{
+	for (int i = 0; i < ZONES; i++) {
+		if (world->zones[i].draining)
+			zones_tell(world, node, &world->zones[i], 1, false, 0);
+	}
+	zones_note_all(world, node, world->revision);
+}
+
 static void news_tell(struct world *world, int node, size_t index)
 {
 	struct news *news = &world->news[index];
@@ -315,6 +395,10 @@
 			     routing_create(world, news->routing_version));
 		return;
 	}
+	if (event.kind == JT_DIRECTOR_ZONE_DRAINS) {
+		zones_tell(world, node, &news->zone, 1, false, 0);
+		return;
+	}
 	if (event.kind == JT_DIRECTOR_ENDPOINT && event.u.endpoint.draining) {
 		endpoint = endpoint_of(world, event.u.endpoint.id);
 		world->endpoints[endpoint].told_draining[node] = true;
@@ -357,6 +441,7 @@
 	}
 	if (newest > 0)
 		routing_tell(world, node, routing_create(world, newest));
+	zones_list(world, node);
 	event.kind = JT_DIRECTOR_LISTED;
 	event.u.listed.revision = world->revision;
 	tell(world, node, &event);
@@ -370,7 +455,7 @@
 	world->node_lives[node]++;
 	talloc_free(world->directors[node]);
 	jt_director_options_init(&options);
-	options.zone_id = 1 + (uint32_t)node % 2;
+	options.zone_id = jt_name_id(zone_names[node % ZONES]);
 	options.flow_limit = FLOWS_REMEMBERED;
 	options.flow_age_limit_ms = 600000;
 	options.seed = (uint64_t)node + 1;
@@ -380,6 +465,7 @@
 	world->heard[node] = 0;
 	for (int i = 0; i < ENDPOINTS; i++)
 		world->endpoints[i].told_draining[node] = false;
+	memset(world->told_zones[node], 0, sizeof(world->told_zones[node]));
 }
 
 /* @node learns all that @from knows. */
@@ -392,7 +478,7 @@
 
 	if (node == from || !jt_director_started(world->directors[from]) ||
 	    !jt_knowledge_write(frame, world->directors[from], 0, 0,
-				&knowledge))
+				world->now_ms, &knowledge))
 		goto out;
 	routing = jt_knowledge_routing(world, &knowledge.routing);
 	if (routing != NULL)
@@ -406,6 +492,11 @@
 		if (jt_knowledge_entry(entry, &event))
 			tell(world, node, &event);
 	}
+	zones_tell(world, node,
+		   jt_knowledge_zones(frame, knowledge.zones.zones_val,
+				      knowledge.zones.zones_len),
+		   knowledge.zones.zones_len, true, knowledge.revision);
+	zones_note_all(world, node, knowledge.revision);
 	event = (struct jt_director_event){.kind = JT_DIRECTOR_INFORMED};
 	event.u.listed.revision = knowledge.revision;
 	tell(world, node, &event);
@@ -452,6 +543,16 @@
 	flow_leave(world, flow);
 }
 
+/* Whether the node was told that new flows must keep away from the zone. */
+static bool told_drained(const struct world *world, int node, uint32_t zone_id)
+{
+	for (int i = 0; i < ZONES; i++) {
+		if (jt_name_id(zone_names[i]) == zone_id)
+			return world->told_zones[node][i].draining;
+	}
+	return false;
+}
+
 static void on_first_packet(struct world *world, struct flow *flow, int node,
 			    int index)
 {
@@ -463,6 +564,9 @@
 		broken(world, "a first packet reached another service");
 	if (endpoint->told_draining[node] && flow->copies == 0)
 		broken(world, "a leaving endpoint got a first packet");
+	if (told_drained(world, node, endpoint->entry.zone_id) &&
+	    flow->copies == 0)
+		broken(world, "a drained zone got a first packet");
 	if (!lives(endpoint) || endpoint->flows >= FULL_AT)
 		return;
 	flow->half_open = index;
@@ -801,6 +905,8 @@
 			routing_publish(world);
 		else if (choice % 4 == 1)
 			node_lists(world, node);
+		else if (choice % 16 == 2)
+			zone_publish(world, choice / 16);
 		else
 			node_hears(world, node, choice);
 		break;
--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -19,6 +19,7 @@
 	JT_ROUTE_PART_LIMIT = 16,	/* services that share one route */
 	JT_ENDPOINT_TABLE_LIMIT = 8192, /* incarnations known at once */
 	JT_LOAD_LIMIT = 96,		/* endpoints in one report of loads */
+	JT_ZONE_DRAIN_LIMIT = 64,	/* zones whose drains are known */
 };
 
 /* A service's part of a route's new flows. */
@@ -38,8 +39,11 @@
 
 /* What the routing knows of a service. */
 struct jt_routed_service {
-	uint32_t id;			/* jt_name_id() of the name */
-	uint32_t connection_limit;	/* flows at one endpoint */
+	uint32_t id;		   /* jt_name_id() of the name */
+	uint32_t connection_limit; /* flows at one endpoint */
+	/* New flows a second that a cold endpoint bears, in thousandths; 0:
+	 * any number. */
+	uint32_t cold_permille;
 	char health_path[JT_NAME_SIZE]; /* of the page that names it */
 };
 
@@ -67,6 +71,13 @@
 	uint64_t gone_revision; /* when it went; 0: it is there */
 };
 
+/* What the store tells of a zone: whether operators drain it. */
+struct jt_zone_drain {
+	char zone[JT_NAME_SIZE];
+	uint64_t revision; /* of the change in the store */
+	bool draining;	   /* its endpoints get no new flows */
+};
+
 /* Flows that a node has open at one endpoint. */
 struct jt_endpoint_load {
 	uint32_t label;
@@ -129,11 +140,12 @@
 	JT_DIRECTOR_CAUGHT_UP, /* all changes up to a revision are told */
 	JT_DIRECTOR_INFORMED,  /* a peer told all it knows at a revision */
 	JT_DIRECTOR_NEWS, /* entries that changed up to a revision were told */
-	JT_DIRECTOR_SUSPICION,	/* a peer has found the endpoint dead */
-	JT_DIRECTOR_OVERDUE,	/* a peer gets no answers from the endpoint */
-	JT_DIRECTOR_IDENTIFIED, /* who answers at an endpoint's address */
-	JT_DIRECTOR_PROBED,	/* the outcome of a probe */
-	JT_DIRECTOR_LOADS,	/* a peer's share of the endpoints' flows */
+	JT_DIRECTOR_SUSPICION,	 /* a peer has found the endpoint dead */
+	JT_DIRECTOR_OVERDUE,	 /* a peer gets no answers from the endpoint */
+	JT_DIRECTOR_IDENTIFIED,	 /* who answers at an endpoint's address */
+	JT_DIRECTOR_PROBED,	 /* the outcome of a probe */
+	JT_DIRECTOR_LOADS,	 /* a peer's share of the endpoints' flows */
+	JT_DIRECTOR_ZONE_DRAINS, /* drains of zones that began or ended */
 	JT_DIRECTOR_TICK,
 };
 
@@ -173,6 +185,13 @@
 			const struct jt_endpoint_load *loads;
 			size_t count;
 		} loads;
+		struct {
+			const struct jt_zone_drain *drains;
+			size_t count;
+			/* All drains as of @revision: others have ended. */
+			bool complete;
+			uint64_t revision;
+		} zones;
 		struct {
 			uint64_t nodes;	       /* known to live, this one too */
 			uint64_t store_age_ms; /* all it had then is known */
@@ -191,6 +210,8 @@
 	JT_DIRECTOR_FAILING, /* an endpoint's answers are overdue: tell peers */
 	JT_DIRECTOR_REVIVED, /* a dead endpoint lives */
 	JT_DIRECTOR_SEEN,    /* an endpoint's state changed */
+	JT_DIRECTOR_ZONE_DRAINED,  /* a drain of a zone began */
+	JT_DIRECTOR_ZONE_RESTORED, /* and ended */
 };
 
 enum jt_director_reason {
@@ -206,6 +227,7 @@
 	JT_DIRECTOR_FORGED,	   /* only endpoints send such packets */
 	JT_DIRECTOR_NO_CAPACITY,   /* all endpoints are full */
 	JT_DIRECTOR_NOT_STARTED,   /* routing or endpoints not yet known */
+	JT_DIRECTOR_NO_ZONE,	   /* the zones of all endpoints are drained */
 	JT_DIRECTOR_REASONS,
 };
 
@@ -224,6 +246,7 @@
 	uint64_t version;    /* of the routing that decided */
 	uint32_t service_id; /* of the endpoint */
 	bool peers_know;     /* of the verdict: a peer has told it to all */
+	const char *zone; /* drained or restored; good until the next event */
 };
 
 /* A growing list of actions; clear it between events. */
@@ -243,6 +266,7 @@
 	JT_DIRECTOR_BREAK_DRAINING = 1 << 4,	 /* leaving ones get flows */
 	JT_DIRECTOR_BREAK_FORGET_GONE = 1 << 5,	 /* no entry, no endpoint */
 	JT_DIRECTOR_BREAK_STALE_ENTRY = 1 << 6,	 /* older entries are taken */
+	JT_DIRECTOR_BREAK_ZONE_DRAIN = 1 << 7,	 /* drains change nothing */
 };
 
 /* Limits and times; jt_director_options_init() gives the defaults. */
--- a/include/jaspertrack/director.h
+++ b/include/jaspertrack/director.h
@@ -48,6 +48,12 @@
 			     struct jt_endpoint_entry *entry,
 			     enum jt_incarnation_state *state);
 
+/* The @index-th zone that is in drain, and since when this node knows of it;
+ * NULL past the last. */
+const struct jt_zone_drain *
+jt_director_zone_drain_at(const struct jt_director *director, size_t index,
+			  uint64_t *since_ms);
+
 /* This node's share of the endpoints' flows; returns how many of @loads were
  * set. Endpoints past the limit take turns. */
 size_t jt_director_loads(struct jt_director *director, uint64_t now_ms,
--- a/scripts/platform-names.sh
+++ b/scripts/platform-names.sh
@@ -3,7 +3,7 @@
 # fields may appear nowhere else in the sources.
 set -u
 cd "$(dirname "$0")/.."
-names='kv-(key|range|watch|txn|lease|keep)|op/config|servers/|tlsKey|Instance-Id|(^|[^-])Request-Id|Server-(Seal|Load)|coldLeftMs|callCount|pathPrefix|datagramAddr|seedNodes|internalPorts|waitMs'
+names='kv-(key|range|watch|txn|lease|keep)|op/(config|evacuate)|servers/|tlsKey|Instance-Id|(^|[^-])Request-Id|Server-(Seal|Load)|coldLeftMs|coldPerS|evacuateMs|callCount|pathPrefix|datagramAddr|seedNodes|internalPorts|waitMs'
 found=$(git ls-files 'src/*' 'include/*' | xargs grep -nE "$names" /dev/null)
 if [ -n "$found" ]; then
   echo "the platform's names outside platform/:"
--- a/src/cli/why.c
+++ b/src/cli/why.c
@@ -161,6 +161,8 @@
 		"peer_lost",
 		"log_shortened",
 		"entry_refused",
+		"zone_drained",
+		"zone_restored",
 	};
 
 	for (size_t i = 0; i < sizeof(events) / sizeof(events[0]); i++) {
@@ -220,6 +222,8 @@
 		     "that this node got late (compare event=routing)"},
 	{"no_endpoint", "no endpoint of the route's services could take a flow "
 			"(draining, lapsed, dead or full): see endpoint_state"},
+	{"no_zone", "the zones of all endpoints that could take the flow are "
+		    "drained by operators: see zone_drained"},
 	{"endpoint_dead", "the flow's endpoint was found dead, so the flow was "
 			  "ended at once: see endpoint_dead for the proof"},
 	{"unknown_label", "no endpoint was known by the flow's label: the node "
--- a/src/director/jt_director_log.c
+++ b/src/director/jt_director_log.c
@@ -107,6 +107,16 @@
 		    (unsigned long long)action->age_ms);
 }
 
+void jt_director_log_zone(const struct jt_log *log,
+			  const struct jt_director_action *action)
+{
+	bool drained = action->kind == JT_DIRECTOR_ZONE_DRAINED;
+
+	jt_log_line(log, LOG_NOTICE, "event=%s zone=%s revision=%llu",
+		    drained ? "zone_drained" : "zone_restored", action->zone,
+		    (unsigned long long)action->revision);
+}
+
 void jt_director_log_flush(const struct jt_log *log, uint64_t now_ms)
 {
 	const struct jt_log_counters *counters;
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -202,6 +202,10 @@
 			jt_director_log_endpoint(node->log, action,
 						 "endpoint_state");
 		break;
+	case JT_DIRECTOR_ZONE_DRAINED:
+	case JT_DIRECTOR_ZONE_RESTORED:
+		jt_director_log_zone(node->log, action);
+		break;
 	case JT_DIRECTOR_HOLD:
 		act_hold(node);
 		break;
--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -40,6 +40,21 @@
 	jt_director_node_event(node, &event);
 }
 
+/* Drains of zones that began or ended. @complete: all there are as of
+ * @revision. */
+static void zones_take(struct jt_director_node *node,
+		       const struct jt_zone_drain *drains, size_t count,
+		       bool complete, uint64_t revision)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_ZONE_DRAINS};
+
+	event.u.zones.drains = drains;
+	event.u.zones.count = count;
+	event.u.zones.complete = complete;
+	event.u.zones.revision = revision;
+	jt_director_node_event(node, &event);
+}
+
 static void on_change(const struct jt_change *change, void *private_data)
 {
 	struct jt_director_node *node = private_data;
@@ -54,6 +69,9 @@
 	case JT_CHANGE_GONE:
 		gone_take(node, change->endpoint.id, change->endpoint.revision);
 		break;
+	case JT_CHANGE_ZONE:
+		zones_take(node, &change->zone, 1, false, change->revision);
+		break;
 	case JT_CHANGE_INVALID:
 		jt_log_line(node->log, LOG_ERR,
 			    "event=entry_refused key=%s field=%s reason=\"%s\"",
@@ -186,7 +204,7 @@
 	const struct jt_director_node *node = private_data;
 
 	return jt_knowledge_write(mem_ctx, node->director, since, version,
-				  knowledge);
+				  jt_clock_ms(), knowledge);
 }
 
 static void entries_take(struct jt_director_node *node,
@@ -200,6 +218,18 @@
 	}
 }
 
+/* The drains of zones in a peer's message. */
+static void wire_zones_take(struct jt_director_node *node,
+			    const jt_wire_zone_drain *wire, size_t count,
+			    bool complete, uint64_t revision)
+{
+	struct jt_zone_drain *drains = jt_knowledge_zones(node, wire, count);
+
+	if (drains != NULL)
+		zones_take(node, drains, count, complete, revision);
+	talloc_free(drains);
+}
+
 /* The peer knew all that the store had a while ago; now this node does. */
 static void knowledge_age_take(struct jt_director_node *node,
 			       const jt_wire_knowledge *knowledge)
@@ -228,6 +258,8 @@
 		talloc_free(routing);
 	entries_take(node, knowledge->entries.entries_val,
 		     knowledge->entries.entries_len);
+	wire_zones_take(node, knowledge->zones.zones_val,
+			knowledge->zones.zones_len, true, knowledge->revision);
 	jt_log_line(node->log, LOG_NOTICE,
 		    "event=knowledge_learned since=%llu revision=%llu "
 		    "entries=%u",
@@ -250,6 +282,8 @@
 		return;
 	entries_take(node, news->entries.entries_val,
 		     news->entries.entries_len);
+	wire_zones_take(node, news->zones.zones_val, news->zones.zones_len,
+			false, news->digest.revision);
 	event.u.news.since = news->since;
 	event.u.news.revision = news->digest.revision;
 	event.u.news.routing_version = news->digest.routing_version;
--- a/src/director/jt_director_pages.c
+++ b/src/director/jt_director_pages.c
@@ -3,6 +3,7 @@
 #include "jt_http_server.h"
 #include "jt_latency.h"
 #include "jt_net.h"
+#include "jt_timer.h"
 
 #include <errno.h>
 #include <string.h>
@@ -161,6 +162,21 @@
 	return text;
 }
 
+/* For how long this node has known of the drain of each zone. */
+static char *add_zone_drains(char *text, const struct jt_director *director)
+{
+	uint64_t now_ms = jt_clock_ms(), since_ms;
+	const struct jt_zone_drain *drain;
+	size_t index = 0;
+
+	text = add_type(text, "zone_drained_ms", "gauge");
+	while ((drain = jt_director_zone_drain_at(director, index++,
+						  &since_ms)) != NULL)
+		text = add_label(text, "zone_drained_ms", "zone", drain->zone,
+				 now_ms - since_ms);
+	return text;
+}
+
 static char *add_store_calls(char *text, const struct jt_directory_sync *sync)
 {
 	const struct jt_directory_counters *counters =
@@ -244,6 +260,7 @@
 	text = add_decisions(text, director);
 	text = add_latency(text, jt_director_latency(director));
 	text = add_beliefs(text, director, sync);
+	text = add_zone_drains(text, director);
 	text = add_store_calls(text, sync);
 	text = add_peers(text, peers);
 	return add_log(text, log);
--- a/src/director/jt_environment.h
+++ b/src/director/jt_environment.h
@@ -43,6 +43,7 @@
 	JT_CHANGE_ROUTING,
 	JT_CHANGE_ENDPOINT,
 	JT_CHANGE_GONE, /* only endpoint.id and endpoint.revision */
+	JT_CHANGE_ZONE, /* the drain of a zone began or ended */
 	JT_CHANGE_INVALID,
 };
 
@@ -51,6 +52,7 @@
 	uint64_t revision;
 	struct jt_routing *routing; /* talloc child of the answer */
 	struct jt_endpoint_entry endpoint;
+	struct jt_zone_drain zone;
 	const char *key;   /* JT_CHANGE_INVALID: where */
 	const char *field; /* and which field */
 	const char *reason;
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -177,6 +177,25 @@
 
 /* News */
 
+/* The drains of zones that changed after what was told last; false when there
+ * are too many of them. */
+static bool news_zones(const jt_wire_knowledge *knowledge, jt_wire_news *news)
+{
+	jt_wire_zone_drain *zones = knowledge->zones.zones_val;
+	u_int count = 0;
+
+	for (u_int i = 0; i < knowledge->zones.zones_len; i++) {
+		if (zones[i].revision <= knowledge->since)
+			continue;
+		if (count == JT_DIRECTOR_MAX_NEWS_ZONES)
+			return false;
+		zones[count++] = zones[i];
+	}
+	news->zones.zones_val = zones;
+	news->zones.zones_len = count;
+	return true;
+}
+
 static void news_entries(struct jt_peer_exchange *exchange, TALLOC_CTX *frame,
 			 const struct jt_own_state *own, jt_wire_news *news)
 {
@@ -189,7 +208,8 @@
 					 own->routing_version, &knowledge,
 					 exchange->handler.private_data) ||
 	    knowledge.since != exchange->told_revision ||
-	    knowledge.entries.entries_len > JT_DIRECTOR_MAX_NEWS)
+	    knowledge.entries.entries_len > JT_DIRECTOR_MAX_NEWS ||
+	    !news_zones(&knowledge, news))
 		return;
 	news->since = knowledge.since;
 	news->entries.entries_val = knowledge.entries.entries_val;
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -25,13 +25,15 @@
 
 struct jt_chooser *jt_chooser_create(TALLOC_CTX *mem_ctx,
 				     const struct jt_director_options *opts,
-				     struct jt_peer_loads *peer_loads)
+				     struct jt_peer_loads *peer_loads,
+				     const struct jt_zone_drains *zone_drains)
 {
 	struct jt_chooser *chooser = talloc_zero(mem_ctx, struct jt_chooser);
 
 	if (chooser == NULL)
 		return NULL;
 	chooser->peer_loads = peer_loads;
+	chooser->zone_drains = zone_drains;
 	chooser->nodes = 1;
 	chooser->zone_id = opts->zone_id;
 	chooser->lapsed_grace_ms = opts->lapsed_grace_ms;
@@ -125,23 +127,81 @@
 	return incarnation->flows + mean * (double)(chooser->nodes - 1);
 }
 
+/* Whether operators keep new flows from the incarnation's zone. */
+static bool zone_drained(const struct jt_chooser *chooser,
+			 const struct jt_incarnation *in)
+{
+	if (chooser->break_mechanism & JT_DIRECTOR_BREAK_ZONE_DRAIN)
+		return false;
+	return jt_zone_drains_has(chooser->zone_drains, in->entry.zone_id);
+}
+
+/* The sum of the work of some incarnations. */
+struct work_sum {
+	double work;
+	size_t count;
+};
+
+static void work_sum_add(struct work_sum *sum, const struct jt_chooser *chooser,
+			 const struct jt_incarnation *in, uint64_t now_ms)
+{
+	if (in->state != JT_INCARNATION_READY || zone_drained(chooser, in))
+		return;
+	sum->work += jt_work_now(&in->work, now_ms);
+	sum->count++;
+}
+
+static double work_mean(const struct work_sum *sum)
+{
+	return sum->count > 0 ? sum->work / (double)sum->count : 0;
+}
+
 void jt_chooser_welcome(const struct jt_chooser *chooser,
 			const struct jt_service_pool *pool,
 			struct jt_incarnation *newcomer, uint64_t now_ms)
 {
 	const struct jt_incarnation *in;
-	double sum = 0;
-	size_t count = 0;
+	struct work_sum others = {0};
 
+	if (!jt_mechanism_on(chooser->without, JT_MECHANISM_NEWCOMER_SHARE))
+		return;
 	for (in = pool->members; in != NULL; in = in->pool_next) {
-		if (in == newcomer || in->state != JT_INCARNATION_READY)
-			continue;
-		sum += jt_work_now(&in->work, now_ms);
-		count++;
+		if (in != newcomer)
+			work_sum_add(&others, chooser, in, now_ms);
+	}
+	jt_work_add(&newcomer->work, work_mean(&others), now_ms);
+}
+
+static void pool_welcome_zone(const struct jt_chooser *chooser,
+			      const struct jt_service_pool *pool,
+			      uint32_t zone_id, uint64_t now_ms)
+{
+	struct jt_incarnation *in;
+	struct work_sum others = {0};
+
+	for (in = pool->members; in != NULL; in = in->pool_next) {
+		if (in->entry.zone_id != zone_id)
+			work_sum_add(&others, chooser, in, now_ms);
 	}
-	if (count > 0 &&
-	    jt_mechanism_on(chooser->without, JT_MECHANISM_NEWCOMER_SHARE))
-		jt_work_add(&newcomer->work, sum / (double)count, now_ms);
+	for (in = pool->members; in != NULL; in = in->pool_next) {
+		double lacks =
+			work_mean(&others) - jt_work_now(&in->work, now_ms);
+
+		if (in->entry.zone_id == zone_id && lacks > 0)
+			jt_work_add(&in->work, lacks, now_ms);
+	}
+}
+
+void jt_chooser_welcome_zone(const struct jt_chooser *chooser,
+			     const struct jt_endpoint_table *table,
+			     uint32_t zone_id, uint64_t now_ms)
+{
+	const struct jt_service_pool *pool;
+
+	if (!jt_mechanism_on(chooser->without, JT_MECHANISM_NEWCOMER_SHARE))
+		return;
+	for (pool = table->pools; pool != NULL; pool = pool->hh.next)
+		pool_welcome_zone(chooser, pool, zone_id, now_ms);
 }
 
 /* Whether a ready incarnation holds as many flows, by this node's count of all
@@ -192,6 +252,8 @@
 					    uint32_t connection_limit,
 					    uint64_t now_ms)
 {
+	if (zone_drained(chooser, in))
+		return UNWILLING;
 	if (incarnation_full(chooser, in, connection_limit, now_ms))
 		return now_ms < in->avoid_until_ms ||
 				       in->flows >= connection_limit
@@ -226,7 +288,8 @@
 	size_t ready = 0, failing = 0;
 
 	for (in = pool->members; in != NULL; in = in->pool_next) {
-		if (in->state != JT_INCARNATION_READY)
+		if (in->state != JT_INCARNATION_READY ||
+		    zone_drained(chooser, in))
 			continue;
 		ready++;
 		failing += jt_outlier_failing(in, now_ms);
@@ -395,12 +458,31 @@
 	return NULL;
 }
 
-/* Whether some endpoint of the route would take flows if it had room. */
-static bool parts_full(const struct jt_chooser *chooser,
-		       const struct jt_endpoint_table *table,
-		       const struct jt_routing *routing,
-		       const struct jt_route *route, uint64_t now_ms)
+/* What keeps a new flow from the incarnation. */
+static enum jt_director_reason
+incarnation_refusal(const struct jt_chooser *chooser,
+		    const struct jt_incarnation *in, uint32_t connection_limit,
+		    uint64_t now_ms)
 {
+	if (zone_drained(chooser, in))
+		return in->state == JT_INCARNATION_READY
+			       ? JT_DIRECTOR_NO_ZONE
+			       : JT_DIRECTOR_NO_ENDPOINT;
+	if (incarnation_full(chooser, in, connection_limit, now_ms))
+		return JT_DIRECTOR_NO_CAPACITY;
+	return JT_DIRECTOR_NO_ENDPOINT;
+}
+
+/* Why no endpoint of the route takes a new flow: one that is full comes first,
+ * then one whose zone is drained. */
+static enum jt_director_reason
+parts_refusal(const struct jt_chooser *chooser,
+	      const struct jt_endpoint_table *table,
+	      const struct jt_routing *routing, const struct jt_route *route,
+	      uint64_t now_ms)
+{
+	enum jt_director_reason refusal = JT_DIRECTOR_NO_ENDPOINT, one;
+
 	for (size_t i = 0; i < route->part_count; i++) {
 		uint32_t service_id = route->parts[i].service_id;
 		const struct jt_routed_service *service =
@@ -408,21 +490,25 @@
 		const struct jt_service_pool *pool =
 			jt_endpoint_table_pool(table, service_id);
 		const struct jt_incarnation *in = pool ? pool->members : NULL;
-
-		for (; in != NULL && service != NULL; in = in->pool_next) {
-			if (incarnation_full(chooser, in,
-					     service->connection_limit, now_ms))
-				return true;
+		uint32_t limit = service ? service->connection_limit : 0;
+
+		for (; in != NULL; in = in->pool_next) {
+			one = incarnation_refusal(chooser, in, limit, now_ms);
+			if (one == JT_DIRECTOR_NO_CAPACITY)
+				return one;
+			if (one == JT_DIRECTOR_NO_ZONE)
+				refusal = one;
 		}
 	}
-	return false;
+	return refusal;
 }
 
 struct jt_incarnation *jt_chooser_choose(struct jt_chooser *chooser,
 					 const struct jt_endpoint_table *table,
 					 const struct jt_routing *routing,
 					 const struct jt_route *route,
-					 uint64_t now_ms, bool *full)
+					 uint64_t now_ms,
+					 enum jt_director_reason *refusal)
 {
 	struct jt_split *split = split_find(chooser, route);
 	struct jt_incarnation *chosen = NULL;
@@ -431,7 +517,7 @@
 			? WILLING
 			: LAST_RESORT;
 
-	*full = false;
+	*refusal = JT_DIRECTOR_NO_ENDPOINT;
 	if (split == NULL)
 		return NULL;
 	/* A part whose endpoints all seem to have ended gives way to others. */
@@ -439,6 +525,7 @@
 		chosen = parts_choose(chooser, table, routing, split,
 				      (enum willingness)most, now_ms);
 	if (chosen == NULL)
-		*full = parts_full(chooser, table, routing, route, now_ms);
+		*refusal =
+			parts_refusal(chooser, table, routing, route, now_ms);
 	return chosen;
 }
--- a/src/label/jt_choose.h
+++ b/src/label/jt_choose.h
@@ -12,6 +12,7 @@
 #include "jt_endpoint_table.h"
 #include "jt_peer_loads.h"
 #include "jt_random.h"
+#include "jt_zone_drains.h"
 
 #include <uthash.h>
 
@@ -29,6 +30,7 @@
 	uint32_t lapsed_grace_ms;
 	uint32_t returned_grace_ms;
 	struct jt_peer_loads *peer_loads;
+	const struct jt_zone_drains *zone_drains;
 	uint64_t nodes; /* that share the endpoints, this one too */
 	struct jt_random random;
 	unsigned break_mechanism;
@@ -37,14 +39,16 @@
 
 struct jt_chooser *jt_chooser_create(TALLOC_CTX *mem_ctx,
 				     const struct jt_director_options *opts,
-				     struct jt_peer_loads *peer_loads);
-/* NULL when no endpoint of any part may take a new flow; @full is true where
- * that is for want of connections. */
+				     struct jt_peer_loads *peer_loads,
+				     const struct jt_zone_drains *zone_drains);
+/* NULL when no endpoint of any part may take a new flow; @refusal then says
+ * why. */
 struct jt_incarnation *jt_chooser_choose(struct jt_chooser *chooser,
 					 const struct jt_endpoint_table *table,
 					 const struct jt_routing *routing,
 					 const struct jt_route *route,
-					 uint64_t now_ms, bool *full);
+					 uint64_t now_ms,
+					 enum jt_director_reason *refusal);
 /* Flows of all nodes together at the incarnation, as far as is known. */
 double jt_chooser_flows(const struct jt_chooser *chooser,
 			const struct jt_incarnation *incarnation,
@@ -54,6 +58,11 @@
 void jt_chooser_welcome(const struct jt_chooser *chooser,
 			const struct jt_service_pool *pool,
 			struct jt_incarnation *newcomer, uint64_t now_ms);
+/* The drain of a zone has ended: its endpoints count as ones that got as much
+ * work as those of other zones. */
+void jt_chooser_welcome_zone(const struct jt_chooser *chooser,
+			     const struct jt_endpoint_table *table,
+			     uint32_t zone_id, uint64_t now_ms);
 /* A request of the route went to @service_id on a flow that is open. */
 void jt_chooser_count(struct jt_chooser *chooser, const struct jt_route *route,
 		      uint32_t service_id);
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -58,8 +58,8 @@
 	director->endpoints = jt_endpoint_table_create(director);
 	director->flows = jt_flow_cache_create(director, opts->flow_limit);
 	director->peer_loads = jt_peer_loads_create(director);
-	director->chooser =
-		jt_chooser_create(director, opts, director->peer_loads);
+	director->chooser = jt_chooser_create(
+		director, opts, director->peer_loads, &director->zone_drains);
 	director->latency = jt_latency_create(director);
 	if (director->endpoints == NULL || director->flows == NULL ||
 	    director->chooser == NULL || director->latency == NULL ||
@@ -290,10 +290,83 @@
 	director->listed = true;
 }
 
+/* Zones in drain */
+
+static void zone_take(struct jt_director *director,
+		      const struct jt_zone_drain *drain, uint64_t now_ms,
+		      struct jt_director_actions *actions)
+{
+	enum jt_director_action_kind kind = JT_DIRECTOR_ZONE_DRAINED;
+	const struct jt_zone_state *state = NULL;
+	struct jt_director_action *action;
+	enum jt_zone_result result;
+
+	result = jt_zone_drains_take(&director->zone_drains, drain, now_ms,
+				     &state);
+	if (result == JT_ZONE_NO_ROOM)
+		director->counters.entries_refused++;
+	if (result != JT_ZONE_BEGAN && result != JT_ZONE_ENDED)
+		return;
+	if (result == JT_ZONE_ENDED) {
+		kind = JT_DIRECTOR_ZONE_RESTORED;
+		jt_chooser_welcome_zone(director->chooser, director->endpoints,
+					state->zone_id, now_ms);
+	}
+	action = jt_director_action_add(actions, kind, 0);
+	if (action == NULL)
+		return;
+	action->zone = state->drain.zone;
+	action->revision = state->drain.revision;
+}
+
+/* The drain of a zone that a complete list does not hold has ended. */
+static void zone_end(struct jt_director *director,
+		     const struct jt_zone_state *state, uint64_t revision,
+		     uint64_t now_ms, struct jt_director_actions *actions)
+{
+	struct jt_zone_drain ended = state->drain;
+
+	ended.draining = false;
+	ended.revision = revision;
+	zone_take(director, &ended, now_ms, actions);
+}
+
+static bool zone_among(const struct jt_zone_drain *drains, size_t count,
+		       const char *zone)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (strcmp(drains[i].zone, zone) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void event_zone_drains(struct jt_director *director,
+			      const struct jt_director_event *event,
+			      struct jt_director_actions *actions)
+{
+	const struct jt_zone_drain *drains = event->u.zones.drains;
+	size_t count = event->u.zones.count;
+
+	for (size_t i = 0; i < count; i++)
+		zone_take(director, &drains[i], event->now_ms, actions);
+	for (size_t i = 0;
+	     event->u.zones.complete && i < director->zone_drains.count; i++) {
+		const struct jt_zone_state *state =
+			&director->zone_drains.zones[i];
+
+		if (state->drain.draining &&
+		    !zone_among(drains, count, state->drain.zone))
+			zone_end(director, state, event->u.zones.revision,
+				 event->now_ms, actions);
+	}
+}
+
 static void event_listing(struct jt_director *director)
 {
 	struct jt_incarnation *incarnation;
 
+	jt_zone_drains_listing(&director->zone_drains);
 	for (incarnation = jt_endpoint_table_first(director->endpoints);
 	     incarnation != NULL;
 	     incarnation = jt_endpoint_table_next(incarnation)) {
@@ -316,6 +389,13 @@
 			event_gone(director, incarnation->entry.id, revision,
 				   now_ms, actions);
 	}
+	for (size_t i = 0; i < director->zone_drains.count; i++) {
+		const struct jt_zone_state *state =
+			&director->zone_drains.zones[i];
+
+		if (!state->told)
+			zone_end(director, state, revision, now_ms, actions);
+	}
 }
 
 /* News is complete only for a node that knows all up to where it begins, and
@@ -569,6 +649,9 @@
 				   event->u.loads.loads, event->u.loads.count,
 				   now_ms);
 		break;
+	case JT_DIRECTOR_ZONE_DRAINS:
+		event_zone_drains(director, event, actions);
+		break;
 	case JT_DIRECTOR_TICK:
 		director->nodes =
 			event->u.tick.nodes > 0 ? event->u.tick.nodes : 1;
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -15,6 +15,8 @@
 	/* A caller waits longer than that before it sends the same again: what
 	 * comes sooner was doubled by the network. */
 	RESEND_LEAST_MS = 100,
+	/* A caller's attempt to open a flow has ended by then. */
+	CALLER_ENDS_MS = 1400,
 	/* Flows without an answer that are looked at for each new one. */
 	OPENING_LOOK = 256,
 };
@@ -165,15 +167,12 @@
 {
 	struct jt_incarnation *chosen;
 	struct jt_cached_flow *flow;
-	bool full;
+	enum jt_director_reason refusal;
 
 	chosen = jt_chooser_choose(director->chooser, director->endpoints,
-				   director->routing, route, now_ms, &full);
+				   director->routing, route, now_ms, &refusal);
 	if (chosen == NULL) {
-		add_reset(director, &packet->key,
-			  full ? JT_DIRECTOR_NO_CAPACITY
-			       : JT_DIRECTOR_NO_ENDPOINT,
-			  actions);
+		add_reset(director, &packet->key, refusal, actions);
 		return;
 	}
 	flow = flow_add(director, packet, chosen, now_ms);
@@ -219,6 +218,23 @@
 	return flow->sequence_end - packet->sequence < FLOW_BYTES_MOST;
 }
 
+/*
+ * Whether a copy of a first packet comes so late that its caller has given up,
+ * and would open a flow in a zone that is drained now. Sooner than that, the
+ * flow stays where its first packet went: another endpoint's answer might take
+ * the caller's next packets away from it.
+ */
+static bool copy_too_late(const struct jt_director *director,
+			  const struct jt_cached_flow *flow,
+			  const struct jt_incarnation *incarnation,
+			  uint64_t now_ms)
+{
+	return flow->opening_ms != 0 &&
+	       now_ms - flow->opening_ms >= CALLER_ENDS_MS &&
+	       jt_zone_drains_has(&director->zone_drains,
+				  incarnation->entry.zone_id);
+}
+
 /* The first packet has come before: stay with its endpoint. */
 static void first_again(struct jt_director *director,
 			const struct jt_label_packet *packet,
@@ -272,6 +288,12 @@
 		if (director->options.break_mechanism &
 		    JT_DIRECTOR_BREAK_PLACE_COPIES)
 			incarnation = NULL;
+		if (incarnation != NULL &&
+		    copy_too_late(director, flow, incarnation, now_ms)) {
+			add_drop(director, packet, JT_DIRECTOR_NO_ZONE,
+				 actions);
+			return;
+		}
 		if (incarnation != NULL &&
 		    incarnation->state != JT_INCARNATION_DEAD) {
 			first_again(director, packet, flow, incarnation, now_ms,
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -10,6 +10,7 @@
 #include "jt_latency.h"
 #include "jt_peer_loads.h"
 #include "jt_routing.h"
+#include "jt_zone_drains.h"
 
 struct jt_director {
 	struct jt_director_options options;
@@ -23,6 +24,7 @@
 	uint64_t forgotten_revision; /* the newest of a forgotten entry */
 	bool listed; /* discovery was told whole at least once */
 	struct jt_endpoint_table *endpoints;
+	struct jt_zone_drains zone_drains;
 	struct jt_flow_cache *flows;
 	struct jt_chooser *chooser;
 	struct jt_detector detector;
--- a/src/label/jt_director_view.c
+++ b/src/label/jt_director_view.c
@@ -159,6 +159,22 @@
 	return false;
 }
 
+const struct jt_zone_drain *
+jt_director_zone_drain_at(const struct jt_director *director, size_t index,
+			  uint64_t *since_ms)
+{
+	for (size_t i = 0; i < director->zone_drains.count; i++) {
+		const struct jt_zone_state *state =
+			&director->zone_drains.zones[i];
+
+		if (!state->drain.draining || index-- > 0)
+			continue;
+		*since_ms = state->since_ms;
+		return &state->drain;
+	}
+	return NULL;
+}
+
 const char *jt_director_reason_name(enum jt_director_reason reason)
 {
 	static const char *const names[] = {
@@ -174,6 +190,7 @@
 		[JT_DIRECTOR_FORGED] = "forged",
 		[JT_DIRECTOR_NO_CAPACITY] = "no_capacity",
 		[JT_DIRECTOR_NOT_STARTED] = "not_started",
+		[JT_DIRECTOR_NO_ZONE] = "no_zone",
 	};
 
 	return names[reason];
--- a/src/label/jt_knowledge.c
+++ b/src/label/jt_knowledge.c
@@ -50,14 +50,25 @@
 			(char *)routing->services[i].health_path;
 		wire->services.services_val[i].connection_limit =
 			routing->services[i].connection_limit;
+		wire->services.services_val[i].cold_permille =
+			routing->services[i].cold_permille;
 	}
 	wire->routes.routes_len = (u_int)routing->route_count;
 	wire->services.services_len = (u_int)routing->service_count;
 	return true;
 }
 
+/* How much longer the incarnation is cold: less than its entry said when it
+ * came. */
+static uint32_t cold_left_ms(const struct jt_incarnation *in, uint64_t now_ms)
+{
+	return now_ms < in->cold_until_ms
+		       ? (uint32_t)(in->cold_until_ms - now_ms)
+		       : 0;
+}
+
 static bool entries_write(TALLOC_CTX *mem_ctx,
-			  const struct jt_director *director,
+			  const struct jt_director *director, uint64_t now_ms,
 			  jt_wire_knowledge *knowledge)
 {
 	const struct jt_incarnation *in;
@@ -82,7 +93,7 @@
 			.address = entry->address.ip,
 			.port = entry->address.port,
 			.capacity = entry->capacity,
-			.cold_left_ms = entry->cold_left_ms,
+			.cold_left_ms = cold_left_ms(in, now_ms),
 			.revision = entry->revision,
 			.draining = entry->draining,
 			.gone_revision = entry->gone_revision,
@@ -93,8 +104,30 @@
 	return true;
 }
 
+static bool zones_write(TALLOC_CTX *mem_ctx, const struct jt_zone_drains *zones,
+			jt_wire_knowledge *knowledge)
+{
+	jt_wire_zone_drain *wire =
+		talloc_array(mem_ctx, jt_wire_zone_drain, zones->count + 1);
+
+	if (wire == NULL)
+		return false;
+	for (size_t i = 0; i < zones->count; i++) {
+		const struct jt_zone_drain *drain = &zones->zones[i].drain;
+
+		wire[i] = (jt_wire_zone_drain){
+			.zone = (char *)drain->zone,
+			.revision = drain->revision,
+			.draining = drain->draining,
+		};
+	}
+	knowledge->zones.zones_val = wire;
+	knowledge->zones.zones_len = (u_int)zones->count;
+	return true;
+}
+
 bool jt_knowledge_write(TALLOC_CTX *mem_ctx, const struct jt_director *director,
-			uint64_t since, uint64_t version,
+			uint64_t since, uint64_t version, uint64_t now_ms,
 			jt_wire_knowledge *knowledge)
 {
 	const struct jt_routing *routing = jt_director_routing(director);
@@ -107,7 +140,8 @@
 	if (routing != NULL && routing->version > version &&
 	    !routing_write(mem_ctx, routing, &knowledge->routing))
 		return false;
-	return entries_write(mem_ctx, director, knowledge);
+	return zones_write(mem_ctx, &director->zone_drains, knowledge) &&
+	       entries_write(mem_ctx, director, now_ms, knowledge);
 }
 
 static bool route_read(const jt_wire_route *wire, struct jt_route *route)
@@ -133,6 +167,7 @@
 {
 	service->id = wire->id;
 	service->connection_limit = wire->connection_limit;
+	service->cold_permille = wire->cold_permille;
 	snprintf(service->health_path, sizeof(service->health_path), "%s",
 		 wire->health_path);
 }
@@ -176,6 +211,22 @@
 	return routing;
 }
 
+struct jt_zone_drain *jt_knowledge_zones(TALLOC_CTX *mem_ctx,
+					 const jt_wire_zone_drain *wire,
+					 size_t count)
+{
+	struct jt_zone_drain *drains =
+		talloc_zero_array(mem_ctx, struct jt_zone_drain, count + 1);
+
+	for (size_t i = 0; drains != NULL && i < count; i++) {
+		snprintf(drains[i].zone, sizeof(drains[i].zone), "%s",
+			 wire[i].zone);
+		drains[i].revision = wire[i].revision;
+		drains[i].draining = wire[i].draining;
+	}
+	return drains;
+}
+
 bool jt_knowledge_entry(const jt_wire_entry *wire,
 			struct jt_director_event *event)
 {
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -20,7 +20,9 @@
 #define JT_DIRECTOR_MAX_ENTRIES 8192
 #define JT_DIRECTOR_MAX_NAME 63
 #define JT_DIRECTOR_MAX_LOADS 96
+#define JT_DIRECTOR_MAX_ZONES 64
 #define JT_DIRECTOR_MAX_NEWS 20
+#define JT_DIRECTOR_MAX_NEWS_ZONES 2
 
 struct jt_wire_peer {
 	u_quad_t id;
@@ -107,6 +109,7 @@
 	u_int id;
 	u_int connection_limit;
 	char *health_path;
+	u_int cold_permille;
 };
 typedef struct jt_wire_service jt_wire_service;
 
@@ -138,6 +141,13 @@
 };
 typedef struct jt_wire_entry jt_wire_entry;
 
+struct jt_wire_zone_drain {
+	char *zone;
+	u_quad_t revision;
+	bool_t draining;
+};
+typedef struct jt_wire_zone_drain jt_wire_zone_drain;
+
 struct jt_wire_news {
 	jt_wire_digest digest;
 	u_quad_t since;
@@ -145,6 +155,10 @@
 		u_int entries_len;
 		jt_wire_entry *entries_val;
 	} entries;
+	struct {
+		u_int zones_len;
+		jt_wire_zone_drain *zones_val;
+	} zones;
 };
 typedef struct jt_wire_news jt_wire_news;
 
@@ -158,6 +172,10 @@
 		u_int entries_len;
 		jt_wire_entry *entries_val;
 	} entries;
+	struct {
+		u_int zones_len;
+		jt_wire_zone_drain *zones_val;
+	} zones;
 };
 typedef struct jt_wire_knowledge jt_wire_knowledge;
 
@@ -205,6 +223,7 @@
 extern  bool_t xdr_jt_wire_service (XDR *, jt_wire_service*);
 extern  bool_t xdr_jt_wire_routing (XDR *, jt_wire_routing*);
 extern  bool_t xdr_jt_wire_entry (XDR *, jt_wire_entry*);
+extern  bool_t xdr_jt_wire_zone_drain (XDR *, jt_wire_zone_drain*);
 extern  bool_t xdr_jt_wire_news (XDR *, jt_wire_news*);
 extern  bool_t xdr_jt_wire_knowledge (XDR *, jt_wire_knowledge*);
 extern  bool_t xdr_jt_wire_director_kind (XDR *, jt_wire_director_kind*);
@@ -224,6 +243,7 @@
 extern bool_t xdr_jt_wire_service ();
 extern bool_t xdr_jt_wire_routing ();
 extern bool_t xdr_jt_wire_entry ();
+extern bool_t xdr_jt_wire_zone_drain ();
 extern bool_t xdr_jt_wire_news ();
 extern bool_t xdr_jt_wire_knowledge ();
 extern bool_t xdr_jt_wire_director_kind ();
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -13,7 +13,10 @@
 const JT_DIRECTOR_MAX_ENTRIES = 8192;
 const JT_DIRECTOR_MAX_NAME = 63;
 const JT_DIRECTOR_MAX_LOADS = 96;
-const JT_DIRECTOR_MAX_NEWS = 20; /* entries that fit into one datagram */
+const JT_DIRECTOR_MAX_ZONES = 64;
+/* Entries and drains of zones that fit into one datagram. */
+const JT_DIRECTOR_MAX_NEWS = 20;
+const JT_DIRECTOR_MAX_NEWS_ZONES = 2;
 
 struct jt_wire_peer {
 	unsigned hyper id;
@@ -91,6 +94,7 @@
 	unsigned int id;
 	unsigned int connection_limit;
 	string health_path<JT_DIRECTOR_MAX_NAME>;
+	unsigned int cold_permille; /* new flows a second at a cold endpoint */
 };
 
 struct jt_wire_routing {
@@ -113,20 +117,27 @@
 	bool draining;
 };
 
+struct jt_wire_zone_drain {
+	string zone<JT_DIRECTOR_MAX_NAME>;
+	unsigned hyper revision;
+	bool draining; /* false: the drain has ended */
+};
+
 /*
- * Sent on by each node that learns of it: all entries that changed after
- * `since`, up to the digest's revision. Whoever knows less than `since`, or an
+ * Sent on by each node that learns of it: all entries and drains of zones
+ * that changed after `since`, up to the digest's revision. Whoever knows less than `since`, or an
  * older routing, fetches what it lacks.
  */
 struct jt_wire_news {
 	jt_wire_digest digest; /* without peers */
 	unsigned hyper since;
 	jt_wire_entry entries<JT_DIRECTOR_MAX_NEWS>;
+	jt_wire_zone_drain zones<JT_DIRECTOR_MAX_NEWS_ZONES>;
 };
 
 /*
  * What a peer that is behind fetches: the entries that changed after `since`
- * (0: all), and the routing unless the peer has it.
+ * (0: all), all drains of zones, and the routing unless the peer has it.
  */
 struct jt_wire_knowledge {
 	unsigned hyper since;
@@ -135,6 +146,7 @@
 	unsigned hyper store_reader; /* the node that read it */
 	jt_wire_routing routing;
 	jt_wire_entry entries<JT_DIRECTOR_MAX_ENTRIES>;
+	jt_wire_zone_drain zones<JT_DIRECTOR_MAX_ZONES>;
 };
 
 enum jt_wire_director_kind {
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -369,6 +369,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->health_path, JT_DIRECTOR_MAX_NAME))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_permille))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -487,6 +489,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_jt_wire_zone_drain (XDR *xdrs, jt_wire_zone_drain *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->zone, JT_DIRECTOR_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->draining))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_jt_wire_news (XDR *xdrs, jt_wire_news *objp)
 {
@@ -499,6 +515,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, JT_DIRECTOR_MAX_NEWS,
 		sizeof (jt_wire_entry), (xdrproc_t) xdr_jt_wire_entry))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->zones.zones_val, (u_int *) &objp->zones.zones_len, JT_DIRECTOR_MAX_NEWS_ZONES,
+		sizeof (jt_wire_zone_drain), (xdrproc_t) xdr_jt_wire_zone_drain))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -520,6 +539,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, JT_DIRECTOR_MAX_ENTRIES,
 		sizeof (jt_wire_entry), (xdrproc_t) xdr_jt_wire_entry))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->zones.zones_val, (u_int *) &objp->zones.zones_len, JT_DIRECTOR_MAX_ZONES,
+		sizeof (jt_wire_zone_drain), (xdrproc_t) xdr_jt_wire_zone_drain))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/settings/jt_director_settings.c
+++ b/src/settings/jt_director_settings.c
@@ -14,6 +14,7 @@
 	DEFAULT_FLOW_AGE_S = 3600,
 	DEFAULT_FLOW_LIMIT = 1 << 16,
 	DEFAULT_CONFIG_MS = 3000,
+	DEFAULT_ZONE_DRAIN_MS = 5000,
 	CORES_MOST = 4096,
 	DEFAULT_CORES = 1,
 	/* A node's weight as a reader: thousandths of a core. */
@@ -59,22 +60,32 @@
 	return jt_settings_read_address(r, listen, "peer", &s->peer);
 }
 
+static double lower(double a, double b)
+{
+	return a < b ? a : b;
+}
+
 static int read_limits(struct jt_settings_reader *r,
 		       const config_setting_t *root,
 		       struct jt_director_settings *s)
 {
-	static const char *const known[] = {"drain_ms", "config_ms",
-					    "leave_s",	"flow_age_s",
-					    "flows",	NULL};
+	static const char *const known[] = {
+		"drain_ms", "config_ms",  "zone_drain_ms",
+		"leave_s",  "flow_age_s", "flows",
+		NULL};
 	const config_setting_t *limits =
 		jt_settings_need_group(r, root, "limits");
-	double drain_ms = 0, config_ms = 0, leave_s = 0, flow_age_s = 0;
+	double drain_ms = 0, config_ms = 0, zone_drain_ms = 0, leave_s = 0,
+	       flow_age_s = 0;
 
 	if (limits == NULL || jt_settings_check_keys(r, limits, known) != 0 ||
 	    jt_settings_read_real(r, limits, "drain_ms", 0, MOST_S * 1000.0,
 				  DEFAULT_DRAIN_MS, &drain_ms) != 0 ||
 	    jt_settings_read_real(r, limits, "config_ms", 0, MOST_S * 1000.0,
 				  DEFAULT_CONFIG_MS, &config_ms) != 0 ||
+	    jt_settings_read_real(r, limits, "zone_drain_ms", 0,
+				  MOST_S * 1000.0, DEFAULT_ZONE_DRAIN_MS,
+				  &zone_drain_ms) != 0 ||
 	    jt_settings_read_real(r, limits, "leave_s", 0, MOST_S,
 				  DEFAULT_LEAVE_S, &leave_s) != 0 ||
 	    jt_settings_read_real(r, limits, "flow_age_s", 0, MOST_S,
@@ -84,7 +95,7 @@
 		return -1;
 	s->drain_limit_ms = (uint32_t)drain_ms;
 	s->store_age_limit_ms =
-		(uint32_t)(drain_ms < config_ms ? drain_ms : config_ms) /
+		(uint32_t)lower(drain_ms, lower(config_ms, zone_drain_ms)) /
 		STORE_AGE_PART;
 	s->leave_limit_ms = (uint32_t)(leave_s * 1000);
 	s->flow_age_limit_ms = (uint32_t)(flow_age_s * 1000);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -21,12 +21,21 @@
 	SERVED_PERCENT = 90, /* of it that must be answered */
 	SECONDS_LEAST = 5,
 	SECONDS_MOST = 3600,
+	/* Between zones that are drained or restored; one time in so many,
+	 * connections fall silent instead. */
+	ZONE_LEAST_MS = 500,
+	ZONE_MOST_MS = 5000,
+	ZONE_FAULTS_A_STALE = 4,
 };
 
 struct schedule {
 	struct soak *soak;
 	struct jt_timer *timer;
 	uint64_t due_ms;
+	/* Zones and stale connections are drawn on their own, so that a seed's
+	 * other faults stay as they were before there were these. */
+	struct jt_random random;
+	uint64_t zone_due_ms;
 	uint64_t packets_until_ms;
 	uint64_t end_ms;
 	bool over;
@@ -73,7 +82,7 @@
 static void fault_link(struct soak *soak, int node)
 {
 	enum soak_link link =
-		(enum soak_link)(1 + soak_random(soak, SOAK_LINKS - 1));
+		(enum soak_link)(1 + soak_random(soak, SOAK_LINK_STALE - 1));
 
 	soak_note(soak, "node %d: its way to the store: %s", node,
 		  soak_link_name(link));
@@ -137,6 +146,44 @@
 	}
 }
 
+/* All connections of all nodes to the store fall silent at once. */
+static void fault_stale(struct soak *soak)
+{
+	soak_note(soak, "all nodes: open connections to the store are silent");
+	for (int i = 0; i < SOAK_NODES; i++) {
+		if (soak->nodes[i].heal_ms != 0)
+			continue;
+		soak_proxy_set(soak->nodes[i].proxy, SOAK_LINK_STALE);
+		soak->nodes[i].disturbed_ms = jt_clock_ms();
+	}
+}
+
+/* One zone stays, so that there are endpoints for new flows. */
+static void fault_zone(struct schedule *schedule)
+{
+	struct soak *soak = schedule->soak;
+	uint32_t zone =
+		(uint32_t)(jt_random_next(&schedule->random) % SOAK_ZONES);
+	unsigned drained = 0;
+
+	for (int i = 0; i < SOAK_ZONES; i++)
+		drained += soak->zones[i].drained;
+	if (soak->zones[zone].drained || drained + 1 < SOAK_ZONES)
+		soak_zone_turn(soak, zone);
+}
+
+static void fault_zone_or_stale(struct schedule *schedule, uint64_t now_ms)
+{
+	if (jt_random_next(&schedule->random) % ZONE_FAULTS_A_STALE == 0)
+		fault_stale(schedule->soak);
+	else
+		fault_zone(schedule);
+	schedule->soak->faults++;
+	schedule->zone_due_ms =
+		now_ms + ZONE_LEAST_MS +
+		jt_random_next(&schedule->random) % ZONE_MOST_MS;
+}
+
 static void fault_packets(struct schedule *schedule)
 {
 	struct soak *soak = schedule->soak;
@@ -177,6 +224,10 @@
 	soak->calm_ms = now_ms;
 	soak->drop_percent = soak->copy_percent = 0;
 	soak_note(soak, "faults end");
+	for (uint32_t zone = 0; zone < SOAK_ZONES; zone++) {
+		if (soak->zones[zone].drained)
+			soak_zone_turn(soak, zone);
+	}
 	for (int i = 0; i < SOAK_NODES; i++) {
 		if (soak->nodes[i].heal_ms != 0)
 			soak->nodes[i].heal_ms = now_ms;
@@ -208,6 +259,8 @@
 		fault_next(schedule);
 		schedule->due_ms = now_ms + 150 + soak_random(soak, 1500);
 	}
+	if (soak->calm_ms == 0 && now_ms >= schedule->zone_due_ms)
+		fault_zone_or_stale(schedule, now_ms);
 	schedule->over = soak->calm_ms != 0 &&
 			 now_ms > soak->calm_ms + SOAK_RECOVERY_MS + CALM_MS;
 	jt_timer_set(schedule->timer, TICK_MS);
@@ -294,6 +347,8 @@
 	soak_nodes_create(soak);
 	soak_callers_create(soak);
 	schedule.due_ms = jt_clock_ms() + START_MS;
+	schedule.zone_due_ms = schedule.due_ms;
+	schedule.random.seed = ~(uint64_t)seed;
 	schedule.end_ms = schedule.due_ms + seconds * 1000ull;
 	schedule.timer = jt_timer_create(soak, soak->loop, on_tick, &schedule);
 	jt_timer_set(schedule.timer, TICK_MS);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -34,6 +34,7 @@
 
 	SOAK_DRAIN_MS = 3000,
 	SOAK_CONFIG_MS = 3000,
+	SOAK_ZONE_DRAIN_MS = 3000,
 	SOAK_ROLLBACK_MS = 250,
 	SOAK_CONTACT_MS = 4000,
 	SOAK_GRACE_MS = 3000,
@@ -86,6 +87,7 @@
 	SOAK_LINK_RESET,   /* connections are reset */
 	SOAK_LINK_SILENT,  /* nothing passes */
 	SOAK_LINK_ONE_WAY, /* requests pass, answers do not */
+	SOAK_LINK_STALE,   /* open connections fall silent, new ones work */
 	SOAK_LINKS,
 };
 
@@ -202,10 +204,13 @@
 /* A node answered a first packet with a reset. */
 void soak_check_refused(struct soak *soak, int node, uint16_t route_port,
 			uint64_t sent_ms);
-/* A node reset an open flow. */
-void soak_check_reset(struct soak *soak, int node, int endpoint);
+/* A node reset an open flow of the caller. */
+void soak_check_reset(struct soak *soak, int node, int endpoint,
+		      uint32_t caller_ip, uint16_t caller_port);
 /* A packet of an open flow reached another endpoint. */
 void soak_check_astray(struct soak *soak, int endpoint, int owner, int node);
+/* Drain the zone, or restore it when it is drained. */
+void soak_zone_turn(struct soak *soak, uint32_t zone);
 /* Publish the next version; its service of the switch route alternates. */
 void soak_version_next(struct soak *soak);
 
@@ -214,6 +219,12 @@
 	uint32_t switch_service;
 };
 
+/* A zone as the store has it. */
+struct soak_zone {
+	bool drained;
+	uint64_t turned_ms; /* when it was drained or restored, 0: never */
+};
+
 struct soak {
 	struct tevent_context *loop;
 	struct jt_http_client *client;
@@ -231,6 +242,7 @@
 	struct soak_callers *callers;
 	struct soak_version versions[SOAK_VERSIONS];
 	uint64_t version; /* the newest one */
+	struct soak_zone zones[SOAK_ZONES];
 	unsigned drop_percent;
 	unsigned copy_percent;
 	unsigned faults;
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -362,7 +362,8 @@
 		} else if (apart < -76800 || apart > 76800) {
 			return;
 		} else if (flow->endpoint >= 0 && !flow->doubled) {
-			soak_check_reset(soak, node, flow->endpoint);
+			soak_check_reset(soak, node, flow->endpoint, caller->ip,
+					 packet->destination_port);
 		}
 	}
 	flow_failed(caller, flow);
--- a/tests/soak/soak_nodes.c
+++ b/tests/soak/soak_nodes.c
@@ -56,8 +56,8 @@
 		"seeds = ( \"%s\", \"%s\" );\n"
 		"keys = ( { id = 1; secret = \"6a6173706572747261636b2d706c6174"
 		"666f726d2d706565722d6b65792d3031\"; } );\n"
-		"limits = { drain_ms = %d; config_ms = %d; leave_s = %d; "
-		"flow_age_s = 60; };\n",
+		"limits = { drain_ms = %d; config_ms = %d; zone_drain_ms = %d; "
+		"leave_s = %d; flow_age_s = 60; };\n",
 		node, soak->nodes[node].zone,
 		address_text(name, soak_node_address(node, SOAK_PACKET_PORT)),
 		address_text(name, soak_node_address(node, SOAK_READY_PORT)),
@@ -65,7 +65,8 @@
 		address_text(name, store_address(node)),
 		address_text(name, soak_node_address(0, SOAK_PEER_PORT)),
 		address_text(name, soak_node_address(1, SOAK_PEER_PORT)),
-		SOAK_DRAIN_MS, SOAK_CONFIG_MS, SOAK_GRACE_MS / 1000);
+		SOAK_DRAIN_MS, SOAK_CONFIG_MS, SOAK_ZONE_DRAIN_MS,
+		SOAK_GRACE_MS / 1000);
 	fclose(file);
 	return name;
 }
--- a/tests/soak/soak_oracle.c
+++ b/tests/soak/soak_oracle.c
@@ -116,6 +116,26 @@
 	}
 }
 
+/* Whether the zone's endpoints had to be known as drained by then. */
+static bool zone_drained(const struct soak *soak, uint32_t zone,
+			 uint64_t sent_ms)
+{
+	const struct soak_zone *state = &soak->zones[zone];
+
+	return state->drained &&
+	       sent_ms > state->turned_ms + SOAK_ZONE_DRAIN_MS;
+}
+
+/* Whether all nodes had to know that the zone takes new flows by then. */
+static bool zone_open(const struct soak *soak, uint32_t zone, uint64_t sent_ms)
+{
+	const struct soak_zone *state = &soak->zones[zone];
+
+	return !state->drained &&
+	       (state->turned_ms == 0 ||
+		sent_ms > state->turned_ms + SOAK_ZONE_DRAIN_MS);
+}
+
 void soak_check_first(struct soak *soak, int index, int node,
 		      uint16_t route_port, uint64_t sent_ms)
 {
@@ -140,6 +160,29 @@
 			"was told as leaving",
 			node, (unsigned long long)endpoint->id,
 			(unsigned long long)(sent_ms - endpoint->no_new_ms));
+	if (zone_drained(soak, endpoint->zone, sent_ms) &&
+	    bound_holds(soak, node, sent_ms, SOAK_ZONE_DRAIN_MS))
+		soak_broken(soak, "ZONE",
+			    "node %d sent a new flow to %llx, %llu ms after "
+			    "zone %u was drained",
+			    node, (unsigned long long)endpoint->id,
+			    (unsigned long long)(sent_ms -
+						 soak->zones[endpoint->zone]
+							 .turned_ms),
+			    endpoint->zone);
+}
+
+void soak_zone_turn(struct soak *soak, uint32_t zone)
+{
+	struct soak_zone *state = &soak->zones[zone];
+	char key[64];
+
+	state->drained = !state->drained;
+	state->turned_ms = jt_clock_ms();
+	snprintf(key, sizeof(key), "op/evacuate/zone-%u", zone);
+	soak_note(soak, "zone %u: %s", zone,
+		  state->drained ? "drained" : "restored");
+	soak_store_put(soak->store, key, state->drained ? "{}" : NULL);
 }
 
 /* Whether the route led to the service at some time since @since_ms: a first
@@ -170,6 +213,7 @@
 		willing = willing ||
 			  (endpoint->service == service &&
 			   endpoint->life == SOAK_ALIVE && endpoint->listed &&
+			   zone_open(soak, endpoint->zone, sent_ms) &&
 			   endpoint->disturbed_ms + SOAK_CONTACT_MS < sent_ms);
 		/* The first packet may have gone there: then the reset tells
 		 * the caller of that endpoint's end. */
@@ -185,17 +229,22 @@
 			    node);
 }
 
-void soak_check_reset(struct soak *soak, int node, int index)
+void soak_check_reset(struct soak *soak, int node, int index,
+		      uint32_t caller_ip, uint16_t caller_port)
 {
 	const struct soak_endpoint *endpoint = &soak->endpoints[index];
 	uint64_t now_ms = jt_clock_ms();
+	char flow[JT_ADDRESS_TEXT];
 
 	soak->resets++;
 	if (endpoint->life == SOAK_ENDED ||
 	    endpoint->disturbed_ms + SOAK_CONTACT_MS > now_ms)
 		return;
 	soak_broken(soak, "FLOW",
-		    "node %d reset an open flow of %llx, which serves", node,
+		    "node %d reset the open flow of %s at %llx, which serves",
+		    node,
+		    jt_address_format(
+			    (struct jt_address){caller_ip, caller_port}, flow),
 		    (unsigned long long)endpoint->id);
 }
 
--- a/tests/soak/soak_proxy.c
+++ b/tests/soak/soak_proxy.c
@@ -30,13 +30,14 @@
 	struct soak_proxy *proxy;
 	struct pipe *next, *previous;
 	int client_fd, store_fd;
+	bool stale; /* says nothing any more, for good */
 	struct half request, answer;
 };
 
 const char *soak_link_name(enum soak_link link)
 {
-	static const char *const names[] = {"pass", "delay", "reset", "silent",
-					    "one_way"};
+	static const char *const names[] = {"pass",   "delay",	 "reset",
+					    "silent", "one_way", "stale"};
 
 	return names[link];
 }
@@ -64,6 +65,8 @@
 /* Whether bytes of that direction pass now. */
 static bool half_passes(const struct half *half)
 {
+	if (half->pipe->stale)
+		return false;
 	switch (half->pipe->proxy->link) {
 	case SOAK_LINK_SILENT:
 		return false;
@@ -206,6 +209,7 @@
 			talloc_free(pipe);
 			continue;
 		}
+		pipe->stale = pipe->stale || link == SOAK_LINK_STALE;
 		tevent_fd_set_flags(pipe->request.event, TEVENT_FD_READ);
 		tevent_fd_set_flags(pipe->answer.event, TEVENT_FD_READ);
 	}
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -369,8 +369,8 @@
 	entry.address = entry_of(0x101, 0, 0, 0).address;
 	bench_entry(bench, entry);
 	bench_gone(bench, 0x101, 12);
-	assert_true(
-		jt_knowledge_write(bench, bench->director, 0, 0, &knowledge));
+	assert_true(jt_knowledge_write(bench, bench->director, 0, 0,
+				       bench->now_ms, &knowledge));
 	for (int pass = 0; pass < 2; pass++) {
 		for (u_int i = 0; i < knowledge.entries.entries_len; i++) {
 			u_int at = pass == 0 ? i
@@ -395,7 +395,7 @@
 			   jt_wire_knowledge *knowledge)
 {
 	assert_true(jt_knowledge_write(bench, bench->director, since, 0,
-				       knowledge));
+				       bench->now_ms, knowledge));
 	return knowledge->entries.entries_len;
 }
 
@@ -416,7 +416,7 @@
 	/* The routing comes only where it is news. */
 	assert_int_equal(knowledge.routing.number, version);
 	assert_true(jt_knowledge_write(bench, bench->director, 30, version,
-				       &knowledge));
+				       bench->now_ms, &knowledge));
 	assert_int_equal(knowledge.routing.number, 0);
 	talloc_free(bench);
 }
--- a/tests/test_director_settings.c
+++ b/tests/test_director_settings.c
@@ -137,6 +137,13 @@
 	assert_non_null(settings);
 	assert_int_equal(settings->store_age_limit_ms, 2500);
 	talloc_free(settings);
+	settings = load("drain_ms = 3000;",
+			"drain_ms = 8000; config_ms = 5000; "
+			"zone_drain_ms = 1200;",
+			&error);
+	assert_non_null(settings);
+	assert_int_equal(settings->store_age_limit_ms, 600);
+	talloc_free(settings);
 	settings = load("zone = \"scl-renca\";",
 			"zone = \"scl-renca\"; cores = 0.017;", &error);
 	assert_non_null(settings);
@@ -152,6 +159,8 @@
 		     "drain_ms: is -1, allowed are 0 to");
 	expect_error("drain_ms = 3000", "config_ms = -1",
 		     "config_ms: is -1, allowed are 0 to");
+	expect_error("drain_ms = 3000", "zone_drain_ms = -1",
+		     "zone_drain_ms: is -1, allowed are 0 to");
 	expect_error("zone = \"scl-renca\"", "zone = \"a\"; cores = \"two\"",
 		     "cores: must be a number");
 	expect_error("leave_s = 2.5", "leave_s = \"soon\"",
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -117,6 +117,29 @@
 	assert_true(change.endpoint.draining);
 }
 
+static void test_zone(void **state)
+{
+	struct jt_change change;
+	json_t *gone =
+		json_pack("{s:s, s:i, s:b}", "tlsKey", "op/evacuate/scl-renca",
+			  "revision", 500, "gone", true);
+
+	(void)state;
+	assert_int_equal(read_change("op/evacuate/scl-renca", "{}", &change),
+			 JT_CHANGE_ZONE);
+	assert_string_equal(change.zone.zone, "scl-renca");
+	assert_int_equal(change.zone.revision, 412);
+	assert_true(change.zone.draining);
+	assert_true(jt_platform_item(NULL, gone, &change));
+	assert_int_equal(change.kind, JT_CHANGE_ZONE);
+	assert_int_equal(change.zone.revision, 500);
+	assert_false(change.zone.draining);
+	json_decref(gone);
+	assert_int_equal(read_change("op/evacuate/", "{}", &change),
+			 JT_CHANGE_INVALID);
+	assert_string_equal(change.field, "zone");
+}
+
 static void expect_invalid(const char *key, const char *value,
 			   const char *field)
 {
@@ -215,6 +238,7 @@
 		cmocka_unit_test(test_packets_that_make_no_sense),
 		cmocka_unit_test(test_request_id),
 		cmocka_unit_test(test_endpoint),
+		cmocka_unit_test(test_zone),
 		cmocka_unit_test(test_bad_documents_are_named),
 		cmocka_unit_test(test_config),
 		cmocka_unit_test(test_keys_of_others_are_passed_over),
