A call that times out drops the connections that rest beside it

Cause: open connections may fall silent without a reset, all at once. A call that timed out dropped its own connection only; the next one took another that rested, as silent, and so on through all of the pool, a time-out each.

Change: the plain client drops all connections at rest to that address; the other one takes none that rests since before the silence, and asks its streams for a sign of life (TCP keep-alive). Everything else has a time-out already: probes and fetches end by theirs, watches have a short call beside them, servers drop connections at rest after 60 s, peers speak by datagrams.

Test: test_http_silent, built for both clients; failed on both before.

--- a/src/http/jt_http_client.c
+++ b/src/http/jt_http_client.c
@@ -1,4 +1,5 @@
 #include "jt_http_client.h"
+#include "jt_net.h"
 #include "jt_timer.h"
 
 #include <ctype.h>
@@ -6,12 +7,20 @@
 #include <string.h>
 #include <strings.h>
 
-enum { ANSWER_LIMIT = 16 << 20 };
+enum {
+	ANSWER_LIMIT = 16 << 20,
+	SECOND_MS = 1000,
+	IDLE_MOST_S = 118, /* libcurl's own limit */
+	/* A stream that carries nothing is asked for a sign of life by TCP. */
+	KEEPALIVE_IDLE_S = 5,
+	KEEPALIVE_PAUSE_S = 2,
+};
 
 struct jt_http_client {
 	CURLM *multi;
 	struct tevent_context *loop;
 	struct jt_timer *timer;
+	uint64_t silent_ms; /* a call got no answer in time then, 0: none */
 };
 
 struct http_state {
@@ -56,6 +65,8 @@
 				  &up);
 		state->total += (size_t)up;
 		req = state->req;
+		if (result == CURLE_OPERATION_TIMEDOUT)
+			client->silent_ms = jt_clock_ms();
 		if (result == CURLE_OK)
 			tevent_req_done(req);
 		else
@@ -234,6 +245,26 @@
 	state->headers = curl_slist_append(state->headers, line);
 }
 
+/* Connections that rest since before the last silence may have fallen silent
+ * with the one that showed it: no call takes them. */
+static void avoid_silent(const struct jt_http_client *client, CURL *easy)
+{
+	long since_s, age_s;
+
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, (long)KEEPALIVE_IDLE_S);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, (long)KEEPALIVE_PAUSE_S);
+	if (client->silent_ms == 0)
+		return;
+	since_s = (long)((jt_clock_ms() - client->silent_ms) / SECOND_MS);
+	/* Ages count in whole seconds: one less, to be sure. */
+	age_s = since_s < IDLE_MOST_S ? since_s - 1 : IDLE_MOST_S;
+	if (age_s <= 0)
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+	else
+		curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, age_s);
+}
+
 struct tevent_req *jt_http_send(TALLOC_CTX *mem_ctx,
 				struct jt_http_client *client,
 				const struct jt_http_call *call)
@@ -271,6 +302,7 @@
 	curl_easy_setopt(state->easy, CURLOPT_CUSTOMREQUEST, call->method);
 	curl_easy_setopt(state->easy, CURLOPT_HTTPHEADER, state->headers);
 	curl_easy_setopt(state->easy, CURLOPT_NOSIGNAL, 1L);
+	avoid_silent(client, state->easy);
 	curl_easy_setopt(state->easy, CURLOPT_NOPROXY, "*");
 	curl_easy_setopt(state->easy, CURLOPT_TIMEOUT_MS, call->timeout_ms);
 	curl_easy_setopt(state->easy, CURLOPT_CONNECTTIMEOUT_MS, 2000L);
--- a/src/http_plain/jt_http_plain_client.c
+++ b/src/http_plain/jt_http_plain_client.c
@@ -212,10 +212,29 @@
 	}
 }
 
+/* Connections at rest to the same address may have fallen silent with it. */
+static void connections_drop(struct jt_http_client *client,
+			     const struct connection *silent)
+{
+	struct connection *connection = TAILQ_FIRST(&client->kept), *next;
+
+	for (; connection != NULL; connection = next) {
+		next = TAILQ_NEXT(connection, next);
+		if (connection->port != silent->port ||
+		    strcmp(connection->host, silent->host) != 0)
+			continue;
+		TAILQ_REMOVE(&client->kept, connection, next);
+		client->kept_count--;
+		connection_retire(connection);
+	}
+}
+
 static void on_timeout(void *private_data)
 {
 	struct http_state *state = private_data;
 
+	if (state->connection != NULL)
+		connections_drop(state->client, state->connection);
 	tevent_req_error(state->req, ETIMEDOUT);
 }
 
