New flows at a cold endpoint are bounded over all nodes together

Cause: the configuration says how many new flows a second a cold endpoint of a service bears; nothing read it, a constant (half as fast) stood for any coldness.

Change: nodes agree on nothing; each works out by rendezvous hashing over the live nodes that it knows which few may use the endpoint while it is cold, and one of those sends it a new flow at most once in 1.1 s. The few are half of the limit, so that two sets of nodes that know nothing of each other stay within it; a node gives none in its first 3 s, while it knows few others. What is left refuses at once (cold). limits.cold_overshoot, limits.cold_slack from the sheet.

Deployments whose endpoints bear any number when cold: unchanged code path.

--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -194,6 +194,9 @@
 		} zones;
 		struct {
 			uint64_t nodes;	       /* known to live, this one too */
+			uint64_t node_id;      /* of this node */
+			const uint64_t *peers; /* other nodes known to live */
+			size_t peer_count;
 			uint64_t store_age_ms; /* all it had then is known */
 		} tick;
 	} u;
@@ -228,6 +231,7 @@
 	JT_DIRECTOR_NO_CAPACITY,   /* all endpoints are full */
 	JT_DIRECTOR_NOT_STARTED,   /* routing or endpoints not yet known */
 	JT_DIRECTOR_NO_ZONE,	   /* the zones of all endpoints are drained */
+	JT_DIRECTOR_COLD,	   /* what is left is cold and got its share */
 	JT_DIRECTOR_REASONS,
 };
 
@@ -267,6 +271,7 @@
 	JT_DIRECTOR_BREAK_FORGET_GONE = 1 << 5,	 /* no entry, no endpoint */
 	JT_DIRECTOR_BREAK_STALE_ENTRY = 1 << 6,	 /* older entries are taken */
 	JT_DIRECTOR_BREAK_ZONE_DRAIN = 1 << 7,	 /* drains change nothing */
+	JT_DIRECTOR_BREAK_COLD = 1 << 8,	 /* cold ones get any number */
 };
 
 /* Limits and times; jt_director_options_init() gives the defaults. */
@@ -281,6 +286,10 @@
 	uint32_t store_away_ms;	 /* knowledge that old: the store is away */
 	uint32_t probe_pause_ms; /* between probes of one endpoint */
 	uint32_t dead_probe_pause_ms;
+	/* A cold endpoint may get what it bears times this much, in
+	 * thousandths, and so many new flows a second more. */
+	uint32_t cold_overshoot_permille;
+	uint32_t cold_slack;
 	uint64_t seed;		  /* breaks ties between equals */
 	unsigned break_mechanism; /* enum jt_director_break, tests only */
 	uint32_t without;	  /* mechanisms that are off, for experiments */
--- a/src/cli/why.c
+++ b/src/cli/why.c
@@ -224,6 +224,8 @@
 			"(draining, lapsed, dead or full): see endpoint_state"},
 	{"no_zone", "the zones of all endpoints that could take the flow are "
 		    "drained by operators: see zone_drained"},
+	{"cold", "every endpoint that could take the flow is cold and has got "
+		 "what it bears, or this node has just started"},
 	{"endpoint_dead", "the flow's endpoint was found dead, so the flow was "
 			  "ended at once: see endpoint_dead for the proof"},
 	{"unknown_label", "no endpoint was known by the flow's label: the node "
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -395,8 +395,12 @@
 {
 	struct jt_director_node *node = private_data;
 	struct jt_director_event event = {.kind = JT_DIRECTOR_TICK};
+	uint64_t peers[JT_PEER_LIMIT];
 
-	event.u.tick.nodes = jt_peer_exchange_live(node->peers) + 1;
+	event.u.tick.peers = peers;
+	event.u.tick.peer_count = jt_peer_exchange_ids(node->peers, peers);
+	event.u.tick.nodes = event.u.tick.peer_count + 1;
+	event.u.tick.node_id = jt_peer_exchange_id(node->peers);
 	event.u.tick.store_age_ms = store_age_ms(node);
 	jt_director_node_event(node, &event);
 	watch_ready(node);
@@ -546,6 +550,8 @@
 	options.zone_id = jt_name_id(settings->zone);
 	options.flow_limit = settings->flow_limit;
 	options.flow_age_limit_ms = settings->flow_age_limit_ms;
+	options.cold_overshoot_permille = settings->cold_overshoot_permille;
+	options.cold_slack = settings->cold_slack;
 	options.lapsed_grace_ms =
 		settings->drain_limit_ms / 100 * LAPSED_PERCENT;
 	options.returned_grace_ms =
--- a/src/director/jt_director_pages.c
+++ b/src/director/jt_director_pages.c
@@ -3,7 +3,6 @@
 #include "jt_http_server.h"
 #include "jt_latency.h"
 #include "jt_net.h"
-#include "jt_timer.h"
 
 #include <errno.h>
 #include <string.h>
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -530,6 +530,12 @@
 	return jt_membership_live(exchange->membership);
 }
 
+size_t jt_peer_exchange_ids(const struct jt_peer_exchange *exchange,
+			    uint64_t ids[JT_PEER_LIMIT])
+{
+	return jt_membership_ids(exchange->membership, ids);
+}
+
 const struct jt_peer_counters *
 jt_peer_exchange_counters(const struct jt_peer_exchange *exchange)
 {
--- a/src/director/jt_peer_exchange.h
+++ b/src/director/jt_peer_exchange.h
@@ -82,6 +82,9 @@
 /* The id of this process among its peers. */
 uint64_t jt_peer_exchange_id(const struct jt_peer_exchange *exchange);
 size_t jt_peer_exchange_live(const struct jt_peer_exchange *exchange);
+/* Their ids; returns how many. */
+size_t jt_peer_exchange_ids(const struct jt_peer_exchange *exchange,
+			    uint64_t ids[JT_PEER_LIMIT]);
 const struct jt_peer_counters *
 jt_peer_exchange_counters(const struct jt_peer_exchange *exchange);
 
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -32,6 +32,11 @@
 
 	if (chooser == NULL)
 		return NULL;
+	chooser->cold = jt_cold_create(chooser, opts);
+	if (chooser->cold == NULL) {
+		talloc_free(chooser);
+		return NULL;
+	}
 	chooser->peer_loads = peer_loads;
 	chooser->zone_drains = zone_drains;
 	chooser->nodes = 1;
@@ -208,8 +213,11 @@
  * nodes', as its service allows; a limit of 0 allows any number. */
 static bool incarnation_full(const struct jt_chooser *chooser,
 			     const struct jt_incarnation *in,
-			     uint32_t connection_limit, uint64_t now_ms)
+			     const struct jt_routed_service *service,
+			     uint64_t now_ms)
 {
+	uint32_t connection_limit = service->connection_limit;
+
 	return connection_limit > 0 && in->state == JT_INCARNATION_READY &&
 	       jt_mechanism_on(chooser->without, JT_MECHANISM_REFUSE_FULL) &&
 	       jt_chooser_flows(chooser, in, now_ms) >= connection_limit;
@@ -247,16 +255,29 @@
 	return suspected_or_willing(in, now_ms);
 }
 
-static enum willingness incarnation_willing(const struct jt_chooser *chooser,
-					    const struct jt_incarnation *in,
-					    uint32_t connection_limit,
-					    uint64_t now_ms)
+/* Whether the incarnation is cold and this node has to leave it alone. */
+static bool cold_left_alone(const struct jt_chooser *chooser,
+			    const struct jt_incarnation *in,
+			    const struct jt_routed_service *service,
+			    uint64_t now_ms)
 {
-	if (zone_drained(chooser, in))
+	if (chooser->break_mechanism & JT_DIRECTOR_BREAK_COLD)
+		return false;
+	return !jt_cold_allows(chooser->cold, in, service->cold_permille,
+			       now_ms);
+}
+
+static enum willingness
+incarnation_willing(const struct jt_chooser *chooser,
+		    const struct jt_incarnation *in,
+		    const struct jt_routed_service *service, uint64_t now_ms)
+{
+	if (zone_drained(chooser, in) ||
+	    cold_left_alone(chooser, in, service, now_ms))
 		return UNWILLING;
-	if (incarnation_full(chooser, in, connection_limit, now_ms))
+	if (incarnation_full(chooser, in, service, now_ms))
 		return now_ms < in->avoid_until_ms ||
-				       in->flows >= connection_limit
+				       in->flows >= service->connection_limit
 			       ? UNWILLING
 			       : FULL;
 	switch (in->state) {
@@ -370,7 +391,8 @@
 
 static struct jt_incarnation *
 pool_choose(struct jt_chooser *chooser, const struct jt_service_pool *pool,
-	    uint32_t connection_limit, enum willingness most, uint64_t now_ms)
+	    const struct jt_routed_service *service, enum willingness most,
+	    uint64_t now_ms)
 {
 	struct candidate local = {0}, remote = {0};
 	enum willingness lowest = most;
@@ -378,8 +400,8 @@
 	struct jt_incarnation *in;
 
 	for (in = pool->members; in != NULL; in = in->pool_next) {
-		enum willingness willing = incarnation_willing(
-			chooser, in, connection_limit, now_ms);
+		enum willingness willing =
+			incarnation_willing(chooser, in, service, now_ms);
 
 		if (willing == WILLING && view.avoid_failing &&
 		    jt_outlier_failing(in, now_ms))
@@ -426,6 +448,17 @@
 	return next;
 }
 
+/* What the routing says of the service; no limits where it says nothing. */
+static const struct jt_routed_service *
+service_limits(const struct jt_routing *routing, uint32_t service_id)
+{
+	static const struct jt_routed_service unlimited;
+	const struct jt_routed_service *service =
+		jt_routing_service(routing, service_id);
+
+	return service != NULL ? service : &unlimited;
+}
+
 /* An endpoint of the first part, by weight, that has one that is as willing
  * as @most. */
 static struct jt_incarnation *
@@ -439,18 +472,18 @@
 	while ((part = split_next(split, tried)) >= 0) {
 		uint32_t service_id = split->route.parts[part].service_id;
 		const struct jt_routed_service *service =
-			jt_routing_service(routing, service_id);
+			service_limits(routing, service_id);
 		struct jt_service_pool *pool =
 			jt_endpoint_table_pool(table, service_id);
 		struct jt_incarnation *chosen = NULL;
 
 		if (pool != NULL)
-			chosen = pool_choose(chooser, pool,
-					     service ? service->connection_limit
-						     : 0,
-					     most, now_ms);
+			chosen = pool_choose(chooser, pool, service, most,
+					     now_ms);
 		if (chosen != NULL) {
 			split_give(split, (size_t)part);
+			jt_cold_given(chooser->cold, chosen,
+				      service->cold_permille, now_ms);
 			return chosen;
 		}
 		tried |= 1u << part;
@@ -461,20 +494,23 @@
 /* What keeps a new flow from the incarnation. */
 static enum jt_director_reason
 incarnation_refusal(const struct jt_chooser *chooser,
-		    const struct jt_incarnation *in, uint32_t connection_limit,
-		    uint64_t now_ms)
+		    const struct jt_incarnation *in,
+		    const struct jt_routed_service *service, uint64_t now_ms)
 {
 	if (zone_drained(chooser, in))
 		return in->state == JT_INCARNATION_READY
 			       ? JT_DIRECTOR_NO_ZONE
 			       : JT_DIRECTOR_NO_ENDPOINT;
-	if (incarnation_full(chooser, in, connection_limit, now_ms))
+	if (incarnation_full(chooser, in, service, now_ms))
 		return JT_DIRECTOR_NO_CAPACITY;
+	if (in->state == JT_INCARNATION_READY &&
+	    cold_left_alone(chooser, in, service, now_ms))
+		return JT_DIRECTOR_COLD;
 	return JT_DIRECTOR_NO_ENDPOINT;
 }
 
 /* Why no endpoint of the route takes a new flow: one that is full comes first,
- * then one whose zone is drained. */
+ * then one that is cold or whose zone is drained. */
 static enum jt_director_reason
 parts_refusal(const struct jt_chooser *chooser,
 	      const struct jt_endpoint_table *table,
@@ -486,17 +522,16 @@
 	for (size_t i = 0; i < route->part_count; i++) {
 		uint32_t service_id = route->parts[i].service_id;
 		const struct jt_routed_service *service =
-			jt_routing_service(routing, service_id);
+			service_limits(routing, service_id);
 		const struct jt_service_pool *pool =
 			jt_endpoint_table_pool(table, service_id);
 		const struct jt_incarnation *in = pool ? pool->members : NULL;
-		uint32_t limit = service ? service->connection_limit : 0;
 
 		for (; in != NULL; in = in->pool_next) {
-			one = incarnation_refusal(chooser, in, limit, now_ms);
+			one = incarnation_refusal(chooser, in, service, now_ms);
 			if (one == JT_DIRECTOR_NO_CAPACITY)
 				return one;
-			if (one == JT_DIRECTOR_NO_ZONE)
+			if (one != JT_DIRECTOR_NO_ENDPOINT)
 				refusal = one;
 		}
 	}
--- a/src/label/jt_choose.h
+++ b/src/label/jt_choose.h
@@ -9,6 +9,7 @@
 #ifndef JT_CHOOSE_H
 #define JT_CHOOSE_H
 
+#include "jt_cold.h"
 #include "jt_endpoint_table.h"
 #include "jt_peer_loads.h"
 #include "jt_random.h"
@@ -31,6 +32,7 @@
 	uint32_t returned_grace_ms;
 	struct jt_peer_loads *peer_loads;
 	const struct jt_zone_drains *zone_drains;
+	struct jt_cold *cold;
 	uint64_t nodes; /* that share the endpoints, this one too */
 	struct jt_random random;
 	unsigned break_mechanism;
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -12,6 +12,7 @@
 	DEFAULT_LAPSED_GRACE_MS = 2000,
 	DEFAULT_RETURNED_GRACE_MS = 2200,
 	DEFAULT_STORE_AWAY_MS = 2500,
+	DEFAULT_COLD_OVERSHOOT_PERMILLE = 1000,
 	/* What went in an outage is learned within this time after it. */
 	AWAY_NEWS_MS = 1000,
 	DEFAULT_PROBE_PAUSE_MS = 500,
@@ -40,6 +41,7 @@
 		.store_away_ms = DEFAULT_STORE_AWAY_MS,
 		.probe_pause_ms = DEFAULT_PROBE_PAUSE_MS,
 		.dead_probe_pause_ms = DEFAULT_DEAD_PROBE_PAUSE_MS,
+		.cold_overshoot_permille = DEFAULT_COLD_OVERSHOOT_PERMILLE,
 		.seed = 1,
 	};
 }
@@ -656,6 +658,9 @@
 		director->nodes =
 			event->u.tick.nodes > 0 ? event->u.tick.nodes : 1;
 		director->chooser->nodes = director->nodes;
+		jt_cold_nodes(director->chooser->cold, event->u.tick.node_id,
+			      event->u.tick.peers, event->u.tick.peer_count,
+			      now_ms);
 		if (event->u.tick.store_age_ms >=
 		    director->options.store_away_ms)
 			director->store_away_until_ms = now_ms;
--- a/src/label/jt_director_view.c
+++ b/src/label/jt_director_view.c
@@ -191,6 +191,7 @@
 		[JT_DIRECTOR_NO_CAPACITY] = "no_capacity",
 		[JT_DIRECTOR_NOT_STARTED] = "not_started",
 		[JT_DIRECTOR_NO_ZONE] = "no_zone",
+		[JT_DIRECTOR_COLD] = "cold",
 	};
 
 	return names[reason];
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -24,8 +24,9 @@
 	uint64_t learned_ms; /* when the entry was last taken */
 	uint64_t state_ms;   /* when the state was entered */
 	uint64_t cold_until_ms;
-	bool told;	  /* since the last complete list */
-	bool away_lapsed; /* its entry went while the store was away */
+	uint64_t cold_next_ms; /* no new flow from this node before then */
+	bool told;	       /* since the last complete list */
+	bool away_lapsed;      /* its entry went while the store was away */
 
 	/* Load, by this node's own flows. */
 	uint32_t flows;
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -728,6 +728,18 @@
 		peer_no_answer(membership, membership->fetching_from);
 }
 
+size_t jt_membership_ids(const struct jt_membership *membership,
+			 uint64_t ids[JT_PEER_LIMIT])
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < membership->count; i++) {
+		if (jt_peer_lives(&membership->peers[i]))
+			ids[count++] = membership->peers[i].id;
+	}
+	return count;
+}
+
 size_t jt_membership_live(const struct jt_membership *membership)
 {
 	size_t live = 0;
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -153,5 +153,8 @@
 			   uint64_t now_ms);
 /* Peers that were heard lately. */
 size_t jt_membership_live(const struct jt_membership *membership);
+/* Their ids; returns how many. */
+size_t jt_membership_ids(const struct jt_membership *membership,
+			 uint64_t ids[JT_PEER_LIMIT]);
 
 #endif
--- a/src/settings/jt_director_settings.c
+++ b/src/settings/jt_director_settings.c
@@ -22,6 +22,9 @@
 	/* Knowledge may be as old as this part of the time in which a change
 	 * must be in force; the rest is for reading and telling. */
 	STORE_AGE_PART = 2,
+	PERMILLE = 1000,
+	COLD_OVERSHOOT_MOST = 100,
+	COLD_SLACK_MOST = 100000,
 };
 
 static int read_node(struct jt_settings_reader *r, const config_setting_t *root,
@@ -70,13 +73,13 @@
 		       struct jt_director_settings *s)
 {
 	static const char *const known[] = {
-		"drain_ms", "config_ms",  "zone_drain_ms",
-		"leave_s",  "flow_age_s", "flows",
-		NULL};
+		"drain_ms",	  "config_ms",	"zone_drain_ms",
+		"leave_s",	  "flow_age_s", "flows",
+		"cold_overshoot", "cold_slack", NULL};
 	const config_setting_t *limits =
 		jt_settings_need_group(r, root, "limits");
 	double drain_ms = 0, config_ms = 0, zone_drain_ms = 0, leave_s = 0,
-	       flow_age_s = 0;
+	       flow_age_s = 0, cold_overshoot = 0;
 
 	if (limits == NULL || jt_settings_check_keys(r, limits, known) != 0 ||
 	    jt_settings_read_real(r, limits, "drain_ms", 0, MOST_S * 1000.0,
@@ -91,9 +94,15 @@
 	    jt_settings_read_real(r, limits, "flow_age_s", 0, MOST_S,
 				  DEFAULT_FLOW_AGE_S, &flow_age_s) != 0 ||
 	    jt_settings_read_number(r, limits, "flows", 16, 100000000,
-				    DEFAULT_FLOW_LIMIT, &s->flow_limit) != 0)
+				    DEFAULT_FLOW_LIMIT, &s->flow_limit) != 0 ||
+	    jt_settings_read_real(r, limits, "cold_overshoot", 1,
+				  COLD_OVERSHOOT_MOST, 1,
+				  &cold_overshoot) != 0 ||
+	    jt_settings_read_number(r, limits, "cold_slack", 0, COLD_SLACK_MOST,
+				    0, &s->cold_slack) != 0)
 		return -1;
 	s->drain_limit_ms = (uint32_t)drain_ms;
+	s->cold_overshoot_permille = (uint32_t)(cold_overshoot * PERMILLE);
 	s->store_age_limit_ms =
 		(uint32_t)lower(drain_ms, lower(config_ms, zone_drain_ms)) /
 		STORE_AGE_PART;
--- a/src/settings/jt_director_settings.h
+++ b/src/settings/jt_director_settings.h
@@ -27,6 +27,10 @@
 	uint32_t leave_limit_ms;    /* from SIGTERM to the end */
 	uint32_t flow_age_limit_ms; /* no flow lives longer */
 	uint32_t flow_limit;	    /* flows remembered */
+	/* A cold endpoint may get what it bears times this much, in
+	 * thousandths, and so many new flows a second more. */
+	uint32_t cold_overshoot_permille;
+	uint32_t cold_slack;
 	/* The whole system starts for the first time: nobody sends packets. */
 	bool first_start;
 	/* How able the node is to read the store for others. */
--- a/tests/test_director_settings.c
+++ b/tests/test_director_settings.c
@@ -159,6 +159,10 @@
 		     "drain_ms: is -1, allowed are 0 to");
 	expect_error("drain_ms = 3000", "config_ms = -1",
 		     "config_ms: is -1, allowed are 0 to");
+	expect_error("drain_ms = 3000", "cold_overshoot = 0.5",
+		     "cold_overshoot: is 0.5, allowed are 1 to");
+	expect_error("drain_ms = 3000", "cold_slack = -2",
+		     "cold_slack: is -2, allowed are 0 to");
 	expect_error("drain_ms = 3000", "zone_drain_ms = -1",
 		     "zone_drain_ms: is -1, allowed are 0 to");
 	expect_error("zone = \"scl-renca\"", "zone = \"a\"; cores = \"two\"",
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -199,7 +199,8 @@
 			"2,\"backends\":[{\"service\":\"a\",\"weight\":90},"
 			"{\"service\":\"b\",\"weight\":10}]}],\"services\":[{"
 			"\"name\":\"a\",\"healthPath\":\"/health\",\"maxConns\""
-			":2000}],\"limits\":{\"idleTimeoutMs\":15000}}",
+			":2000,\"coldPerS\":2.5}],\"limits\":{"
+			"\"idleTimeoutMs\":15000}}",
 			&change),
 		JT_CHANGE_ROUTING);
 	assert_int_equal(change.routing->version, 7);
@@ -207,6 +208,7 @@
 	assert_int_equal(change.routing->routes[0].address.port, 8443);
 	assert_int_equal(change.routing->routes[0].parts[0].weight, 90);
 	assert_string_equal(change.routing->services[0].health_path, "/health");
+	assert_int_equal(change.routing->services[0].cold_permille, 2500);
 	talloc_free(change.routing);
 }
 
