A circle less: a director node's packets and actions in a file of their own

jt_director_node.c and jt_director_node_news.c called each other: the one for what the other hears, the other for acting on it. Behaviour as before.

--- a/src/director/jt_director_node_private.h
+++ b/src/director/jt_director_node_private.h
@@ -52,13 +52,21 @@
 	void *private_data;
 };
 
-/* Give @event to the decision library and do what it says. */
+/* Give @event to the decision library and do what it says
+ * (jt_director_node_packets.c). */
 void jt_director_node_event(struct jt_director_node *node,
 			    struct jt_director_event *event);
 /* Read the store, or leave it to peers, as the reader decides. */
 void jt_director_node_reader_look(struct jt_director_node *node,
 				  uint64_t now_ms);
-/* The node may have started just now. */
+/* Datagrams have come (a tevent_fd_handler_t). */
+void jt_director_node_on_packets(struct tevent_context *loop,
+				 struct tevent_fd *fd, uint16_t flags,
+				 void *private_data);
+/* The node may have become ready, or cease to be. */
+void jt_director_node_watch_ready(struct jt_director_node *node);
+/* The node may know more than before: it may be ready, and held packets are
+ * offered again. */
 void jt_director_node_started_look(struct jt_director_node *node);
 /* What the store and peers tell goes to these (jt_director_node_news.c). */
 void jt_director_node_handlers(struct jt_director_node *node,
