--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -4,12 +4,9 @@
 #include "jt_outlier.h"
 #include "jt_routing.h"
 
-#include <math.h>
 #include <string.h>
 
 enum {
-	/* Counts are halved there, so that old ones weigh less. */
-	SPLIT_MEMORY = 4096,
 	/* Load of an endpoint of another zone must be this much lower, in
 	 * thousandths of the load of one of the own zone. */
 	REMOTE_PERMILLE = 1500,
@@ -32,8 +29,9 @@
 
 	if (chooser == NULL)
 		return NULL;
+	chooser->splits = jt_splits_create(chooser);
 	chooser->rate = jt_flow_rate_create(chooser, opts);
-	if (chooser->rate == NULL) {
+	if (chooser->splits == NULL || chooser->rate == NULL) {
 		talloc_free(chooser);
 		return NULL;
 	}
@@ -49,79 +47,6 @@
 	return chooser;
 }
 
-static struct jt_split *split_find(struct jt_chooser *chooser,
-				   const struct jt_route *route)
-{
-	struct jt_split *split;
-	struct jt_address address;
-
-	memset(&address, 0, sizeof(address));
-	address.ip = route->address.ip;
-	address.port = route->address.port;
-	HASH_FIND(hh, chooser->splits, &address, sizeof(address), split);
-	if (split == NULL) {
-		split = talloc_zero(chooser, struct jt_split);
-		if (split == NULL)
-			return NULL;
-		split->address = address;
-		split->route = *route;
-		HASH_ADD(hh, chooser->splits, address, sizeof(address), split);
-	}
-	if (!jt_route_same_parts(&split->route, route)) {
-		split->route = *route;
-		memset(split->given, 0, sizeof(split->given));
-	}
-	return split;
-}
-
-static void split_give(struct jt_split *split, size_t part)
-{
-	uint64_t sum = 0;
-
-	split->given[part]++;
-	for (size_t i = 0; i < split->route.part_count; i++)
-		sum += split->given[i];
-	if (sum < SPLIT_MEMORY)
-		return;
-	for (size_t i = 0; i < split->route.part_count; i++)
-		split->given[i] /= 2;
-}
-
-void jt_chooser_count(struct jt_chooser *chooser, const struct jt_route *route,
-		      uint32_t service_id)
-{
-	struct jt_split *split;
-
-	if (route->part_count < 2)
-		return;
-	split = split_find(chooser, route);
-	if (split == NULL)
-		return;
-	for (size_t i = 0; i < route->part_count; i++) {
-		if (route->parts[i].service_id == service_id)
-			split_give(split, i);
-	}
-}
-
-void jt_chooser_prune(struct jt_chooser *chooser,
-		      const struct jt_routing *routing)
-{
-	struct jt_split *split, *next;
-
-	for (split = chooser->splits; split != NULL; split = next) {
-		struct jt_flow_key key = {
-			.destination = split->address.ip,
-			.destination_port = split->address.port,
-		};
-
-		next = split->hh.next;
-		if (jt_routing_route(routing, &key) != NULL)
-			continue;
-		HASH_DEL(chooser->splits, split);
-		talloc_free(split);
-	}
-}
-
 double jt_chooser_flows(const struct jt_chooser *chooser,
 			const struct jt_incarnation *incarnation,
 			uint64_t now_ms)
@@ -458,28 +383,6 @@
 	return local.incarnation;
 }
 
-/* The part furthest behind its weight of those not @tried, or -1. */
-static int split_next(const struct jt_split *split, unsigned tried)
-{
-	const struct jt_route *route = &split->route;
-	double least = INFINITY;
-	int next = -1;
-
-	for (size_t i = 0; i < route->part_count; i++) {
-		double behind;
-
-		if (route->parts[i].weight == 0 || tried >> i & 1)
-			continue;
-		behind = ((double)split->given[i] + 0.5) /
-			 route->parts[i].weight;
-		if (behind < least) {
-			least = behind;
-			next = (int)i;
-		}
-	}
-	return next;
-}
-
 /* What the routing says of the service; no limits where it says nothing. */
 static const struct jt_routed_service *
 service_limits(const struct jt_routing *routing, uint32_t service_id)
@@ -501,7 +404,7 @@
 	unsigned tried = 0;
 	int part;
 
-	while ((part = split_next(split, tried)) >= 0) {
+	while ((part = jt_split_next(split, tried)) >= 0) {
 		uint32_t service_id = split->route.parts[part].service_id;
 		const struct jt_routed_service *service =
 			service_limits(routing, service_id);
@@ -513,7 +416,7 @@
 			chosen = pool_choose(chooser, pool, service, most,
 					     now_ms);
 		if (chosen != NULL) {
-			split_give(split, (size_t)part);
+			jt_split_give(split, (size_t)part);
 			jt_flow_rate_given(chooser->rate, chosen,
 					   incarnation_rate(chooser, chosen,
 							    service, now_ms),
@@ -579,7 +482,7 @@
 					 uint64_t now_ms,
 					 enum jt_director_reason *refusal)
 {
-	struct jt_split *split = split_find(chooser, route);
+	struct jt_split *split = jt_splits_find(chooser->splits, route);
 	struct jt_incarnation *chosen = NULL;
 	int least =
 		jt_mechanism_on(chooser->without, JT_MECHANISM_PARTS_GIVE_WAY)
--- a/src/label/jt_choose.h
+++ b/src/label/jt_choose.h
@@ -13,20 +13,11 @@
 #include "jt_flow_rate.h"
 #include "jt_peer_loads.h"
 #include "jt_random.h"
+#include "jt_split.h"
 #include "jt_zone_drains.h"
 
-#include <uthash.h>
-
-/* Flows and requests that a route's parts got so far. */
-struct jt_split {
-	struct jt_address address; /* of the route */
-	struct jt_route route;	   /* as it was when counting began */
-	uint64_t given[JT_ROUTE_PART_LIMIT];
-	UT_hash_handle hh;
-};
-
 struct jt_chooser {
-	struct jt_split *splits;
+	struct jt_splits *splits;
 	uint32_t zone_id;
 	uint32_t lapsed_grace_ms;
 	uint32_t returned_grace_ms;
@@ -70,11 +61,4 @@
 void jt_chooser_welcome_zone(const struct jt_chooser *chooser,
 			     const struct jt_endpoint_table *table,
 			     uint32_t zone_id, uint64_t now_ms);
-/* A request of the route went to @service_id on a flow that is open. */
-void jt_chooser_count(struct jt_chooser *chooser, const struct jt_route *route,
-		      uint32_t service_id);
-/* Forget the splits of routes that @routing has no more. */
-void jt_chooser_prune(struct jt_chooser *chooser,
-		      const struct jt_routing *routing);
-
 #endif
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -1,10 +1,11 @@
+#include "jt_director_expiry.h"
 #include "jt_director_flow.h"
 #include "jt_director_packet.h"
 #include "jt_director_suspicion.h"
+#include "jt_director_zones.h"
 #include "jt_mechanism.h"
 #include "jt_outlier.h"
 
-#include <string.h>
 
 enum {
 	DEFAULT_FLOW_LIMIT = 1 << 16,
@@ -20,9 +21,6 @@
 	LEARNING_MS = 2500,
 	DEFAULT_PROBE_PAUSE_MS = 500,
 	DEFAULT_DEAD_PROBE_PAUSE_MS = 1000,
-	DEFAULT_FLOW_IDLE_MS = 60 * 1000,
-	/* A flow with a FIN is remembered so long for what follows it. */
-	CLOSING_MS = 2000,
 	/* How much more than this node's share of an endpoint's flows the
 	 * other nodes may have. */
 	FULL_MARGIN = 4,
@@ -73,14 +71,6 @@
 	return director;
 }
 
-/* How long a flow may rest. */
-static uint64_t flow_idle_ms(const struct jt_director *director)
-{
-	if (director->routing != NULL && director->routing->flow_idle_ms > 0)
-		return director->routing->flow_idle_ms;
-	return DEFAULT_FLOW_IDLE_MS;
-}
-
 static void revision_note(struct jt_director *director, uint64_t revision)
 {
 	if (revision > director->revision)
@@ -316,78 +306,6 @@
 	revision_note(director, revision);
 }
 
-/* Zones in drain */
-
-static void zone_take(struct jt_director *director,
-		      const struct jt_zone_drain *drain, uint64_t now_ms,
-		      struct jt_director_actions *actions)
-{
-	enum jt_director_action_kind kind = JT_DIRECTOR_ZONE_DRAINED;
-	const struct jt_zone_state *state = NULL;
-	struct jt_director_action *action;
-	enum jt_zone_result result;
-
-	result = jt_zone_drains_take(&director->zone_drains, drain, now_ms,
-				     &state);
-	if (result == JT_ZONE_NO_ROOM)
-		director->counters.entries_refused++;
-	if (result != JT_ZONE_BEGAN && result != JT_ZONE_ENDED)
-		return;
-	if (result == JT_ZONE_ENDED) {
-		kind = JT_DIRECTOR_ZONE_RESTORED;
-		jt_chooser_welcome_zone(director->chooser, director->endpoints,
-					state->zone_id, now_ms);
-	}
-	action = jt_director_action_add(actions, kind, 0);
-	if (action == NULL)
-		return;
-	action->zone = state->drain.zone;
-	action->revision = state->drain.revision;
-}
-
-/* The drain of a zone that a complete list does not hold has ended. */
-static void zone_end(struct jt_director *director,
-		     const struct jt_zone_state *state, uint64_t revision,
-		     uint64_t now_ms, struct jt_director_actions *actions)
-{
-	struct jt_zone_drain ended = state->drain;
-
-	ended.draining = false;
-	ended.revision = revision;
-	zone_take(director, &ended, now_ms, actions);
-}
-
-static bool zone_among(const struct jt_zone_drain *drains, size_t count,
-		       const char *zone)
-{
-	for (size_t i = 0; i < count; i++) {
-		if (strcmp(drains[i].zone, zone) == 0)
-			return true;
-	}
-	return false;
-}
-
-static void event_zone_drains(struct jt_director *director,
-			      const struct jt_director_event *event,
-			      struct jt_director_actions *actions)
-{
-	const struct jt_zone_drain *drains = event->u.zones.drains;
-	size_t count = event->u.zones.count;
-
-	for (size_t i = 0; i < count; i++)
-		zone_take(director, &drains[i], event->now_ms, actions);
-	for (size_t i = 0;
-	     event->u.zones.complete && i < director->zone_drains.count; i++) {
-		const struct jt_zone_state *state =
-			&director->zone_drains.zones[i];
-
-		if (state->drain.draining &&
-		    !zone_among(drains, count, state->drain.zone))
-			zone_end(director, state, event->u.zones.revision,
-				 event->now_ms, actions);
-	}
-}
-
 static void event_listing(struct jt_director *director)
 {
 	struct jt_incarnation *incarnation;
@@ -415,13 +333,7 @@
 			event_gone(director, incarnation->entry.id, revision,
 				   now_ms, actions);
 	}
-	for (size_t i = 0; i < director->zone_drains.count; i++) {
-		const struct jt_zone_state *state =
-			&director->zone_drains.zones[i];
-
-		if (!state->told)
-			zone_end(director, state, revision, now_ms, actions);
-	}
+	jt_director_zones_listed(director, revision, now_ms, actions);
 }
 
 /* News is complete only for a node that knows all up to where it begins, and
@@ -505,7 +417,7 @@
 	uint64_t flows = incarnation->flows + FULL_MARGIN_FLOWS;
 
 	/* Flows that rest since before this node's start are not seen yet. */
-	if (now_ms - director->started_ms < flow_idle_ms(director))
+	if (now_ms - director->started_ms < jt_director_flow_idle_ms(director))
 		return false;
 	if (service == NULL || service->connection_limit == 0)
 		return true;
@@ -559,63 +471,10 @@
 		return;
 	}
 	director->routing = talloc_steal(director, routing);
-	jt_chooser_prune(director->chooser, routing);
+	jt_splits_prune(director->chooser->splits, routing);
 	talloc_free((void *)old);
 }
 
-/* Forget flows at rest, a few at a time. */
-static void flows_expire(struct jt_director *director, uint64_t now_ms)
-{
-	uint64_t idle_ms = flow_idle_ms(director);
-
-	while (director->flows->rested != NULL) {
-		struct jt_cached_flow *flow = director->flows->rested;
-		uint64_t limit_ms = flow->closing && idle_ms > CLOSING_MS
-					    ? CLOSING_MS
-					    : idle_ms;
-
-		if (now_ms - flow->seen_ms < limit_ms)
-			break;
-		jt_director_flow_forget(director, flow);
-	}
-}
-
-static bool incarnation_outdated(const struct jt_director *director,
-				 const struct jt_incarnation *incarnation,
-				 uint64_t now_ms)
-{
-	return incarnation->entry.gone_revision != 0 &&
-	       now_ms - incarnation->learned_ms >
-		       director->options.flow_age_limit_ms;
-}
-
-static void incarnation_forget(struct jt_director *director,
-			       struct jt_incarnation *incarnation)
-{
-	uint64_t revision = jt_incarnation_revision(incarnation);
-
-	if (revision > director->forgotten_revision)
-		director->forgotten_revision = revision;
-	jt_endpoint_table_remove(director->endpoints, incarnation);
-}
-
-static void endpoints_tick(struct jt_director *director, uint64_t now_ms,
-			   struct jt_director_actions *actions)
-{
-	struct jt_incarnation *incarnation, *next;
-
-	incarnation = jt_endpoint_table_first(director->endpoints);
-	for (; incarnation != NULL; incarnation = next) {
-		next = jt_endpoint_table_next(incarnation);
-		if (jt_detector_probe_due(&director->detector, incarnation,
-					  now_ms))
-			jt_director_probe(director, incarnation, now_ms,
-					  actions);
-		if (incarnation_outdated(director, incarnation, now_ms))
-			incarnation_forget(director, incarnation);
-	}
-}
-
 void jt_director_handle(struct jt_director *director,
 			struct jt_director_event *event,
 			struct jt_director_actions *actions)
@@ -676,7 +535,7 @@
 				   now_ms);
 		break;
 	case JT_DIRECTOR_ZONE_DRAINS:
-		event_zone_drains(director, event, actions);
+		jt_director_zones(director, event, actions);
 		break;
 	case JT_DIRECTOR_TICK:
 		director->nodes =
@@ -688,10 +547,10 @@
 		if (event->u.tick.store_age_ms >=
 		    director->options.store_away_ms)
 			director->store_away_until_ms = now_ms;
-		flows_expire(director, now_ms);
+		jt_director_flows_expire(director, now_ms);
 		jt_director_openings(director, now_ms, actions);
 		jt_director_overdue(director, now_ms, actions);
-		endpoints_tick(director, now_ms, actions);
+		jt_director_endpoints_tick(director, now_ms, actions);
 		break;
 	}
 }
--- /dev/null
+++ b/src/label/jt_director_expiry.c
@@ -0,0 +1,68 @@
+#include "jt_director_expiry.h"
+#include "jt_director_flow.h"
+#include "jt_director_suspicion.h"
+
+enum {
+	DEFAULT_FLOW_IDLE_MS = 60 * 1000,
+	/* A flow with a FIN is remembered so long for what follows it. */
+	CLOSING_MS = 2000,
+};
+
+uint64_t jt_director_flow_idle_ms(const struct jt_director *director)
+{
+	if (director->routing != NULL && director->routing->flow_idle_ms > 0)
+		return director->routing->flow_idle_ms;
+	return DEFAULT_FLOW_IDLE_MS;
+}
+
+void jt_director_flows_expire(struct jt_director *director, uint64_t now_ms)
+{
+	uint64_t idle_ms = jt_director_flow_idle_ms(director);
+
+	while (director->flows->rested != NULL) {
+		struct jt_cached_flow *flow = director->flows->rested;
+		uint64_t limit_ms = flow->closing && idle_ms > CLOSING_MS
+					    ? CLOSING_MS
+					    : idle_ms;
+
+		if (now_ms - flow->seen_ms < limit_ms)
+			break;
+		jt_director_flow_forget(director, flow);
+	}
+}
+
+static bool incarnation_outdated(const struct jt_director *director,
+				 const struct jt_incarnation *incarnation,
+				 uint64_t now_ms)
+{
+	return incarnation->entry.gone_revision != 0 &&
+	       now_ms - incarnation->learned_ms >
+		       director->options.flow_age_limit_ms;
+}
+
+static void incarnation_forget(struct jt_director *director,
+			       struct jt_incarnation *incarnation)
+{
+	uint64_t revision = jt_incarnation_revision(incarnation);
+
+	if (revision > director->forgotten_revision)
+		director->forgotten_revision = revision;
+	jt_endpoint_table_remove(director->endpoints, incarnation);
+}
+
+void jt_director_endpoints_tick(struct jt_director *director, uint64_t now_ms,
+				struct jt_director_actions *actions)
+{
+	struct jt_incarnation *incarnation, *next;
+
+	incarnation = jt_endpoint_table_first(director->endpoints);
+	for (; incarnation != NULL; incarnation = next) {
+		next = jt_endpoint_table_next(incarnation);
+		if (jt_detector_probe_due(&director->detector, incarnation,
+					  now_ms))
+			jt_director_probe(director, incarnation, now_ms,
+					  actions);
+		if (incarnation_outdated(director, incarnation, now_ms))
+			incarnation_forget(director, incarnation);
+	}
+}
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -375,8 +375,9 @@
 			route = jt_routing_route(director->routing,
 						 &packet->key);
 			if (route != NULL)
-				jt_chooser_count(director->chooser, route,
-						 incarnation->entry.service_id);
+				jt_splits_count(director->chooser->splits,
+						route,
+						incarnation->entry.service_id);
 		}
 		flow_waits(director, flow, incarnation, now_ms);
 	} else if (!answered && now_ms - flow->sent_ms >= RESEND_LEAST_MS) {
