News crosses zones through some nodes, not through each

Change: eight nodes for each zone, on the average, send it to any zone, the others stay in theirs. Digests make up for a zone that is missed.

--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -13,6 +13,10 @@
 	 * where there are more, most digests stay in their zone: one round in
 	 * so many has a target of any zone. */
 	FAR_ROUNDS = 8,
+	/* Nodes that send news to any zone, for each zone: the news misses a
+	 * zone once in some thousand times, and digests make up for it. */
+	NEWS_CROSSINGS = 8,
+	ZONES_MOST = 16,
 	/* Readers of the store there are at the least, over all zones. */
 	READERS_LEAST = 3,
 	/* A process that ended is back, and heard, within this time if its
@@ -287,14 +291,48 @@
 	return count;
 }
 
+/* How many zones the live peers and this node are in, ZONES_MOST at the most.
+ */
+static size_t zones_known(const struct jt_membership *membership)
+{
+	uint32_t zones[ZONES_MOST] = {membership->zone_id};
+	size_t count = 1;
+
+	for (size_t i = 0; i < membership->count && count < ZONES_MOST; i++) {
+		const struct jt_peer *peer = &membership->peers[i];
+		size_t zone = 0;
+
+		if (!jt_peer_lives(peer))
+			continue;
+		while (zone < count && zones[zone] != peer->zone_id)
+			zone++;
+		if (zone == count)
+			zones[count++] = peer->zone_id;
+	}
+	return count;
+}
+
+/* Whether this node sends news to any zone, so that it crosses over: of all
+ * nodes, each of which sends it on once, some for each zone are enough. */
+static bool news_crosses(struct jt_membership *membership)
+{
+	size_t crossings = NEWS_CROSSINGS * zones_known(membership);
+
+	return !jt_mechanism_on(membership->without,
+				JT_MECHANISM_NEAR_DIGESTS) ||
+	       jt_random_next(&membership->random) % (membership->count + 1) <
+		       crossings;
+}
+
 size_t jt_membership_news_targets(struct jt_membership *membership,
 				  struct jt_address targets[JT_NEWS_FANOUT])
 {
-	/* One that may be of any zone, so that news crosses over. */
-	size_t count = target_add(targets, 0, peer_pick(membership, false));
+	size_t count = 0;
 
+	if (news_crosses(membership))
+		count = target_add(targets, 0, peer_pick(membership, false));
 	/* A draw that comes twice is a target less: gossip may miss some. */
-	for (int i = 1; i < JT_NEWS_FANOUT; i++)
+	for (int i = (int)count; i < JT_NEWS_FANOUT; i++)
 		count = target_add(targets, count, peer_pick_near(membership));
 	return count;
 }
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -112,6 +112,40 @@
 	talloc_free(members);
 }
 
+/* Of @nodes in four zones: how many of 1,000 pieces of news one of them sends
+ * to another zone. */
+static unsigned news_crossing(int nodes)
+{
+	struct jt_membership *membership =
+		jt_membership_create(NULL, 1, address_of(0), 0);
+	unsigned far = 0;
+
+	for (int i = 1; i < nodes; i++) {
+		jt_wire_digest digest = {.zone = (u_int)i % 4};
+
+		jt_membership_digest(membership, 1000 + (uint64_t)i,
+				     address_of(i), &digest, 1000);
+	}
+	for (int news = 0; news < 1000; news++) {
+		struct jt_address targets[JT_NEWS_FANOUT];
+		size_t count = jt_membership_news_targets(membership, targets);
+
+		for (size_t t = 0; t < count; t++)
+			far += (targets[t].ip - 0x0a000000) % 4 != 0;
+	}
+	talloc_free(membership);
+	return far;
+}
+
+/* Each node sends news on once: some of many carry it to other zones. */
+static void test_news_crosses_through_some_nodes(void **state)
+{
+	(void)state;
+	assert_in_range(news_crossing(16), 600, 900);
+	/* 32 of 100 nodes, three of four draws. */
+	assert_in_range(news_crossing(NODES), 180, 300);
+}
+
 /* Bytes between zones are dear: most digests of many peers stay in theirs. */
 static void test_digests_of_many_stay_in_their_zone(void **state)
 {
@@ -401,6 +435,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_all_find_each_other_from_three_seeds),
 		cmocka_unit_test(test_live_peers_of_many_are_not_lost),
+		cmocka_unit_test(test_news_crosses_through_some_nodes),
 		cmocka_unit_test(test_digests_of_many_stay_in_their_zone),
 		cmocka_unit_test(test_dead_peer_is_lost_and_told_once),
 		cmocka_unit_test(test_node_behind_fetches_after_a_while),
