--- a/scripts/circles.sh
+++ b/scripts/circles.sh
@@ -4,6 +4,7 @@
 # scripts/circles-known.txt, a line each with its files; none may be added.
 # Usage: scripts/circles.sh BUILD
 set -u
+[ $# -eq 1 ] || { echo "usage: scripts/circles.sh BUILD" >&2; exit 2; }
 build=$1
 known="$(dirname "$0")/circles-known.txt"
 work=$(mktemp -d)
--- a/src/label/jt_membership_source.h
+++ b/src/label/jt_membership_source.h
@@ -10,7 +10,7 @@
 	 * peers each is heard of every few seconds. */
 	SOURCE_HALF_MS = 2000,
 	/* A source of the own zone counts for so many of other zones. */
-	SOURCE_NEAR = 4,
+	SOURCE_NEAR = 32,
 	/* Keeps the rank of the weakest source above 0. */
 	SOURCE_UNIT = 1000,
 };
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -344,6 +344,39 @@
 	talloc_free(seed);
 }
 
+/* All that a node knows is long: it comes from the starter's own zone, unless
+ * the strong ones there have gone. */
+static void test_starts_learn_in_their_zone(void **state)
+{
+	const struct jt_own_state own = {0};
+	unsigned near = 0;
+
+	(void)state;
+	for (uint64_t id = 5000; id < 5200; id++) {
+		struct jt_membership *starter =
+			jt_membership_create(NULL, id, address_of((int)id), 1);
+		const struct jt_peer *source;
+
+		for (int i = 0; i < 30; i++) {
+			const jt_wire_digest digest = {
+				.zone = (u_int)i % 3,
+				.started = TRUE,
+				.revision = 12,
+				.weight = WEAK,
+			};
+
+			jt_membership_digest(starter, 100 + (uint64_t)i,
+					     address_of(100 + i), &digest,
+					     1100);
+		}
+		source = jt_membership_fetch(starter, &own, 1101);
+		assert_non_null(source);
+		near += source->zone_id == 1;
+		talloc_free(starter);
+	}
+	assert_in_range(near, 175, 200);
+}
+
 /* A source that gave no answer is not asked again at once. */
 static void test_start_turns_to_another_source(void **state)
 {
@@ -443,6 +476,7 @@
 		cmocka_unit_test(test_node_that_starts_fetches_at_once),
 		cmocka_unit_test(test_own_address_is_no_peer),
 		cmocka_unit_test(test_starts_learn_from_strong_peers),
+		cmocka_unit_test(test_starts_learn_in_their_zone),
 		cmocka_unit_test(test_start_turns_to_another_source),
 		cmocka_unit_test(test_standing_tells_no_knowledge),
 		cmocka_unit_test(
