A packet that is held on is told and counted once, and keeps no leaving node

Offered again each 0.1 s, it wrote a line and counted as a decision each time, and looked to a node that leaves like a router that still uses it.

--- a/src/director/jt_director_node_packets.c
+++ b/src/director/jt_director_node_packets.c
@@ -115,6 +115,16 @@
 	jt_director_log_flow(node->log, action, request, node->event_ms);
 }
 
+/* Whether the decision on a packet is worth a line: packets that follow their
+ * label are not, nor is one that is held on. */
+static bool is_told(const struct jt_director_node *node,
+		    const struct jt_director_action *action)
+{
+	if (action->kind == JT_DIRECTOR_HOLD)
+		return node->held_since_ms == 0;
+	return action->reason != JT_DIRECTOR_LABELLED;
+}
+
 static void node_act(struct jt_director_node *node,
 		     const struct jt_director_action *action)
 {
@@ -123,7 +133,7 @@
 	case JT_DIRECTOR_RESET:
 	case JT_DIRECTOR_HOLD:
 	case JT_DIRECTOR_DROP:
-		if (action->reason != JT_DIRECTOR_LABELLED)
+		if (is_told(node, action))
 			log_flow(node, action);
 		break;
 	default:
@@ -203,7 +213,9 @@
 			(uint32_t)(jt_clock_ms() - node->held_since_ms);
 	node->packet_length = length;
 	jt_director_node_event(node, &event);
-	jt_leave_packet(&node->leave, event.now_ms);
+	/* One that was held is no sign that routers still use this node. */
+	if (node->held_since_ms == 0)
+		jt_leave_packet(&node->leave, event.now_ms);
 }
 
 /* Offer a held packet again: it may be held on, since when it was first. */
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -72,7 +72,9 @@
 	struct jt_director_action *action =
 		jt_director_action_add(actions, JT_DIRECTOR_HOLD, reason);
 
-	director->counters.by_reason[reason]++;
+	/* One that is held on was counted when it came. */
+	if (packet->held_ms == 0)
+		director->counters.by_reason[reason]++;
 	if (action == NULL)
 		return;
 	action->key = packet->key;
