--- a/src/lab/label.c
+++ b/src/lab/label.c
@@ -268,7 +268,8 @@
 void label_start(struct world *world, uint16_t index)
 {
 	struct label_node *node = &world->label->nodes[index];
-	struct jt_director_event event = {.kind = JT_DIRECTOR_LISTED};
+	/* Discovery misses nothing here. */
+	struct jt_director_event event = {.kind = JT_DIRECTOR_INFORMED};
 	struct jt_director_options options;
 
 	if (node->director != NULL)
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -6,7 +6,6 @@
 #include "jt_mechanism.h"
 #include "jt_outlier.h"
 
-
 enum {
 	DEFAULT_FLOW_LIMIT = 1 << 16,
 	DEFAULT_FLOW_AGE_LIMIT_MS = 3600 * 1000,
