--- a/tests/director_fixture.h
+++ b/tests/director_fixture.h
@@ -219,9 +219,10 @@
 	};
 }
 
+/* A packet of the flow; one that the node had held for @held_ms. */
 static inline const struct jt_director_action *
-flow_send(struct bench *bench, struct caller_flow *flow, uint8_t flags,
-	  uint32_t length)
+flow_offer(struct bench *bench, const struct caller_flow *flow, uint8_t flags,
+	   uint32_t length, uint32_t held_ms)
 {
 	struct jt_director_event event = {.kind = JT_DIRECTOR_PACKET};
 
@@ -232,11 +233,19 @@
 		.sequence = flow->sequence,
 		.acknowledged = flow->acknowledged,
 		.length = length,
+		.held_ms = held_ms,
 	};
 	bench_event(bench, &event);
 	return bench_find(bench, JT_DIRECTOR_FORWARD);
 }
 
+static inline const struct jt_director_action *
+flow_send(struct bench *bench, const struct caller_flow *flow, uint8_t flags,
+	  uint32_t length)
+{
+	return flow_offer(bench, flow, flags, length, 0);
+}
+
 /* The first packet; the endpoint that got it, 0 when none did. */
 static inline uint64_t flow_syn(struct bench *bench, struct caller_flow *flow)
 {
@@ -332,8 +341,9 @@
 	} while (second->endpoint_id != 0x102);
 }
 
-/* The service's endpoints hold so many flows each. */
-static inline void limit_connections(struct bench *bench, uint32_t limit)
+/* The routing says this of one service, and nothing of others. */
+static inline void bench_service(struct bench *bench,
+				 const struct jt_routed_service *service)
 {
 	struct jt_director_event event = {.kind = JT_DIRECTOR_ROUTING};
 	const struct jt_routing *old = jt_director_routing(bench->director);
@@ -341,9 +351,8 @@
 
 	*routing = *old;
 	routing->version++;
-	routing->services = talloc_zero(routing, struct jt_routed_service);
-	routing->services[0].id = SERVICE_BOARD;
-	routing->services[0].connection_limit = limit;
+	routing->services =
+		talloc_memdup(routing, service, sizeof(*routing->services));
 	routing->service_count = 1;
 	routing->routes = talloc_memdup(
 		routing, old->routes, old->route_count * sizeof(*old->routes));
@@ -351,4 +360,13 @@
 	bench_event(bench, &event);
 }
 
+/* The service's endpoints hold so many flows each. */
+static inline void limit_connections(struct bench *bench, uint32_t limit)
+{
+	const struct jt_routed_service service = {.id = SERVICE_BOARD,
+						  .connection_limit = limit};
+
+	bench_service(bench, &service);
+}
+
 #endif
--- a/tests/test_flow_rate.c
+++ b/tests/test_flow_rate.c
@@ -190,20 +190,10 @@
 
 static void bench_cold_limit(struct bench *bench, uint32_t permille)
 {
-	struct jt_director_event event = {.kind = JT_DIRECTOR_ROUTING};
-	const struct jt_routing *old = jt_director_routing(bench->director);
-	struct jt_routing *routing = talloc_zero(bench, struct jt_routing);
-
-	*routing = *old;
-	routing->version++;
-	routing->services = talloc_zero(routing, struct jt_routed_service);
-	routing->services[0].id = SERVICE_BOARD;
-	routing->services[0].cold_permille = permille;
-	routing->service_count = 1;
-	routing->routes = talloc_memdup(
-		routing, old->routes, old->route_count * sizeof(*old->routes));
-	event.u.routing = routing;
-	bench_event(bench, &event);
+	const struct jt_routed_service service = {.id = SERVICE_BOARD,
+						  .cold_permille = permille};
+
+	bench_service(bench, &service);
 }
 
 /* 40 new flows within half a second; how many came to the cold endpoint. */
--- a/tests/test_learning.c
+++ b/tests/test_learning.c
@@ -179,22 +179,6 @@
 	talloc_free(bench);
 }
 
-static void offer_held(struct bench *bench, const struct caller_flow *flow,
-		       uint8_t flags, uint32_t held_ms)
-{
-	struct jt_director_event event = {.kind = JT_DIRECTOR_PACKET};
-
-	event.u.packet = (struct jt_label_packet){
-		.key = flow->key,
-		.flags = flags,
-		.label = flow->label,
-		.sequence = flow->sequence,
-		.acknowledged = flow->acknowledged,
-		.held_ms = held_ms,
-	};
-	bench_event(bench, &event);
-}
-
 static void test_packets_held_too_long_are_dropped(void **state)
 {
 	struct bench *bench = one_endpoint(0);
@@ -202,11 +186,11 @@
 	struct caller_flow open = flow_of(bench, 0x101);
 
 	(void)state;
-	offer_held(bench, &first, JT_PACKET_SYN, ATTEMPT_MS);
+	flow_offer(bench, &first, JT_PACKET_SYN, 0, ATTEMPT_MS);
 	assert_true(is_reason(bench, JT_DIRECTOR_DROP, JT_DIRECTOR_LEARNING));
-	offer_held(bench, &open, JT_PACKET_ACK, HELD_MOST_MS);
+	flow_offer(bench, &open, JT_PACKET_ACK, 0, HELD_MOST_MS);
 	assert_true(is_reason(bench, JT_DIRECTOR_DROP, JT_DIRECTOR_LEARNING));
-	offer_held(bench, &open, JT_PACKET_ACK, HELD_MOST_MS - 1);
+	flow_offer(bench, &open, JT_PACKET_ACK, 0, HELD_MOST_MS - 1);
 	assert_non_null(bench_find(bench, JT_DIRECTOR_FORWARD));
 	talloc_free(bench);
 }
@@ -219,10 +203,10 @@
 	struct caller_flow flow = flow_new(bench, CALLER, BOARD_PORT);
 
 	(void)state;
-	offer_held(bench, &flow, JT_PACKET_SYN, 300);
+	flow_offer(bench, &flow, JT_PACKET_SYN, 0, 300);
 	assert_non_null(bench_find(bench, JT_DIRECTOR_FORWARD));
 	flow.acknowledged = 1;
-	offer_held(bench, &flow, JT_PACKET_SYN, 100);
+	flow_offer(bench, &flow, JT_PACKET_SYN, 0, 100);
 	assert_non_null(bench_find(bench, JT_DIRECTOR_FORWARD));
 	assert_null(bench_find(bench, JT_DIRECTOR_PROBE));
 	talloc_free(bench);
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -112,13 +112,11 @@
 	talloc_free(members);
 }
 
-/* Of @nodes in four zones: how many of 1,000 pieces of news one of them sends
- * to another zone. */
-static unsigned news_crossing(int nodes)
+/* One of @nodes in four zones, which knows them all. */
+static struct jt_membership *node_of(int nodes)
 {
 	struct jt_membership *membership =
 		jt_membership_create(NULL, 1, address_of(0), 0);
-	unsigned far = 0;
 
 	for (int i = 1; i < nodes; i++) {
 		jt_wire_digest digest = {.zone = (u_int)i % 4};
@@ -126,6 +124,16 @@
 		jt_membership_digest(membership, 1000 + (uint64_t)i,
 				     address_of(i), &digest, 1000);
 	}
+	return membership;
+}
+
+/* Of @nodes in four zones: how many of 1,000 pieces of news one of them sends
+ * to another zone. */
+static unsigned news_crossing(int nodes)
+{
+	struct jt_membership *membership = node_of(nodes);
+	unsigned far = 0;
+
 	for (int news = 0; news < 1000; news++) {
 		struct jt_address targets[JT_NEWS_FANOUT];
 		size_t count = jt_membership_news_targets(membership, targets);
@@ -149,17 +157,10 @@
 /* Bytes between zones are dear: most digests of many peers stay in theirs. */
 static void test_digests_of_many_stay_in_their_zone(void **state)
 {
-	struct jt_membership *membership =
-		jt_membership_create(NULL, 1, address_of(0), 0);
+	struct jt_membership *membership = node_of(NODES);
 	unsigned near = 0, sent = 0;
 
 	(void)state;
-	for (int i = 1; i < NODES; i++) {
-		jt_wire_digest digest = {.zone = (u_int)i % 4};
-
-		jt_membership_digest(membership, 1000 + (uint64_t)i,
-				     address_of(i), &digest, 1000);
-	}
 	for (int round = 0; round < 400; round++) {
 		struct jt_address targets[JT_DIGEST_FANOUT];
 		size_t count = jt_membership_round(membership, targets);
