--- a/tests/soak/soak_oracle.c
+++ b/tests/soak/soak_oracle.c
@@ -195,34 +195,65 @@
 	return version_with(soak, version_at(soak, since_ms), service) != 0;
 }
 
-void soak_check_refused(struct soak *soak, int node, uint16_t route_port,
-			uint64_t sent_ms)
+/* Whether all nodes had to know an endpoint of the service that takes new flows
+ * when the first packet was sent. */
+static bool service_willing(const struct soak *soak, uint32_t service,
+			    uint64_t sent_ms)
 {
-	bool willing = false, ended = false;
-	uint32_t service;
+	for (int i = 0; i < soak->endpoint_count; i++) {
+		const struct soak_endpoint *endpoint = &soak->endpoints[i];
 
-	soak->refused++;
-	if (route_port != SOAK_STEADY_PORT && route_port != SOAK_SWITCH_PORT)
-		return;
-	service = route_port == SOAK_STEADY_PORT
-			  ? 0
-			  : soak->versions[soak->version].switch_service;
+		if (endpoint->service == service &&
+		    endpoint->life == SOAK_ALIVE && endpoint->listed &&
+		    zone_open(soak, endpoint->zone, sent_ms) &&
+		    endpoint->disturbed_ms + SOAK_CONTACT_MS < sent_ms)
+			return true;
+	}
+	return false;
+}
+
+/* The same of a route, whichever of the versions that may be in force is. */
+static bool route_willing(const struct soak *soak, uint16_t route_port,
+			  uint64_t sent_ms)
+{
+	uint64_t version = version_at(
+		soak, sent_ms > SOAK_CONFIG_MS ? sent_ms - SOAK_CONFIG_MS : 0);
+
+	if (route_port == SOAK_STEADY_PORT)
+		return service_willing(soak, 0, sent_ms);
+	for (; version <= soak->version; version++) {
+		if (!service_willing(soak,
+				     soak->versions[version].switch_service,
+				     sent_ms))
+			return false;
+	}
+	return true;
+}
+
+/* Whether the first packet may have gone to an endpoint that has ended: then
+ * the reset tells the caller of that end. */
+static bool route_ended(const struct soak *soak, uint16_t route_port,
+			uint64_t sent_ms)
+{
 	for (int i = 0; i < soak->endpoint_count; i++) {
 		const struct soak_endpoint *endpoint = &soak->endpoints[i];
 
-		willing = willing ||
-			  (endpoint->service == service &&
-			   endpoint->life == SOAK_ALIVE && endpoint->listed &&
-			   zone_open(soak, endpoint->zone, sent_ms) &&
-			   endpoint->disturbed_ms + SOAK_CONTACT_MS < sent_ms);
-		/* The first packet may have gone there: then the reset tells
-		 * the caller of that endpoint's end. */
-		ended = ended || (route_led_to(soak, route_port,
-					       endpoint->service, sent_ms) &&
-				  endpoint->life == SOAK_ENDED &&
-				  endpoint->end_ms + ENDED_KNOWN_MS > sent_ms);
+		if (endpoint->life == SOAK_ENDED &&
+		    endpoint->end_ms + ENDED_KNOWN_MS > sent_ms &&
+		    route_led_to(soak, route_port, endpoint->service, sent_ms))
+			return true;
 	}
-	if (willing && !ended &&
+	return false;
+}
+
+void soak_check_refused(struct soak *soak, int node, uint16_t route_port,
+			uint64_t sent_ms)
+{
+	soak->refused++;
+	if (route_port != SOAK_STEADY_PORT && route_port != SOAK_SWITCH_PORT)
+		return;
+	if (route_willing(soak, route_port, sent_ms) &&
+	    !route_ended(soak, route_port, sent_ms) &&
 	    bound_holds(soak, node, sent_ms, SOAK_CONFIG_MS))
 		soak_broken(soak, "CONFIG",
 			    "node %d refused a flow of a route with endpoints",
