One time at which a caller gives up opening a flow; a restored zone's mean is worked out once

JT_CALLER_ENDS_MS stood in two files and has to be the same in both: how long a first packet's copies may come, and how long one is held. The mean work of the other zones was worked out for each endpoint of a restored zone. Behaviour as before: make check rc 0, 83 of 83.

--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -108,14 +108,15 @@
 {
 	struct jt_incarnation *in;
 	struct work_sum others = {0};
+	double mean;
 
 	for (in = pool->members; in != NULL; in = in->pool_next) {
 		if (in->entry.zone_id != zone_id)
 			work_sum_add(&others, chooser, in, now_ms);
 	}
+	mean = work_mean(&others);
 	for (in = pool->members; in != NULL; in = in->pool_next) {
-		double lacks =
-			work_mean(&others) - jt_work_now(&in->work, now_ms);
+		double lacks = mean - jt_work_now(&in->work, now_ms);
 
 		if (in->entry.zone_id == zone_id && lacks > 0)
 			jt_work_add(&in->work, lacks, now_ms);
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -24,10 +24,9 @@
 	 * other nodes may have. */
 	FULL_MARGIN = 4,
 	FULL_MARGIN_FLOWS = 4,
-	/* When callers send copies of a first packet, and give up. */
+	/* When callers send copies of a first packet. */
 	FIRST_COPY_MS = 200,
 	SECOND_COPY_MS = 600,
-	CALLER_ENDS_MS = 1400,
 	COPY_SLACK_MS = 100,
 };
 
@@ -115,7 +114,7 @@
 		return age_ms >= FIRST_COPY_MS + COPY_SLACK_MS;
 	if (flow->copies == 1)
 		return age_ms >= SECOND_COPY_MS + COPY_SLACK_MS;
-	return age_ms >= CALLER_ENDS_MS;
+	return age_ms >= JT_CALLER_ENDS_MS;
 }
 
 static void flows_reset(struct jt_director *director,
--- a/src/label/jt_director_flow.h
+++ b/src/label/jt_director_flow.h
@@ -4,6 +4,10 @@
 
 #include "jt_director_private.h"
 
+/* A caller's attempt to open a flow has ended by then: it has sent copies of
+ * the first packet after 200 and 600 ms. */
+enum { JT_CALLER_ENDS_MS = 1400 };
+
 /* The sequence of a reset that a caller takes only while its flow is not
  * open. */
 uint32_t jt_director_opening_sequence(struct jt_director *director);
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -16,8 +16,6 @@
 	/* A caller waits longer than that before it sends the same again: what
 	 * comes sooner was doubled by the network. */
 	RESEND_LEAST_MS = 100,
-	/* A caller's attempt to open a flow has ended by then. */
-	CALLER_ENDS_MS = 1400,
 	/* A packet is held no longer: its caller has sent the same again. */
 	HELD_MOST_MS = 2500,
 	/* Flows without an answer that are looked at for each new one. */
@@ -250,7 +248,7 @@
 			  uint64_t now_ms)
 {
 	return flow->opening_ms != 0 &&
-	       now_ms - flow->opening_ms >= CALLER_ENDS_MS &&
+	       now_ms - flow->opening_ms >= JT_CALLER_ENDS_MS &&
 	       jt_zone_drains_has(&director->zone_drains,
 				  incarnation->entry.zone_id);
 }
@@ -481,7 +479,7 @@
 	bool first = packet->flags & JT_PACKET_SYN;
 
 	jt_director_openings(director, now_ms, actions);
-	if (packet->held_ms >= (first ? CALLER_ENDS_MS : HELD_MOST_MS)) {
+	if (packet->held_ms >= (first ? JT_CALLER_ENDS_MS : HELD_MOST_MS)) {
 		add_drop(director, packet, JT_DIRECTOR_LEARNING, actions);
 		return;
 	}
