What peers know is fetched slice by slice; no fixed number of endpoints

Cause: a peer told all that it knows in one answer of 8,192 entries at the most, and the table took no more: the 8,193rd endpoint was refused for good (on the fleet 19% of endpoints got no flow). The answer, some 420 kB, takes 170 ms of a link of 20 Mbit/s that nobody shares; a node that starts waits 250 ms for it, and began anew each time, so that work thrown away grew with nodes times endpoints. Also each change made a node walk all its endpoints for those that are newer. Ways: a larger answer and a longer time-out (holds up to the next size); pages by a peer's own order (can't go on at another peer); slices by a hash of the id, the same at every node. Kept: slices, 1,024, told some 512 entries at a time. What has come counts, the next peer is asked for the rest; a peer tells what half of its link carries and refuses the rest at once; a slice knows its newest revision. The table's bound follows from node.memory_mb, the budget from node.link_mbps. Tests: test_many_endpoints, test_knowledge_fetch, test_director_settings.

--- a/fuzz/fuzz_director.c
+++ b/fuzz/fuzz_director.c
@@ -477,8 +477,9 @@
 	struct jt_routing *routing;
 
 	if (node == from || !jt_director_started(world->directors[from]) ||
-	    !jt_knowledge_write(frame, world->directors[from], 0, 0,
-				world->now_ms, &knowledge))
+	    !jt_knowledge_write(frame, world->directors[from],
+				&(struct jt_knowledge_need){0}, world->now_ms,
+				&knowledge))
 		goto out;
 	routing = jt_knowledge_routing(world, &knowledge.routing);
 	if (routing != NULL)
--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -16,10 +16,9 @@
 #include <talloc.h>
 
 enum {
-	JT_ROUTE_PART_LIMIT = 16,	/* services that share one route */
-	JT_ENDPOINT_TABLE_LIMIT = 8192, /* incarnations known at once */
-	JT_LOAD_LIMIT = 96,		/* endpoints in one report of loads */
-	JT_ZONE_DRAIN_LIMIT = 64,	/* zones whose drains are known */
+	JT_ROUTE_PART_LIMIT = 16, /* services that share one route */
+	JT_LOAD_LIMIT = 96,	  /* endpoints in one report of loads */
+	JT_ZONE_DRAIN_LIMIT = 64, /* zones whose drains are known */
 };
 
 /* A service's part of a route's new flows. */
@@ -283,6 +282,7 @@
 struct jt_director_options {
 	uint32_t zone_id;
 	size_t flow_limit;	    /* flows remembered */
+	size_t endpoint_limit;	    /* incarnations known at once */
 	uint64_t flow_age_limit_ms; /* no flow lives longer */
 	uint32_t lapsed_grace_ms;   /* last resort after an entry went */
 	/* The same for one that went while the store was away: a live endpoint
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -297,6 +297,7 @@
 	options.without = settings->without;
 	options.zone_id = jt_name_id(settings->zone);
 	options.flow_limit = settings->flow_limit;
+	options.endpoint_limit = settings->endpoint_limit;
 	options.flow_age_limit_ms = settings->flow_age_limit_ms;
 	options.cold_overshoot_permille = settings->cold_overshoot_permille;
 	options.cold_slack = settings->cold_slack;
--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -203,13 +203,14 @@
 				&own->store_reader);
 }
 
-static bool on_knowledge(TALLOC_CTX *mem_ctx, uint64_t since, uint64_t version,
+static bool on_knowledge(TALLOC_CTX *mem_ctx,
+			 const struct jt_knowledge_need *need,
 			 jt_wire_knowledge *knowledge, void *private_data)
 {
 	const struct jt_director_node *node = private_data;
 
-	return jt_knowledge_write(mem_ctx, node->director, since, version,
-				  jt_clock_ms(), knowledge);
+	return jt_knowledge_write(mem_ctx, node->director, need, jt_clock_ms(),
+				  knowledge);
 }
 
 static void entries_take(struct jt_director_node *node,
@@ -235,22 +236,7 @@
 	talloc_free(drains);
 }
 
-/* The peer knew all that the store had a while ago; now this node does. */
-static void knowledge_age_take(struct jt_director_node *node,
-			       const jt_wire_knowledge *knowledge)
-{
-	uint64_t now_ms = jt_clock_ms();
-
-	if (knowledge->store_reader != jt_peer_exchange_id(node->peers) &&
-	    knowledge->store_age_ms < now_ms)
-		jt_reader_heard(&node->reader, now_ms - knowledge->store_age_ms,
-				knowledge->store_reader);
-}
-
-/*
- * A peer's knowledge is complete up to its revision, what is gone included,
- * but for what it took this node to know.
- */
+/* A part of what peers know: endpoints, and all drains of zones. */
 static void on_learned(const jt_wire_knowledge *knowledge, void *private_data)
 {
 	struct jt_director_node *node = private_data;
@@ -265,16 +251,30 @@
 		     knowledge->entries.entries_len);
 	wire_zones_take(node, knowledge->zones.zones_val,
 			knowledge->zones.zones_len, true, knowledge->revision);
+}
+
+/*
+ * What peers know is complete up to the revision, what is gone included, but
+ * for what it took this node to know. They knew all that the store had a while
+ * ago; now this node does.
+ */
+static void on_learned_all(const struct jt_knowledge_fetch *whole,
+			   void *private_data)
+{
+	struct jt_director_node *node = private_data;
+
 	jt_log_line(node->log, LOG_NOTICE,
 		    "event=knowledge_learned since=%llu revision=%llu "
-		    "entries=%u learning_ms=%u",
-		    (unsigned long long)knowledge->since,
-		    (unsigned long long)knowledge->revision,
-		    knowledge->entries.entries_len, knowledge->learning_ms);
-	revision_take(node, JT_DIRECTOR_INFORMED, knowledge->revision,
-		      knowledge->learning_ms);
-	knowledge_age_take(node, knowledge);
-	jt_directory_sync_informed(node->sync, knowledge->revision);
+		    "learning_ms=%u",
+		    (unsigned long long)whole->since,
+		    (unsigned long long)whole->revision, whole->learning_ms);
+	revision_take(node, JT_DIRECTOR_INFORMED, whole->revision,
+		      whole->learning_ms);
+	if (whole->store_reader != jt_peer_exchange_id(node->peers) &&
+	    whole->store_as_of_ms > 0)
+		jt_reader_heard(&node->reader, whole->store_as_of_ms,
+				whole->store_reader);
+	jt_directory_sync_informed(node->sync, whole->revision);
 }
 
 static void on_news(const jt_wire_news *news, void *private_data)
@@ -360,6 +360,7 @@
 		.own_state = on_own_state,
 		.knowledge = on_knowledge,
 		.learned = on_learned,
+		.learned_all = on_learned_all,
 		.news = on_news,
 		.store_heard = on_store_heard,
 		.suspicion = on_suspicion,
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -200,13 +200,17 @@
 			 const struct jt_own_state *own, jt_wire_news *news)
 {
 	jt_wire_knowledge knowledge = {0};
+	const struct jt_knowledge_need need = {
+		.since = exchange->told_revision,
+		.version = own->routing_version,
+	};
 
 	/* Without entries it makes the others fetch. */
 	news->since = own->revision;
 	if (exchange->told_revision == 0 ||
-	    !exchange->handler.knowledge(frame, exchange->told_revision,
-					 own->routing_version, &knowledge,
+	    !exchange->handler.knowledge(frame, &need, &knowledge,
 					 exchange->handler.private_data) ||
+	    !jt_knowledge_whole(&knowledge) ||
 	    knowledge.since != exchange->told_revision ||
 	    knowledge.entries.entries_len > JT_DIRECTOR_MAX_NEWS ||
 	    !news_zones(&knowledge, news))
@@ -439,6 +443,7 @@
 			     const struct jt_director_settings *settings)
 {
 	exchange->keys = settings->keys;
+	jt_serve_budget_init(&exchange->budget, settings->link_mbps);
 	if (settings->leave_limit_ms > 0)
 		exchange->membership->leave_limit_ms = settings->leave_limit_ms;
 	seeds_take(exchange, settings);
--- a/src/director/jt_peer_exchange.h
+++ b/src/director/jt_peer_exchange.h
@@ -7,6 +7,7 @@
 
 #include "jt_director_settings.h"
 #include "jt_http_client.h"
+#include "jt_knowledge_fetch.h"
 #include "jt_log.h"
 #include "jaspertrack/director-t.h"
 #include "jt_membership.h"
@@ -14,12 +15,16 @@
 /* What the owner of a peer exchange provides and is told. */
 struct jt_peer_handler {
 	void (*own_state)(struct jt_own_state *own, void *private_data);
-	/* What this node knows and one that knows all up to @since, and has
-	 * routing @version, does not; below @mem_ctx. */
-	bool (*knowledge)(TALLOC_CTX *mem_ctx, uint64_t since, uint64_t version,
+	/* What this node knows and one that asks for @need does not; below
+	 * @mem_ctx. */
+	bool (*knowledge)(TALLOC_CTX *mem_ctx,
+			  const struct jt_knowledge_need *need,
 			  jt_wire_knowledge *knowledge, void *private_data);
-	/* What a peer knows. */
+	/* A part of what peers know. */
 	void (*learned)(const jt_wire_knowledge *knowledge, void *private_data);
+	/* That was the last part: @whole is what all of them amount to. */
+	void (*learned_all)(const struct jt_knowledge_fetch *whole,
+			    void *private_data);
 	/* What has just changed. */
 	void (*news)(const jt_wire_news *news, void *private_data);
 	/* A peer that knows no more than this node has all that the store had
@@ -48,6 +53,7 @@
 	uint64_t fetches;
 	uint64_t fetches_failed;
 	uint64_t fetches_served;
+	uint64_t fetches_refused; /* this node was asked by too many */
 };
 
 struct jt_peer_exchange;
--- a/src/director/jt_peer_exchange_private.h
+++ b/src/director/jt_peer_exchange_private.h
@@ -4,6 +4,7 @@
 
 #include "jt_http_server.h"
 #include "jt_peer_exchange.h"
+#include "jt_serve_budget.h"
 
 struct jt_timer;
 
@@ -22,6 +23,10 @@
 	bool news_due;
 	uint64_t told_revision; /* up to which news was sent on */
 	struct tevent_req *fetch;
+	struct jt_address fetch_from; /* the peer that is asked */
+	bool fetch_answered;	      /* it has told a part already */
+	struct jt_knowledge_fetch fetched;
+	struct jt_serve_budget budget;
 	int fd;
 	uint64_t sequence;
 	uint64_t created_ms;
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -8,6 +8,7 @@
 
 enum {
 	DEFAULT_FLOW_LIMIT = 1 << 16,
+	DEFAULT_ENDPOINT_LIMIT = 1 << 17,
 	DEFAULT_FLOW_AGE_LIMIT_MS = 3600 * 1000,
 	DEFAULT_LAPSED_GRACE_MS = 2000,
 	DEFAULT_RETURNED_GRACE_MS = 2200,
@@ -34,6 +35,7 @@
 {
 	*options = (struct jt_director_options){
 		.flow_limit = DEFAULT_FLOW_LIMIT,
+		.endpoint_limit = DEFAULT_ENDPOINT_LIMIT,
 		.flow_age_limit_ms = DEFAULT_FLOW_AGE_LIMIT_MS,
 		.lapsed_grace_ms = DEFAULT_LAPSED_GRACE_MS,
 		.returned_grace_ms = DEFAULT_RETURNED_GRACE_MS,
@@ -56,7 +58,8 @@
 	director->nodes = 1;
 	director->random.seed = opts->seed;
 	jt_detector_init(&director->detector, opts);
-	director->endpoints = jt_endpoint_table_create(director);
+	director->endpoints =
+		jt_endpoint_table_create(director, opts->endpoint_limit);
 	director->flows = jt_flow_cache_create(director, opts->flow_limit);
 	director->peer_loads = jt_peer_loads_create(director);
 	director->chooser = jt_chooser_create(
@@ -205,8 +208,8 @@
 	if (incarnation == NULL ||
 	    revision <= jt_incarnation_revision(incarnation))
 		return;
-	incarnation->entry.gone_revision = revision;
-	incarnation->learned_ms = now_ms;
+	jt_endpoint_table_gone(director->endpoints, incarnation, revision,
+			       now_ms);
 	if (director->options.break_mechanism & JT_DIRECTOR_BREAK_FORGET_GONE) {
 		jt_endpoint_table_remove(director->endpoints, incarnation);
 		return;
--- a/src/label/jt_endpoint_table.c
+++ b/src/label/jt_endpoint_table.c
@@ -2,6 +2,7 @@
 #include "jaspertrack/director.h"
 
 #include <utlist.h>
+#include <xxhash.h>
 
 uint32_t jt_flow_label(uint64_t endpoint_id)
 {
@@ -20,13 +21,16 @@
 	return 0;
 }
 
-struct jt_endpoint_table *jt_endpoint_table_create(TALLOC_CTX *mem_ctx)
+struct jt_endpoint_table *jt_endpoint_table_create(TALLOC_CTX *mem_ctx,
+						   size_t limit)
 {
 	struct jt_endpoint_table *table =
 		talloc_zero(mem_ctx, struct jt_endpoint_table);
 
-	if (table != NULL)
-		talloc_set_destructor(table, table_destructor);
+	if (table == NULL)
+		return NULL;
+	table->limit = limit;
+	talloc_set_destructor(table, table_destructor);
 	return table;
 }
 
@@ -140,6 +144,44 @@
 	talloc_free(pool);
 }
 
+/* The slice of an id: spread evenly, whatever ids look like. */
+static struct jt_endpoint_slice *slice_of(struct jt_endpoint_table *table,
+					  uint64_t id)
+{
+	return &table->slices[XXH64(&id, sizeof(id), 0) % JT_DIRECTOR_SLICES];
+}
+
+/* What discovery tells of the incarnation is of a later revision now. */
+static void slice_note(struct jt_endpoint_table *table,
+		       const struct jt_incarnation *incarnation)
+{
+	struct jt_endpoint_slice *slice =
+		slice_of(table, incarnation->entry.id);
+	uint64_t revision = jt_incarnation_revision(incarnation);
+
+	if (revision > slice->newest)
+		slice->newest = revision;
+}
+
+static void slice_join(struct jt_endpoint_table *table,
+		       struct jt_incarnation *incarnation)
+{
+	struct jt_endpoint_slice *slice =
+		slice_of(table, incarnation->entry.id);
+
+	DL_APPEND2(slice->members, incarnation, slice_prev, slice_next);
+	slice_note(table, incarnation);
+}
+
+static void slice_leave(struct jt_endpoint_table *table,
+			struct jt_incarnation *incarnation)
+{
+	struct jt_endpoint_slice *slice =
+		slice_of(table, incarnation->entry.id);
+
+	DL_DELETE2(slice->members, incarnation, slice_prev, slice_next);
+}
+
 static void entry_copy(struct jt_incarnation *incarnation,
 		       const struct jt_endpoint_entry *entry, uint64_t now_ms)
 {
@@ -177,7 +219,7 @@
 	uint32_t label = jt_flow_label(entry->id);
 	struct jt_incarnation *added;
 
-	if (table->count >= JT_ENDPOINT_TABLE_LIMIT)
+	if (table->count >= table->limit)
 		return JT_ENTRY_NO_ROOM;
 	if (jt_endpoint_table_by_label(table, label) != NULL)
 		return JT_ENTRY_CLASH;
@@ -191,6 +233,7 @@
 	HASH_ADD(by_id, table->ids, entry.id, sizeof(entry->id), added);
 	HASH_ADD(by_label, table->labels, label, sizeof(label), added);
 	address_join(table, added);
+	slice_join(table, added);
 	pool_join(table, added);
 	table->count++;
 	*incarnation = added;
@@ -216,16 +259,27 @@
 	/* What it said before it went is news, but does not bring it back. */
 	if (!stale && gone_revision > entry->revision)
 		known->entry.gone_revision = gone_revision;
+	slice_note(table, known);
 	*incarnation = known;
 	return JT_ENTRY_CHANGED;
 }
 
+void jt_endpoint_table_gone(struct jt_endpoint_table *table,
+			    struct jt_incarnation *incarnation,
+			    uint64_t revision, uint64_t now_ms)
+{
+	incarnation->entry.gone_revision = revision;
+	incarnation->learned_ms = now_ms;
+	slice_note(table, incarnation);
+}
+
 void jt_endpoint_table_remove(struct jt_endpoint_table *table,
 			      struct jt_incarnation *incarnation)
 {
 	HASH_DELETE(by_id, table->ids, incarnation);
 	HASH_DELETE(by_label, table->labels, incarnation);
 	address_leave(table, incarnation);
+	slice_leave(table, incarnation);
 	pool_leave(table, incarnation);
 	table->count--;
 	talloc_free(incarnation);
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -10,6 +10,7 @@
 
 #include "jaspertrack/director-t.h"
 
+#include "jt_director_proto.h"
 #include "jt_work.h"
 
 #include <uthash.h>
@@ -60,6 +61,7 @@
 	/* Others that have or had the same address. */
 	struct jt_incarnation *address_next, *address_prev;
 	UT_hash_handle by_address; /* the first of each address alone */
+	struct jt_incarnation *slice_next, *slice_prev;
 	UT_hash_handle by_id;
 	UT_hash_handle by_label;
 };
@@ -72,7 +74,18 @@
 	UT_hash_handle hh;
 };
 
+/*
+ * A part of the table, the same incarnations at every node: it is fetched from
+ * peers slice by slice, and what is new in it is found without the rest.
+ */
+struct jt_endpoint_slice {
+	struct jt_incarnation *members;
+	uint64_t newest; /* no member was told at a later revision */
+};
+
 struct jt_endpoint_table {
+	size_t limit; /* incarnations known at once */
+	struct jt_endpoint_slice slices[JT_DIRECTOR_SLICES];
 	struct jt_incarnation *ids;
 	struct jt_incarnation *labels;
 	struct jt_incarnation *addresses; /* the first of each */
@@ -106,7 +119,8 @@
 	JT_ENTRY_CLASH, /* another incarnation has the same label */
 };
 
-struct jt_endpoint_table *jt_endpoint_table_create(TALLOC_CTX *mem_ctx);
+struct jt_endpoint_table *jt_endpoint_table_create(TALLOC_CTX *mem_ctx,
+						   size_t limit);
 /*
  * Take discovery's @entry over, but for when it went. @stale takes older
  * entries as well (tests). @incarnation is set on JT_ENTRY_NEW and
@@ -116,6 +130,10 @@
 jt_endpoint_table_take(struct jt_endpoint_table *table,
 		       const struct jt_endpoint_entry *entry, bool stale,
 		       uint64_t now_ms, struct jt_incarnation **incarnation);
+/* Its entry went at @revision, as discovery told at @now_ms. */
+void jt_endpoint_table_gone(struct jt_endpoint_table *table,
+			    struct jt_incarnation *incarnation,
+			    uint64_t revision, uint64_t now_ms);
 void jt_endpoint_table_remove(struct jt_endpoint_table *table,
 			      struct jt_incarnation *incarnation);
 struct jt_incarnation *
--- a/src/label/jt_knowledge.c
+++ b/src/label/jt_knowledge.c
@@ -4,6 +4,12 @@
 #include <stdio.h>
 #include <string.h>
 
+enum {
+	/* Entries told at once, some 27 kB: a link of 20 Mbit/s carries them in
+	 * 11 ms, so that many peers that ask at once share it fairly. */
+	ENTRIES_AT_ONCE = 512,
+};
+
 static bool parts_write(TALLOC_CTX *mem_ctx, const struct jt_route *route,
 			jt_wire_route *wire)
 {
@@ -67,38 +73,90 @@
 		       : 0;
 }
 
+/* Entries of the slice that changed after @since. */
+static size_t slice_count(const struct jt_endpoint_slice *slice, uint64_t since)
+{
+	const struct jt_incarnation *in;
+	size_t count = 0;
+
+	if (slice->newest <= since)
+		return 0;
+	for (in = slice->members; in != NULL; in = in->slice_next)
+		count += jt_incarnation_revision(in) > since;
+	return count;
+}
+
+static jt_wire_entry entry_write(const struct jt_incarnation *in,
+				 uint64_t now_ms)
+{
+	const struct jt_endpoint_entry *entry = &in->entry;
+
+	return (jt_wire_entry){
+		.id = entry->id,
+		.service_id = entry->service_id,
+		.zone_id = entry->zone_id,
+		.address = entry->address.ip,
+		.port = entry->address.port,
+		.capacity = entry->capacity,
+		.cold_left_ms = cold_left_ms(in, now_ms),
+		.revision = entry->revision,
+		.draining = entry->draining,
+		.gone_revision = entry->gone_revision,
+	};
+}
+
+/* Writes the slice's entries that changed after @since; returns how many. */
+static size_t slice_write(const struct jt_endpoint_slice *slice, uint64_t since,
+			  uint64_t now_ms, jt_wire_entry *entries)
+{
+	const struct jt_incarnation *in;
+	size_t count = 0;
+
+	if (slice->newest <= since)
+		return 0;
+	for (in = slice->members; in != NULL && count < JT_DIRECTOR_MAX_ENTRIES;
+	     in = in->slice_next) {
+		if (jt_incarnation_revision(in) > since)
+			entries[count++] = entry_write(in, now_ms);
+	}
+	return count;
+}
+
+/* The first slice after those that are told at once, with how many @entries
+ * those have. */
+static uint32_t slices_end(const struct jt_endpoint_table *table,
+			   uint32_t first, uint64_t since, size_t *entries)
+{
+	uint32_t end = first;
+
+	*entries = 0;
+	while (end < JT_DIRECTOR_SLICES) {
+		size_t more = slice_count(&table->slices[end], since);
+
+		if (*entries > 0 && *entries + more > ENTRIES_AT_ONCE)
+			break;
+		*entries += more;
+		end++;
+	}
+	return end;
+}
+
 static bool entries_write(TALLOC_CTX *mem_ctx,
 			  const struct jt_director *director, uint64_t now_ms,
 			  jt_wire_knowledge *knowledge)
 {
-	const struct jt_incarnation *in;
+	const struct jt_endpoint_table *table = director->endpoints;
 	jt_wire_entry *entries;
-	size_t count = 0;
+	size_t room, count = 0;
 
-	entries = talloc_zero_array(mem_ctx, jt_wire_entry,
-				    director->endpoints->count + 1);
+	knowledge->slice_next =
+		slices_end(table, knowledge->slice, knowledge->since, &room);
+	entries = talloc_zero_array(mem_ctx, jt_wire_entry, room + 1);
 	if (entries == NULL)
 		return false;
-	for (in = jt_endpoint_table_first(director->endpoints);
-	     in != NULL && count < JT_DIRECTOR_MAX_ENTRIES;
-	     in = jt_endpoint_table_next(in)) {
-		const struct jt_endpoint_entry *entry = &in->entry;
-
-		if (jt_incarnation_revision(in) <= knowledge->since)
-			continue;
-		entries[count++] = (jt_wire_entry){
-			.id = entry->id,
-			.service_id = entry->service_id,
-			.zone_id = entry->zone_id,
-			.address = entry->address.ip,
-			.port = entry->address.port,
-			.capacity = entry->capacity,
-			.cold_left_ms = cold_left_ms(in, now_ms),
-			.revision = entry->revision,
-			.draining = entry->draining,
-			.gone_revision = entry->gone_revision,
-		};
-	}
+	for (uint32_t i = knowledge->slice; i < knowledge->slice_next; i++)
+		count += slice_write(&table->slices[i], knowledge->since,
+				     now_ms, &entries[count]);
 	knowledge->entries.entries_val = entries;
 	knowledge->entries.entries_len = (u_int)count;
 	return true;
@@ -127,7 +185,7 @@
 }
 
 bool jt_knowledge_write(TALLOC_CTX *mem_ctx, const struct jt_director *director,
-			uint64_t since, uint64_t version, uint64_t now_ms,
+			const struct jt_knowledge_need *need, uint64_t now_ms,
 			jt_wire_knowledge *knowledge)
 {
 	const struct jt_routing *routing = jt_director_routing(director);
@@ -136,15 +194,24 @@
 	knowledge->revision = jt_director_revision(director);
 	knowledge->learning_ms = jt_director_learning_ms(director, now_ms);
 	/* Entries that were forgotten since then would be missing. */
-	if (since >= director->forgotten_revision)
-		knowledge->since = since;
-	if (routing != NULL && routing->version > version &&
+	if (need->since >= director->forgotten_revision)
+		knowledge->since = need->since;
+	knowledge->slice = need->slice < JT_DIRECTOR_SLICES
+				   ? need->slice
+				   : JT_DIRECTOR_SLICES;
+	if (routing != NULL && routing->version > need->version &&
 	    !routing_write(mem_ctx, routing, &knowledge->routing))
 		return false;
 	return zones_write(mem_ctx, &director->zone_drains, knowledge) &&
 	       entries_write(mem_ctx, director, now_ms, knowledge);
 }
 
+bool jt_knowledge_whole(const jt_wire_knowledge *knowledge)
+{
+	return knowledge->slice == 0 &&
+	       knowledge->slice_next == JT_DIRECTOR_SLICES;
+}
+
 static bool route_read(const jt_wire_route *wire, struct jt_route *route)
 {
 	if (wire->port == 0 || wire->port > UINT16_MAX ||
--- a/src/label/jt_knowledge.h
+++ b/src/label/jt_knowledge.h
@@ -5,15 +5,24 @@
 #include "jaspertrack/director.h"
 #include "jt_director_proto.h"
 
+/* What a node that asks a peer knows already. */
+struct jt_knowledge_need {
+	uint64_t since;	  /* all up to this revision; 0: nothing */
+	uint64_t version; /* of its routing */
+	uint32_t slice;	  /* the first one that it lacks */
+};
+
 /*
- * What @director knows at @now_ms and one that knows all up to revision @since
- * and has routing @version does not; below @mem_ctx. All entries where what
- * changed since then is not known any more, which @knowledge says. False when
- * memory runs out.
+ * What @director knows at @now_ms and one that asks for @need does not; below
+ * @mem_ctx. The slices from the first one needed on, as many as are told at
+ * once; all their entries where what changed since then is not known any more.
+ * @knowledge says both. False when memory runs out.
  */
 bool jt_knowledge_write(TALLOC_CTX *mem_ctx, const struct jt_director *director,
-			uint64_t since, uint64_t version, uint64_t now_ms,
+			const struct jt_knowledge_need *need, uint64_t now_ms,
 			jt_wire_knowledge *knowledge);
+/* Whether @knowledge holds all slices. */
+bool jt_knowledge_whole(const jt_wire_knowledge *knowledge);
 
 /* The routing of @wire as a talloc child of @mem_ctx; NULL when it has none
  * or makes no sense. */
--- /dev/null
+++ b/src/label/jt_knowledge_fetch.c
@@ -0,0 +1,50 @@
+#include "jt_knowledge_fetch.h"
+
+static void fetch_begin(struct jt_knowledge_fetch *fetch,
+			const struct jt_own_state *own)
+{
+	*fetch = (struct jt_knowledge_fetch){
+		.begun = true,
+		.since = own->started ? own->revision : 0,
+		.revision = UINT64_MAX,
+		.store_as_of_ms = UINT64_MAX,
+	};
+}
+
+struct jt_knowledge_need
+jt_knowledge_fetch_need(struct jt_knowledge_fetch *fetch,
+			const struct jt_own_state *own)
+{
+	if (!fetch->begun)
+		fetch_begin(fetch, own);
+	return (struct jt_knowledge_need){
+		.since = fetch->since,
+		.version = own->routing_version,
+		.slice = fetch->slice,
+	};
+}
+
+bool jt_knowledge_fetch_took(struct jt_knowledge_fetch *fetch,
+			     const jt_wire_knowledge *knowledge,
+			     uint64_t now_ms)
+{
+	uint64_t as_of_ms = now_ms > knowledge->store_age_ms
+				    ? now_ms - knowledge->store_age_ms
+				    : 0;
+
+	if (!fetch->begun || knowledge->slice != fetch->slice ||
+	    knowledge->slice_next <= knowledge->slice ||
+	    knowledge->since > fetch->since)
+		return false;
+	fetch->slice = knowledge->slice_next;
+	if (knowledge->revision < fetch->revision)
+		fetch->revision = knowledge->revision;
+	if (knowledge->learning_ms > fetch->learning_ms)
+		fetch->learning_ms = knowledge->learning_ms;
+	if (as_of_ms < fetch->store_as_of_ms) {
+		fetch->store_as_of_ms = as_of_ms;
+		fetch->store_reader = knowledge->store_reader;
+	}
+	fetch->begun = fetch->slice < JT_DIRECTOR_SLICES;
+	return !fetch->begun;
+}
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -42,6 +42,13 @@
 	bool no_answer; /* to a fetch, and not heard since then */
 };
 
+/* How a fetch from a peer ended. */
+enum jt_fetch_end {
+	JT_FETCH_WORKED,
+	JT_FETCH_BUSY, /* the peer is asked by too many */
+	JT_FETCH_FAILED,
+};
+
 /* Whether the peer was heard lately, by this node or by another. */
 static inline bool jt_peer_lives(const struct jt_peer *peer)
 {
@@ -149,8 +156,8 @@
 const struct jt_peer *jt_membership_fetch(struct jt_membership *membership,
 					  const struct jt_own_state *own,
 					  uint64_t now_ms);
-void jt_membership_fetched(struct jt_membership *membership, bool worked,
-			   uint64_t now_ms);
+void jt_membership_fetched(struct jt_membership *membership,
+			   enum jt_fetch_end end, uint64_t now_ms);
 /* Peers that were heard lately. */
 size_t jt_membership_live(const struct jt_membership *membership);
 /* Their ids; returns how many. */
--- a/src/label/jt_membership_fetch.c
+++ b/src/label/jt_membership_fetch.c
@@ -8,6 +8,8 @@
 	BEHIND_MS = 60,
 	FETCH_PAUSE_MS = 100,
 	FETCH_FAILED_PAUSE_MS = 200,
+	/* In the mean: about as long as a link is busy with what it serves. */
+	FETCH_BUSY_PAUSE_MS = 60,
 };
 
 static bool knows_more(const struct jt_peer *peer,
@@ -113,14 +115,28 @@
 	}
 }
 
-void jt_membership_fetched(struct jt_membership *membership, bool worked,
-			   uint64_t now_ms)
+static uint64_t fetch_pause_ms(struct jt_membership *membership,
+			       enum jt_fetch_end end)
+{
+	switch (end) {
+	case JT_FETCH_WORKED:
+		return FETCH_PAUSE_MS;
+	case JT_FETCH_BUSY:
+		return FETCH_BUSY_PAUSE_MS / 2 +
+		       jt_random_next(&membership->random) %
+			       FETCH_BUSY_PAUSE_MS;
+	default:
+		return FETCH_FAILED_PAUSE_MS;
+	}
+}
+
+void jt_membership_fetched(struct jt_membership *membership,
+			   enum jt_fetch_end end, uint64_t now_ms)
 {
 	membership->fetching = false;
-	membership->fetch_next_ms =
-		now_ms + (worked ? FETCH_PAUSE_MS : FETCH_FAILED_PAUSE_MS);
-	if (worked)
+	membership->fetch_next_ms = now_ms + fetch_pause_ms(membership, end);
+	if (end == JT_FETCH_WORKED)
 		membership->behind_ms = 0;
-	else
+	if (end == JT_FETCH_FAILED)
 		peer_no_answer(membership, membership->fetching_from);
 }
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -17,6 +17,7 @@
 #define JT_DIRECTOR_MAX_ROUTES 1048576
 #define JT_DIRECTOR_MAX_PARTS 16
 #define JT_DIRECTOR_MAX_SERVICES 65536
+#define JT_DIRECTOR_SLICES 1024
 #define JT_DIRECTOR_MAX_ENTRIES 8192
 #define JT_DIRECTOR_MAX_NAME 63
 #define JT_DIRECTOR_MAX_LOADS 96
@@ -163,6 +164,8 @@
 typedef struct jt_wire_news jt_wire_news;
 
 struct jt_wire_knowledge {
+	u_int slice;
+	u_int slice_next;
 	u_quad_t since;
 	u_quad_t revision;
 	u_int learning_ms;
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -10,6 +10,9 @@
 const JT_DIRECTOR_MAX_ROUTES = 1048576;
 const JT_DIRECTOR_MAX_PARTS = 16;
 const JT_DIRECTOR_MAX_SERVICES = 65536;
+/* Endpoints are told in slices by a hash of their ids. A message holds whole
+ * slices: a few hundred entries, or one slice where that has more. */
+const JT_DIRECTOR_SLICES = 1024;
 const JT_DIRECTOR_MAX_ENTRIES = 8192;
 const JT_DIRECTOR_MAX_NAME = 63;
 const JT_DIRECTOR_MAX_LOADS = 96;
@@ -136,10 +139,13 @@
 };
 
 /*
- * What a peer that is behind fetches: the entries that changed after `since`
- * (0: all), all drains of zones, and the routing unless the peer has it.
+ * What a peer that is behind fetches: of some slices the entries that changed
+ * after `since` (0: all), all drains of zones, and the routing unless the peer
+ * has it. It asks for one slice after the other, of any peer, until it has all.
  */
 struct jt_wire_knowledge {
+	unsigned int slice;      /* the first one in it */
+	unsigned int slice_next; /* the first one that is not */
 	unsigned hyper since;
 	unsigned hyper revision;
 	unsigned int learning_ms;    /* entries may be missing so long yet */
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -526,6 +526,10 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_int (xdrs, &objp->slice))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slice_next))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->since))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
--- a/src/settings/jt_director_settings.c
+++ b/src/settings/jt_director_settings.c
@@ -17,6 +17,16 @@
 	DEFAULT_ZONE_DRAIN_MS = 5000,
 	CORES_MOST = 4096,
 	DEFAULT_CORES = 1,
+	DEFAULT_MEMORY_MB = 128,
+	MEMORY_LEAST_MB = 8,
+	MEMORY_MOST_MB = 1 << 20,
+	/* Endpoints may take this part of a node's memory, and one takes some
+	 * 450 bytes with its places in all indices (docs/CAPACITY.md). */
+	MEMORY_PART = 4,
+	ENDPOINT_BYTES = 512,
+	DEFAULT_LINK_MBPS = 100,
+	LINK_LEAST_MBPS = 0,
+	LINK_MOST_MBPS = 1000000,
 	/* A node's weight as a reader: thousandths of a core. */
 	WEIGHT_OF_A_CORE = 1000,
 	/* Knowledge may be as old as this part of the time in which a change
@@ -30,15 +40,25 @@
 static int read_node(struct jt_settings_reader *r, const config_setting_t *root,
 		     struct jt_director_settings *s)
 {
-	static const char *const known[] = {"name", "zone", "cores", NULL};
+	static const char *const known[] = {"name",	 "zone",      "cores",
+					    "memory_mb", "link_mbps", NULL};
 	const config_setting_t *node = jt_settings_need_group(r, root, "node");
-	double cores = 0;
+	double cores = 0, memory_mb = 0, link_mbps = 0;
 
 	if (node == NULL || jt_settings_check_keys(r, node, known) != 0 ||
 	    jt_settings_read_text(r, node, "name", true, &s->name) != 0 ||
 	    jt_settings_read_real(r, node, "cores", 0, CORES_MOST,
-				  DEFAULT_CORES, &cores) != 0)
+				  DEFAULT_CORES, &cores) != 0 ||
+	    jt_settings_read_real(r, node, "memory_mb", MEMORY_LEAST_MB,
+				  MEMORY_MOST_MB, DEFAULT_MEMORY_MB,
+				  &memory_mb) != 0 ||
+	    jt_settings_read_real(r, node, "link_mbps", LINK_LEAST_MBPS,
+				  LINK_MOST_MBPS, DEFAULT_LINK_MBPS,
+				  &link_mbps) != 0)
 		return -1;
+	s->endpoint_limit = (uint32_t)(memory_mb * (1 << 20) / MEMORY_PART /
+				       ENDPOINT_BYTES);
+	s->link_mbps = (uint32_t)link_mbps + 1;
 	s->reader_weight = (uint32_t)(cores * WEIGHT_OF_A_CORE) + 1;
 	return jt_settings_read_text(r, node, "zone", true, &s->zone);
 }
@@ -221,6 +241,8 @@
 		return "listen.metrics";
 	if (a->flow_limit != b->flow_limit)
 		return "limits.flows";
+	if (a->endpoint_limit != b->endpoint_limit)
+		return "node.memory_mb";
 	return NULL;
 }
 
--- a/src/settings/jt_director_settings.h
+++ b/src/settings/jt_director_settings.h
@@ -27,6 +27,8 @@
 	uint32_t leave_limit_ms;    /* from SIGTERM to the end */
 	uint32_t flow_age_limit_ms; /* no flow lives longer */
 	uint32_t flow_limit;	    /* flows remembered */
+	uint32_t endpoint_limit;    /* incarnations known at once */
+	uint32_t link_mbps;	    /* of the machine's own link */
 	/* A cold endpoint may get what it bears times this much, in
 	 * thousandths, and so many new flows a second more. */
 	uint32_t cold_overshoot_permille;
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -369,7 +369,8 @@
 	entry.address = entry_of(0x101, 0, 0, 0).address;
 	bench_entry(bench, entry);
 	bench_gone(bench, 0x101, 12);
-	assert_true(jt_knowledge_write(bench, bench->director, 0, 0,
+	assert_true(jt_knowledge_write(bench, bench->director,
+				       &(struct jt_knowledge_need){0},
 				       bench->now_ms, &knowledge));
 	for (int pass = 0; pass < 2; pass++) {
 		for (u_int i = 0; i < knowledge.entries.entries_len; i++) {
@@ -394,8 +395,10 @@
 static u_int entries_since(struct bench *bench, uint64_t since,
 			   jt_wire_knowledge *knowledge)
 {
-	assert_true(jt_knowledge_write(bench, bench->director, since, 0,
-				       bench->now_ms, knowledge));
+	assert_true(
+		jt_knowledge_write(bench, bench->director,
+				   &(struct jt_knowledge_need){.since = since},
+				   bench->now_ms, knowledge));
 	return knowledge->entries.entries_len;
 }
 
@@ -415,8 +418,10 @@
 	assert_int_equal(entries_since(bench, 30, &knowledge), 0);
 	/* The routing comes only where it is news. */
 	assert_int_equal(knowledge.routing.number, version);
-	assert_true(jt_knowledge_write(bench, bench->director, 30, version,
-				       bench->now_ms, &knowledge));
+	assert_true(jt_knowledge_write(
+		bench, bench->director,
+		&(struct jt_knowledge_need){.since = 30, .version = version},
+		bench->now_ms, &knowledge));
 	assert_int_equal(knowledge.routing.number, 0);
 	talloc_free(bench);
 }
--- a/tests/test_director_settings.c
+++ b/tests/test_director_settings.c
@@ -151,6 +151,31 @@
 	talloc_free(settings);
 }
 
+/* How many endpoints a node knows follows from its memory. */
+static void test_endpoint_limit_follows_memory(void **state)
+{
+	struct jt_director_settings *settings, *larger;
+	char *error;
+
+	(void)state;
+	settings = load("zone = \"scl-renca\";",
+			"zone = \"scl-renca\"; memory_mb = 160; "
+			"link_mbps = 2.5;",
+			&error);
+	assert_non_null(settings);
+	assert_int_equal(settings->endpoint_limit, 81920);
+	assert_int_equal(settings->link_mbps, 3);
+	larger = load("zone = \"scl-renca\";",
+		      "zone = \"scl-renca\"; memory_mb = 320;", &error);
+	assert_non_null(larger);
+	assert_int_equal(larger->endpoint_limit, 2 * settings->endpoint_limit);
+	assert_string_equal(
+		jt_director_settings_fixed_difference(settings, larger),
+		"node.memory_mb");
+	talloc_free(larger);
+	talloc_free(settings);
+}
+
 static void test_errors(void **state)
 {
 	(void)state;
@@ -167,6 +192,10 @@
 		     "zone_drain_ms: is -1, allowed are 0 to");
 	expect_error("zone = \"scl-renca\"", "zone = \"a\"; cores = \"two\"",
 		     "cores: must be a number");
+	expect_error("zone = \"scl-renca\"", "zone = \"a\"; memory_mb = 1",
+		     "memory_mb: is 1, allowed are 8 to");
+	expect_error("zone = \"scl-renca\"", "zone = \"a\"; link_mbps = -1",
+		     "link_mbps: is -1, allowed are 0 to");
 	expect_error("leave_s = 2.5", "leave_s = \"soon\"",
 		     "leave_s: must be a number");
 	expect_error("10.1.0.10:8172", "10.1.0.10", "data: must be");
@@ -204,6 +233,7 @@
 		cmocka_unit_test(test_mechanisms_can_be_off),
 		cmocka_unit_test(
 			test_store_age_limit_is_half_of_the_tighter_bound),
+		cmocka_unit_test(test_endpoint_limit_follows_memory),
 		cmocka_unit_test(test_errors),
 		cmocka_unit_test(test_what_can_not_change),
 	};
--- a/tests/test_flow_rate.c
+++ b/tests/test_flow_rate.c
@@ -256,12 +256,16 @@
 	(void)state;
 	cold.cold_left_ms = 2000;
 	bench_entry(bench, cold);
-	assert_true(jt_knowledge_write(bench, bench->director, 19, 1,
-				       bench->now_ms + 1500, &knowledge));
+	assert_true(jt_knowledge_write(
+		bench, bench->director,
+		&(struct jt_knowledge_need){.since = 19, .version = 1},
+		bench->now_ms + 1500, &knowledge));
 	assert_int_equal(knowledge.entries.entries_len, 1);
 	assert_int_equal(knowledge.entries.entries_val[0].cold_left_ms, 500);
-	assert_true(jt_knowledge_write(bench, bench->director, 19, 1,
-				       bench->now_ms + 2500, &knowledge));
+	assert_true(jt_knowledge_write(
+		bench, bench->director,
+		&(struct jt_knowledge_need){.since = 19, .version = 1},
+		bench->now_ms + 2500, &knowledge));
 	assert_int_equal(knowledge.entries.entries_val[0].cold_left_ms, 0);
 	talloc_free(bench);
 }
--- a/tests/test_learning.c
+++ b/tests/test_learning.c
@@ -118,8 +118,9 @@
 
 	(void)state;
 	from->now_ms += 500;
-	assert_true(jt_knowledge_write(from, from->director, 0, 0, from->now_ms,
-				       &knowledge));
+	assert_true(jt_knowledge_write(from, from->director,
+				       &(struct jt_knowledge_need){0},
+				       from->now_ms, &knowledge));
 	assert_int_equal(knowledge.learning_ms, LEARNED_MS - 500);
 	bench_routing(to, 1, 50, 50);
 	bench_informed(to, 2, knowledge.learning_ms);
--- a/tests/test_many_endpoints.c
+++ b/tests/test_many_endpoints.c
@@ -1,8 +1,10 @@
 /* Twice as many endpoints as the largest deployment that is in service. */
 #include "director_fixture.h"
 #include "jt_endpoint_table.h"
+#include "jt_knowledge_fetch.h"
 
 enum {
+	ENDPOINTS = 20000,
 	FIRST_ID = 0x10000,
 };
 
@@ -16,10 +18,75 @@
 	return entry;
 }
 
+static struct bench *many_endpoints(uint32_t count)
+{
+	struct bench *bench = bench_create(0);
+
+	bench_routing(bench, 1, 50, 50);
+	for (uint32_t i = 0; i < count; i++)
+		bench_entry(bench, entry_number(i));
+	bench_listed(bench, 2 + count);
+	bench_tick(bench, LEARNED_MS);
+	return bench;
+}
+
+static void test_all_are_known(void **state)
+{
+	struct bench *bench = many_endpoints(ENDPOINTS);
+
+	(void)state;
+	assert_int_equal(jt_director_counters(bench->director)->entries_refused,
+			 0);
+	assert_int_equal(jt_director_endpoint_count(bench->director,
+						    JT_INCARNATION_READY),
+			 ENDPOINTS);
+	talloc_free(bench);
+}
+
+/* What a peer learns slice by slice is all that the first one knows. */
+static void test_all_are_told(void **state)
+{
+	struct bench *from = many_endpoints(ENDPOINTS);
+	struct bench *to = bench_create(0);
+	struct jt_knowledge_fetch fetch = {0};
+	const struct jt_own_state own = {0};
+	struct jt_director_event event;
+	jt_wire_knowledge knowledge;
+	bool whole = false;
+	u_int most = 0;
+
+	(void)state;
+	bench_routing(to, 1, 50, 50);
+	while (!whole) {
+		const struct jt_knowledge_need need =
+			jt_knowledge_fetch_need(&fetch, &own);
+
+		assert_true(jt_knowledge_write(to, from->director, &need,
+					       from->now_ms, &knowledge));
+		for (u_int i = 0; i < knowledge.entries.entries_len; i++) {
+			assert_true(jt_knowledge_entry(
+				&knowledge.entries.entries_val[i], &event));
+			bench_event(to, &event);
+		}
+		if (knowledge.entries.entries_len > most)
+			most = knowledge.entries.entries_len;
+		whole = jt_knowledge_fetch_took(&fetch, &knowledge,
+						from->now_ms);
+	}
+	assert_in_range(most, 1, ENDPOINTS / 20);
+	assert_int_equal(fetch.revision, 2 + ENDPOINTS);
+	assert_int_equal(
+		jt_director_endpoint_count(to->director, JT_INCARNATION_READY),
+		ENDPOINTS);
+	talloc_free(to);
+	talloc_free(from);
+}
+
 /* Who has or had an address is found without a look at the others. */
 static void test_addresses(void **state)
 {
-	struct jt_endpoint_table *table = jt_endpoint_table_create(NULL);
+	struct jt_endpoint_table *table =
+		jt_endpoint_table_create(NULL, ENDPOINTS);
 	struct jt_endpoint_entry entry = entry_number(7);
 	struct jt_incarnation *in = NULL, *first;
 
@@ -59,6 +126,8 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_all_are_known),
+		cmocka_unit_test(test_all_are_told),
 		cmocka_unit_test(test_addresses),
 	};
 
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -212,7 +212,7 @@
 	assert_non_null(jt_membership_fetch(membership, &own, 3000));
 	/* One fetch at a time. */
 	assert_null(jt_membership_fetch(membership, &own, 3100));
-	jt_membership_fetched(membership, false, 3200);
+	jt_membership_fetched(membership, JT_FETCH_FAILED, 3200);
 	assert_null(jt_membership_fetch(membership, &own, 3300));
 	assert_non_null(jt_membership_fetch(membership, &own, 4000));
 	talloc_free(membership);
@@ -235,7 +235,7 @@
 	peer = jt_membership_fetch(membership, &own, 2000);
 	assert_non_null(peer);
 	first = peer->id;
-	jt_membership_fetched(membership, false, 2500);
+	jt_membership_fetched(membership, JT_FETCH_FAILED, 2500);
 	for (int i = 0; i < 8; i++) {
 		peer = jt_membership_fetch(membership, &own, 3200);
 		assert_non_null(peer);
@@ -401,7 +401,7 @@
 			for (size_t j = 0; j < i; j++)
 				assert_int_not_equal(asked[j], asked[i]);
 			now_ms += 250;
-			jt_membership_fetched(starter, false, now_ms);
+			jt_membership_fetched(starter, JT_FETCH_FAILED, now_ms);
 			now_ms += 250;
 		}
 		talloc_free(starter);
--- a/tests/test_zone_drains.c
+++ b/tests/test_zone_drains.c
@@ -284,8 +284,10 @@
 	bench_zone(bench, "a", 11, true);
 	bench_zone(bench, "b", 12, true);
 	bench_zone(bench, "b", 13, false);
-	assert_true(jt_knowledge_write(bench, bench->director, 12, 1,
-				       bench->now_ms, &knowledge));
+	assert_true(jt_knowledge_write(
+		bench, bench->director,
+		&(struct jt_knowledge_need){.since = 12, .version = 1},
+		bench->now_ms, &knowledge));
 	assert_int_equal(knowledge.zones.zones_len, 2);
 	drains = jt_knowledge_zones(bench, knowledge.zones.zones_val,
 				    knowledge.zones.zones_len);
