A choice looks at a sample of a service's endpoints

Ways: a heap by load (loads fall with time and come from peers: all keys change), two at random, 64 at random. Kept: the best of 64 at random where a service has more; whoever finds none that is willing without reserve looks at all, as before. Unused and busiest by chance: test_all_are_used.

--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -15,6 +15,10 @@
 	/* Slower than the fastest by less than this counts as equal. */
 	SLOW_PERMILLE = 1700,
 	SLOW_PERMILLE_MOST = 20000,
+	/* A choice looks at no more endpoints: the best of so many at random is
+	 * hardly worse than the best of all, and costs the same in a pool of
+	 * any size. Whoever looks at all finds one where few are willing. */
+	SAMPLE_MOST = 64,
 	/* Answers before an endpoint's speed counts for less than this are
 	 * noise of the callers' own pace. */
 	LATENCY_LEAST_US = 5000,
@@ -57,6 +61,31 @@
 	return incarnation->flows + mean * (double)(chooser->nodes - 1);
 }
 
+/* Some incarnations of one service. */
+struct incarnations {
+	struct jt_incarnation *const *items;
+	size_t count;
+};
+
+static struct incarnations pool_all(const struct jt_service_pool *pool)
+{
+	return (struct incarnations){pool->members, pool->count};
+}
+
+/* So many members of the pool at random, which may be drawn twice; all where
+ * there are no more. @room holds them. */
+static struct incarnations pool_sample(struct jt_chooser *chooser,
+				       const struct jt_service_pool *pool,
+				       struct jt_incarnation *room[SAMPLE_MOST])
+{
+	if (pool->count <= SAMPLE_MOST)
+		return pool_all(pool);
+	for (size_t i = 0; i < SAMPLE_MOST; i++)
+		room[i] = pool->members[jt_random_next(&chooser->random) %
+					pool->count];
+	return (struct incarnations){room, SAMPLE_MOST};
+}
+
 /* Whether operators keep new flows from the incarnation's zone. */
 static bool zone_drained(const struct jt_chooser *chooser,
 			 const struct jt_incarnation *in)
@@ -86,18 +115,20 @@
 	return sum->count > 0 ? sum->work / (double)sum->count : 0;
 }
 
-void jt_chooser_welcome(const struct jt_chooser *chooser,
+void jt_chooser_welcome(struct jt_chooser *chooser,
 			const struct jt_service_pool *pool,
 			struct jt_incarnation *newcomer, uint64_t now_ms)
 {
-	const struct jt_incarnation *in;
+	struct jt_incarnation *room[SAMPLE_MOST];
+	struct incarnations some;
 	struct work_sum others = {0};
 
 	if (!jt_mechanism_on(chooser->without, JT_MECHANISM_NEWCOMER_SHARE))
 		return;
-	for (in = pool->members; in != NULL; in = in->pool_next) {
-		if (in != newcomer)
-			work_sum_add(&others, chooser, in, now_ms);
+	some = pool_sample(chooser, pool, room);
+	for (size_t i = 0; i < some.count; i++) {
+		if (some.items[i] != newcomer)
+			work_sum_add(&others, chooser, some.items[i], now_ms);
 	}
 	jt_work_add(&newcomer->work, work_mean(&others), now_ms);
 }
@@ -106,16 +137,17 @@
 			      const struct jt_service_pool *pool,
 			      uint32_t zone_id, uint64_t now_ms)
 {
-	struct jt_incarnation *in;
 	struct work_sum others = {0};
 	double mean;
 
-	for (in = pool->members; in != NULL; in = in->pool_next) {
-		if (in->entry.zone_id != zone_id)
-			work_sum_add(&others, chooser, in, now_ms);
+	for (size_t i = 0; i < pool->count; i++) {
+		if (pool->members[i]->entry.zone_id != zone_id)
+			work_sum_add(&others, chooser, pool->members[i],
+				     now_ms);
 	}
 	mean = work_mean(&others);
-	for (in = pool->members; in != NULL; in = in->pool_next) {
+	for (size_t i = 0; i < pool->count; i++) {
+		struct jt_incarnation *in = pool->members[i];
 		double lacks = mean - jt_work_now(&in->work, now_ms);
 
 		if (in->entry.zone_id == zone_id && lacks > 0)
@@ -252,21 +284,21 @@
 	}
 }
 
-/* What a choice must know of a pool's ready members together. */
+/* What a choice must know of the ready ones among some together. */
 struct pool_view {
 	uint32_t fastest_us; /* lowest smoothed latency; 0: none is known */
 	bool avoid_failing;  /* there are enough without those that fail */
 };
 
 static struct pool_view pool_look(const struct jt_chooser *chooser,
-				  const struct jt_service_pool *pool,
-				  uint64_t now_ms)
+				  struct incarnations some, uint64_t now_ms)
 {
-	const struct jt_incarnation *in;
 	struct pool_view view = {0};
 	size_t ready = 0, failing = 0;
 
-	for (in = pool->members; in != NULL; in = in->pool_next) {
+	for (size_t i = 0; i < some.count; i++) {
+		const struct jt_incarnation *in = some.items[i];
+
 		if (in->state != JT_INCARNATION_READY ||
 		    zone_drained(chooser, in))
 			continue;
@@ -347,17 +379,17 @@
 	       !jt_mechanism_on(chooser->without, JT_MECHANISM_ZONE_FIRST);
 }
 
-static struct jt_incarnation *
-pool_choose(struct jt_chooser *chooser, const struct jt_service_pool *pool,
-	    const struct jt_routed_service *service, enum willingness most,
-	    uint64_t now_ms)
+static struct jt_incarnation *best_of(struct jt_chooser *chooser,
+				      struct incarnations some,
+				      const struct jt_routed_service *service,
+				      enum willingness most, uint64_t now_ms)
 {
 	struct candidate local = {0}, remote = {0};
 	enum willingness lowest = most;
-	struct pool_view view = pool_look(chooser, pool, now_ms);
-	struct jt_incarnation *in;
+	struct pool_view view = pool_look(chooser, some, now_ms);
 
-	for (in = pool->members; in != NULL; in = in->pool_next) {
+	for (size_t i = 0; i < some.count; i++) {
+		struct jt_incarnation *in = some.items[i];
 		enum willingness willing =
 			incarnation_willing(chooser, in, service, now_ms);
 
@@ -384,6 +416,23 @@
 	return local.incarnation;
 }
 
+/* An endpoint that is as willing as @most: of a sample, or of all where that
+ * has none that is willing without reserve. */
+static struct jt_incarnation *
+pool_choose(struct jt_chooser *chooser, const struct jt_service_pool *pool,
+	    const struct jt_routed_service *service, enum willingness most,
+	    uint64_t now_ms)
+{
+	struct jt_incarnation *room[SAMPLE_MOST];
+	struct incarnations some = pool_sample(chooser, pool, room);
+	struct jt_incarnation *chosen =
+		best_of(chooser, some, service, WILLING, now_ms);
+
+	if (chosen != NULL || (most == WILLING && some.count == pool->count))
+		return chosen;
+	return best_of(chooser, pool_all(pool), service, most, now_ms);
+}
+
 /* What the routing says of the service; no limits where it says nothing. */
 static const struct jt_routed_service *
 service_limits(const struct jt_routing *routing, uint32_t service_id)
@@ -463,10 +512,11 @@
 			service_limits(routing, service_id);
 		const struct jt_service_pool *pool =
 			jt_endpoint_table_pool(table, service_id);
-		const struct jt_incarnation *in = pool ? pool->members : NULL;
+		size_t members = pool != NULL ? pool->count : 0;
 
-		for (; in != NULL; in = in->pool_next) {
-			one = incarnation_refusal(chooser, in, service, now_ms);
+		for (size_t k = 0; k < members; k++) {
+			one = incarnation_refusal(chooser, pool->members[k],
+						  service, now_ms);
 			if (one == JT_DIRECTOR_NO_CAPACITY)
 				return one;
 			if (one != JT_DIRECTOR_NO_ENDPOINT)
--- a/src/label/jt_choose.h
+++ b/src/label/jt_choose.h
@@ -49,7 +49,7 @@
 			uint64_t now_ms);
 /* An incarnation that has just come counts as one that got as much work as the
  * others of its service: it gets its share of new flows, not all of them. */
-void jt_chooser_welcome(const struct jt_chooser *chooser,
+void jt_chooser_welcome(struct jt_chooser *chooser,
 			const struct jt_service_pool *pool,
 			struct jt_incarnation *newcomer, uint64_t now_ms);
 /* The same while other endpoints may be missing: it gets its first new flow
--- a/src/label/jt_endpoint_table.c
+++ b/src/label/jt_endpoint_table.c
@@ -4,6 +4,8 @@
 #include <utlist.h>
 #include <xxhash.h>
 
+enum { POOL_ROOM = 16 }; /* members of a new pool */
+
 uint32_t jt_flow_label(uint64_t endpoint_id)
 {
 	uint32_t label = (uint32_t)(endpoint_id >> 32) ^ (uint32_t)endpoint_id;
@@ -110,6 +112,43 @@
 			 sizeof(rest->address_key), rest);
 }
 
+static struct jt_service_pool *pool_add(struct jt_endpoint_table *table,
+					uint32_t service_id)
+{
+	struct jt_service_pool *pool =
+		talloc_zero(table, struct jt_service_pool);
+
+	if (pool == NULL)
+		return NULL;
+	pool->service_id = service_id;
+	HASH_ADD(hh, table->pools, service_id, sizeof(service_id), pool);
+	return pool;
+}
+
+/* Make room for one more member. */
+static bool pool_grow(struct jt_service_pool *pool)
+{
+	size_t room = pool->room ? pool->room * 2 : POOL_ROOM;
+	struct jt_incarnation **members;
+
+	if (pool->count < pool->room)
+		return true;
+	members = talloc_realloc(pool, pool->members, struct jt_incarnation *,
+				 room);
+	if (members == NULL)
+		return false;
+	pool->members = members;
+	pool->room = room;
+	return true;
+}
+
+static void pool_remove(struct jt_endpoint_table *table,
+			struct jt_service_pool *pool)
+{
+	HASH_DEL(table->pools, pool);
+	talloc_free(pool);
+}
+
 static void pool_join(struct jt_endpoint_table *table,
 		      struct jt_incarnation *incarnation)
 {
@@ -117,31 +156,34 @@
 	struct jt_service_pool *pool =
 		jt_endpoint_table_pool(table, service_id);
 
-	if (pool == NULL) {
-		pool = talloc_zero(table, struct jt_service_pool);
-		if (pool == NULL)
-			return;
-		pool->service_id = service_id;
-		HASH_ADD(hh, table->pools, service_id, sizeof(service_id),
-			 pool);
+	if (pool == NULL)
+		pool = pool_add(table, service_id);
+	if (pool == NULL)
+		return;
+	if (!pool_grow(pool)) {
+		if (pool->count == 0)
+			pool_remove(table, pool);
+		return;
 	}
 	incarnation->pool = pool;
-	DL_APPEND2(pool->members, incarnation, pool_prev, pool_next);
+	incarnation->pool_place = pool->count;
+	pool->members[pool->count++] = incarnation;
 }
 
 static void pool_leave(struct jt_endpoint_table *table,
 		       struct jt_incarnation *incarnation)
 {
 	struct jt_service_pool *pool = incarnation->pool;
+	struct jt_incarnation *last;
 
 	if (pool == NULL)
 		return;
-	DL_DELETE2(pool->members, incarnation, pool_prev, pool_next);
+	last = pool->members[--pool->count];
+	pool->members[incarnation->pool_place] = last;
+	last->pool_place = incarnation->pool_place;
 	incarnation->pool = NULL;
-	if (pool->members != NULL)
-		return;
-	HASH_DEL(table->pools, pool);
-	talloc_free(pool);
+	if (pool->count == 0)
+		pool_remove(table, pool);
 }
 
 /* The slice of an id: spread evenly, whatever ids look like. */
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -56,7 +56,7 @@
 	uint32_t relapses;
 
 	struct jt_service_pool *pool;
-	struct jt_incarnation *pool_next, *pool_prev; /* in the pool */
+	size_t pool_place; /* among the pool's members */
 	uint64_t address_key;
 	/* Others that have or had the same address. */
 	struct jt_incarnation *address_next, *address_prev;
@@ -69,7 +69,9 @@
 /* The incarnations of one service. */
 struct jt_service_pool {
 	uint32_t service_id;
-	struct jt_incarnation *members;
+	struct jt_incarnation **members; /* in no order */
+	size_t count;
+	size_t room;
 	double answer_ms; /* smoothed time to an answer; 0: unknown */
 	UT_hash_handle hh;
 };
--- a/tests/test_many_endpoints.c
+++ b/tests/test_many_endpoints.c
@@ -3,8 +3,11 @@
 #include "jt_endpoint_table.h"
 #include "jt_knowledge_fetch.h"
 
+#include <math.h>
+
 enum {
 	ENDPOINTS = 20000,
+	FLOWS = 3 * ENDPOINTS,
 	FIRST_ID = 0x10000,
 };
 
@@ -82,6 +85,32 @@
 	talloc_free(from);
 }
 
+/* As many stay without a flow as chance would leave. */
+static void test_all_are_used(void **state)
+{
+	struct bench *bench = many_endpoints(ENDPOINTS);
+	uint32_t *flows = talloc_zero_array(bench, uint32_t, ENDPOINTS);
+	double by_chance = ENDPOINTS * exp(-(double)FLOWS / (double)ENDPOINTS);
+	uint32_t unused = 0, most = 0;
+
+	(void)state;
+	for (uint32_t i = 0; i < FLOWS; i++) {
+		struct caller_flow flow =
+			flow_new(bench, CALLER + i, BOARD_PORT);
+
+		flow_open(bench, &flow);
+		flows[flow.endpoint_id - FIRST_ID]++;
+		flow_send(bench, &flow, JT_PACKET_ACK | JT_PACKET_RST, 0);
+	}
+	for (uint32_t i = 0; i < ENDPOINTS; i++) {
+		unused += flows[i] == 0;
+		most = flows[i] > most ? flows[i] : most;
+	}
+	assert_true(unused <= 1.1 * by_chance);
+	assert_in_range(most, 1, 2 * 12);
+	talloc_free(bench);
+}
+
 /* Who has or had an address is found without a look at the others. */
 static void test_addresses(void **state)
 {
@@ -128,6 +157,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_all_are_known),
 		cmocka_unit_test(test_all_are_told),
+		cmocka_unit_test(test_all_are_used),
 		cmocka_unit_test(test_addresses),
 	};
 
