A node that starts places new flows once it knows some endpoints

Cause: a node held every new flow until it knew all endpoints; what it needs to begin grew with the fleet. Ways: as it was; flows at what the first page of the store or the first part of a peer holds. Kept: the latter, with mechanism `partly-known` to compare. A part counts once all drains of zones are told with it (in the store's order of keys they come before endpoints, a peer tells them with each part); new flows then go to the known ones as while endpoints come back. Packets of open flows whose label is not known are held as before; others do not learn from such a node. Tests: test_learning, three of the part; test_platform, keys after drains of zones.

--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -136,7 +136,9 @@
 	JT_DIRECTOR_ENDPOINT, /* discovery's entry of an endpoint */
 	JT_DIRECTOR_GONE,     /* discovery has no such entry any more */
 	JT_DIRECTOR_LISTING,  /* all that discovery has will be told */
-	JT_DIRECTOR_LISTED,   /* all that discovery had at a revision is told */
+	/* Some endpoints and all drains of zones were told, more will be. */
+	JT_DIRECTOR_PARTLY_TOLD,
+	JT_DIRECTOR_LISTED, /* all that discovery had at a revision is told */
 	JT_DIRECTOR_CAUGHT_UP, /* all changes up to a revision are told */
 	JT_DIRECTOR_INFORMED,  /* a peer told all it knows at a revision */
 	JT_DIRECTOR_NEWS, /* entries that changed up to a revision were told */
--- a/include/jaspertrack/director.h
+++ b/include/jaspertrack/director.h
@@ -28,6 +28,8 @@
 /* True once routing and endpoints are known: held packets may be offered
  * again, and the node may be ready. */
 bool jt_director_started(const struct jt_director *director);
+/* Whether new flows are placed: some endpoints are enough for that. */
+bool jt_director_places(const struct jt_director *director);
 
 /* How long entries may still be missing at @now_ms: the first list was taken
  * while endpoints were coming back to the store; 0: all are known. */
--- a/src/common/jt_mechanism.h
+++ b/src/common/jt_mechanism.h
@@ -32,6 +32,7 @@
 	JT_MECHANISM_OUTLIERS = 1 << 19,     /* what fails requests gets none */
 	JT_MECHANISM_HOLD_UNKNOWN = 1 << 20, /* packets wait for entries */
 	JT_MECHANISM_SPREAD_LEARNING = 1 << 21, /* so do new flows */
+	JT_MECHANISM_PARTLY_KNOWN = 1 << 22,	/* is enough to place flows */
 };
 
 /* The mechanism of that name, 0 when there is none. */
--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -117,6 +117,16 @@
 		    (unsigned long long)revision);
 }
 
+/* Some endpoints and all drains of zones are known. */
+static void on_partly_told(void *private_data)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_PARTLY_TOLD};
+	struct jt_director_node *node = private_data;
+
+	jt_director_node_event(node, &event);
+	jt_director_node_started_look(node);
+}
+
 static void on_reachable(bool reachable, enum jt_kv_status status,
 			 void *private_data)
 {
@@ -251,6 +261,7 @@
 		     knowledge->entries.entries_len);
 	wire_zones_take(node, knowledge->zones.zones_val,
 			knowledge->zones.zones_len, true, knowledge->revision);
+	on_partly_told(node);
 }
 
 /*
@@ -350,6 +361,7 @@
 		.changed = on_change,
 		.caught_up = on_caught_up,
 		.listing = on_listing,
+		.partly_told = on_partly_told,
 		.listed = on_listed,
 		.known = on_known,
 		.peer_tells = on_peer_tells,
--- a/src/director/jt_director_node_packets.c
+++ b/src/director/jt_director_node_packets.c
@@ -228,12 +228,12 @@
 	node->held_since_ms = 0;
 }
 
-/* Offer held packets again once the node has started, each of them once. */
+/* Offer held packets again once the node places flows, each of them once. */
 static void held_release(struct jt_director_node *node)
 {
 	size_t count = node->held_count;
 
-	if (!jt_director_started(node->director))
+	if (!jt_director_places(node->director))
 		return;
 	for (; count > 0; count--) {
 		struct held_packet *held = STAILQ_FIRST(&node->held);
--- a/src/director/jt_directory_sync.c
+++ b/src/director/jt_directory_sync.c
@@ -125,6 +125,8 @@
 		TALLOC_FREE(sync->page_key);
 	if (answer->status == JT_KV_OK && answer->more)
 		sync->page_key = talloc_strdup(sync, answer->last_key);
+	if (answer->status == JT_KV_OK && answer->zones_told && !complete)
+		sync->watcher.partly_told(sync->watcher.private_data);
 	if (complete)
 		sync->watcher.listed(sync->follower.listing,
 				     sync->watcher.private_data);
--- a/src/director/jt_directory_sync.h
+++ b/src/director/jt_directory_sync.h
@@ -18,6 +18,8 @@
 	void (*listing)(void *private_data);
 	/* A list is complete: what it did not hold is gone as of @revision. */
 	void (*listed)(uint64_t revision, void *private_data);
+	/* A page of a list that goes on was told, and all drains of zones. */
+	void (*partly_told)(void *private_data);
 	/* Up to which revision all changes are known, from whomever. */
 	uint64_t (*known)(void *private_data);
 	/* Whether a peer is about to tell all that it knows. */
--- a/src/director/jt_environment.h
+++ b/src/director/jt_environment.h
@@ -63,6 +63,8 @@
 	uint64_t revision;
 	bool more;
 	const char *last_key; /* of a page, for the next one */
+	bool zones_told; /* this page or earlier ones have all drains of zones
+			  */
 	struct jt_change *changes;
 	size_t change_count;
 };
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -291,6 +291,19 @@
 	director->chooser->learning_until_ms = now_ms + learning_ms;
 }
 
+/*
+ * A node that starts places new flows at the endpoints that it has heard of so
+ * far, as one that may miss some; how many there are in all does not matter.
+ */
+static void event_partly_told(struct jt_director *director, uint64_t now_ms)
+{
+	if (director->listed || !jt_mechanism_on(director->options.without,
+						 JT_MECHANISM_PARTLY_KNOWN))
+		return;
+	director->partly_told = true;
+	director->chooser->learning_until_ms = now_ms + LEARNING_MS;
+}
+
 /* A peer that misses nothing has told all that it knows. */
 static void event_informed(struct jt_director *director, uint64_t revision,
 			   uint32_t learning_ms, uint64_t now_ms)
@@ -495,6 +508,9 @@
 	case JT_DIRECTOR_LISTING:
 		event_listing(director);
 		break;
+	case JT_DIRECTOR_PARTLY_TOLD:
+		event_partly_told(director, now_ms);
+		break;
 	case JT_DIRECTOR_LISTED:
 		event_listed(director, event->u.listed.revision, now_ms,
 			     actions);
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -288,7 +288,7 @@
 	enum jt_director_reason reason = JT_DIRECTOR_PLACED;
 	struct jt_incarnation *incarnation;
 
-	if (!jt_director_started(director)) {
+	if (!jt_director_places(director)) {
 		add_hold(director, packet, JT_DIRECTOR_NOT_STARTED, actions);
 		return;
 	}
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -22,7 +22,8 @@
 	uint64_t nodes;	      /* that share the endpoints, this one too */
 	uint64_t revision;    /* all changes up to it are known */
 	uint64_t forgotten_revision; /* the newest of a forgotten entry */
-	bool listed; /* discovery was told whole at least once */
+	bool listed;	  /* discovery was told whole at least once */
+	bool partly_told; /* or in part, with all drains of zones */
 	struct jt_endpoint_table *endpoints;
 	struct jt_zone_drains zone_drains;
 	struct jt_flow_cache *flows;
--- a/src/label/jt_director_view.c
+++ b/src/label/jt_director_view.c
@@ -68,6 +68,12 @@
 	return director->routing != NULL && director->listed;
 }
 
+bool jt_director_places(const struct jt_director *director)
+{
+	return director->routing != NULL &&
+	       (director->listed || director->partly_told);
+}
+
 uint32_t jt_director_learning_ms(const struct jt_director *director,
 				 uint64_t now_ms)
 {
--- a/tests/test_learning.c
+++ b/tests/test_learning.c
@@ -213,6 +213,76 @@
 	talloc_free(bench);
 }
 
+/* Some endpoints and all drains of zones are told; more will be. */
+static void bench_partly_told(struct bench *bench)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_PARTLY_TOLD};
+
+	bench_event(bench, &event);
+}
+
+/* A node that has just started, and has heard of one endpoint of many. */
+static struct bench *first_page(uint32_t without)
+{
+	struct bench *bench = bench_create_without(0, without);
+
+	bench_routing(bench, 1, 50, 50);
+	bench_endpoint(bench, 0x101, SERVICE_BOARD, ZONE_A, 2);
+	return bench;
+}
+
+static void test_a_part_is_enough_for_new_flows(void **state)
+{
+	struct bench *bench = first_page(0);
+	struct caller_flow first = flow_new(bench, CALLER, BOARD_PORT);
+	struct caller_flow open = flow_of(bench, 0x102);
+
+	(void)state;
+	assert_int_equal(flow_syn(bench, &first), 0);
+	assert_true(
+		is_reason(bench, JT_DIRECTOR_HOLD, JT_DIRECTOR_NOT_STARTED));
+	bench_partly_told(bench);
+	assert_int_equal(flow_syn(bench, &first), 0x101);
+	/* It has not started: others don't learn from it yet. */
+	assert_false(jt_director_started(bench->director));
+	/* What an open flow's label names may be told later. */
+	bench->now_ms += 2 * LEARNED_MS;
+	assert_null(flow_send(bench, &open, JT_PACKET_ACK, 100));
+	assert_true(
+		is_reason(bench, JT_DIRECTOR_HOLD, JT_DIRECTOR_NOT_STARTED));
+	bench_endpoint(bench, 0x102, SERVICE_BOARD, ZONE_A, 3);
+	assert_non_null(flow_send(bench, &open, JT_PACKET_ACK, 100));
+	talloc_free(bench);
+}
+
+static void test_without_it_new_flows_wait_for_all(void **state)
+{
+	struct bench *bench = first_page(JT_MECHANISM_PARTLY_KNOWN);
+	struct caller_flow flow = flow_new(bench, CALLER, BOARD_PORT);
+
+	(void)state;
+	bench_partly_told(bench);
+	assert_int_equal(flow_syn(bench, &flow), 0);
+	bench_listed(bench, 2);
+	assert_int_equal(flow_syn(bench, &flow), 0x101);
+	talloc_free(bench);
+}
+
+/* A new flow waits for an endpoint of its own service. */
+static void test_a_part_without_the_service_holds(void **state)
+{
+	struct bench *bench = bench_create(0);
+	struct caller_flow flow = flow_new(bench, CALLER, BOARD_PORT);
+
+	(void)state;
+	bench_routing(bench, 1, 50, 50);
+	bench_endpoint(bench, 0x201, SERVICE_EXPORT, ZONE_A, 2);
+	bench_partly_told(bench);
+	assert_int_equal(flow_syn(bench, &flow), 0);
+	assert_true(is_reason(bench, JT_DIRECTOR_HOLD, JT_DIRECTOR_LEARNING));
+	talloc_free(bench);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -225,6 +295,9 @@
 		cmocka_unit_test(test_held_flows_go_on_by_and_by),
 		cmocka_unit_test(test_packets_held_too_long_are_dropped),
 		cmocka_unit_test(test_held_copy_casts_no_doubt),
+		cmocka_unit_test(test_a_part_is_enough_for_new_flows),
+		cmocka_unit_test(test_without_it_new_flows_wait_for_all),
+		cmocka_unit_test(test_a_part_without_the_service_holds),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -222,6 +222,16 @@
 	json_decref(item);
 }
 
+/* The store sorts its keys: which of them come after all drains of zones. */
+static void test_keys_after_drains_of_zones(void **state)
+{
+	(void)state;
+	assert_false(jt_platform_past_zones("op/config"));
+	assert_false(jt_platform_past_zones("op/evacuate/scl-lampa"));
+	assert_true(jt_platform_past_zones("servers/planilla-7b3c"));
+	assert_true(jt_platform_past_zones("status/x"));
+}
+
 static void test_endpoint_ids(void **state)
 {
 	(void)state;
@@ -245,6 +255,7 @@
 		cmocka_unit_test(test_config),
 		cmocka_unit_test(test_keys_of_others_are_passed_over),
 		cmocka_unit_test(test_endpoint_ids),
+		cmocka_unit_test(test_keys_after_drains_of_zones),
 	};
 
 	if (sodium_init() < 0)
