No fixed list of peers; messages and bytes by kind on the metrics page

Cause: the list of peers held 512: beyond that who reads the store, who leaves next and what a cold endpoint gets were reckoned on a list that is full, each node's another. A live peer was forgotten after 60 s of silence, while it is taken for lost after 4 s and 4 s more for each 25 peers: 162 s at 985 nodes. Change: the list grows to 38,000 (twice the nodes to design for, 72 bytes each); a peer is forgotten 60 s after it was lost. The metrics page tells messages and bytes sent and received by kind, and knowledge refused. Ruled out for now: a partial view; what grows with nodes and stays is in CAPACITY. Test: test_thousands_are_known_at_once.

--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -121,14 +121,16 @@
 {
 	struct jt_director_node *node = private_data;
 	struct jt_director_event event = {.kind = JT_DIRECTOR_TICK};
-	uint64_t peers[JT_PEER_LIMIT];
+	uint64_t *peers;
 
+	event.u.tick.peer_count =
+		jt_peer_exchange_ids(node->peers, node, &peers);
 	event.u.tick.peers = peers;
-	event.u.tick.peer_count = jt_peer_exchange_ids(node->peers, peers);
 	event.u.tick.nodes = event.u.tick.peer_count + 1;
 	event.u.tick.node_id = jt_peer_exchange_id(node->peers);
 	event.u.tick.store_age_ms = store_age_ms(node);
 	jt_director_node_event(node, &event);
+	talloc_free(peers);
 	jt_director_node_started_look(node);
 	jt_director_node_reader_look(node, event.now_ms);
 	watch_leave(node, event.now_ms);
--- a/src/director/jt_director_pages.c
+++ b/src/director/jt_director_pages.c
@@ -199,28 +199,41 @@
 			  counters->invalid_items);
 }
 
+/* What was sent to peers, or received, by kind of message. */
+static char *add_messages(char *text, const char *way,
+			  const struct jt_message_count *counts)
+{
+	char messages[48], bytes[48];
+
+	snprintf(messages, sizeof(messages), "peer_messages_%s_total", way);
+	snprintf(bytes, sizeof(bytes), "peer_bytes_%s_total", way);
+	text = add_type(text, messages, "counter");
+	for (int i = JT_WIRE_DIGEST; i < JT_MESSAGE_KINDS; i++)
+		text = add_label(text, messages, "kind",
+				 jt_message_kind_name(i), counts[i].messages);
+	text = add_type(text, bytes, "counter");
+	for (int i = JT_WIRE_DIGEST; i < JT_MESSAGE_KINDS; i++)
+		text = add_label(text, bytes, "kind", jt_message_kind_name(i),
+				 counts[i].bytes);
+	return text;
+}
+
 static char *add_peers(char *text, const struct jt_peer_exchange *peers)
 {
 	const struct jt_peer_counters *counters =
 		jt_peer_exchange_counters(peers);
 
 	text = add_metric(text, "peers", "gauge", jt_peer_exchange_live(peers));
-	text = add_metric(text, "peer_digests_sent_total", "counter",
-			  counters->digests_sent);
-	text = add_metric(text, "peer_digests_received_total", "counter",
-			  counters->digests_received);
-	text = add_metric(text, "peer_news_sent_total", "counter",
-			  counters->news_sent);
-	text = add_metric(text, "peer_news_received_total", "counter",
-			  counters->news_received);
-	text = add_metric(text, "peer_bytes_sent_total", "counter",
-			  counters->bytes_sent);
+	text = add_messages(text, "sent", counters->sent);
+	text = add_messages(text, "received", counters->received);
 	text = add_metric(text, "knowledge_fetches_total", "counter",
 			  counters->fetches);
 	text = add_metric(text, "knowledge_fetches_failed_total", "counter",
 			  counters->fetches_failed);
 	text = add_metric(text, "knowledge_served_total", "counter",
 			  counters->fetches_served);
+	text = add_metric(text, "knowledge_refused_total", "counter",
+			  counters->fetches_refused);
 	text = add_type(text, "peer_frames_rejected_total", "counter");
 	for (int i = JT_CODEC_SHORT; i <= JT_CODEC_SIZE; i++)
 		text = add_label(text, "peer_frames_rejected_total", "reason",
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -38,7 +38,8 @@
 	jt_address_to_socket(to, &name);
 	(void)sendto(exchange->fd, frame, length, MSG_DONTWAIT,
 		     (struct sockaddr *)&name, sizeof(name));
-	exchange->counters.bytes_sent += length;
+	jt_message_count_add(exchange->counters.sent, message->body.kind,
+			     length);
 }
 
 static void loads_send(struct jt_peer_exchange *exchange,
@@ -89,7 +90,6 @@
 	message.body.jt_wire_director_body_u.digest = *digest;
 	for (size_t i = 0; i < count; i++) {
 		message_send(exchange, targets[i], &message);
-		exchange->counters.digests_sent++;
 	}
 }
 
@@ -242,7 +242,6 @@
 	exchange->told_revision = own.revision;
 	for (size_t i = 0; i < count; i++) {
 		message_send(exchange, targets[i], &message);
-		exchange->counters.news_sent++;
 	}
 	talloc_free(frame);
 }
@@ -314,12 +313,10 @@
 
 	switch (message->body.kind) {
 	case JT_WIRE_DIGEST:
-		exchange->counters.digests_received++;
 		digest_take(exchange, message->from, from,
 			    &message->body.jt_wire_director_body_u.digest);
 		break;
 	case JT_WIRE_NEWS:
-		exchange->counters.news_received++;
 		news = &message->body.jt_wire_director_body_u.news;
 		exchange->handler.news(news, exchange->handler.private_data);
 		digest_take(exchange, message->from, from, &news->digest);
@@ -362,6 +359,8 @@
 		exchange->counters.rejected[error]++;
 		return;
 	}
+	jt_message_count_add(exchange->counters.received, message.body.kind,
+			     length);
 	message_take(exchange, from, &message);
 	xdr_free(decode, &message);
 }
@@ -536,9 +535,23 @@
 }
 
 size_t jt_peer_exchange_ids(const struct jt_peer_exchange *exchange,
-			    uint64_t ids[JT_PEER_LIMIT])
+			    TALLOC_CTX *mem_ctx, uint64_t **ids)
 {
-	return jt_membership_ids(exchange->membership, ids);
+	return jt_membership_ids(exchange->membership, mem_ctx, ids);
+}
+
+const char *jt_message_kind_name(jt_wire_director_kind kind)
+{
+	static const char *const names[] = {
+		[JT_WIRE_DIGEST] = "digest",
+		[JT_WIRE_SUSPICION] = "suspicion",
+		[JT_WIRE_KNOWLEDGE] = "knowledge",
+		[JT_WIRE_LOADS] = "loads",
+		[JT_WIRE_NEWS] = "news",
+		[JT_WIRE_STANDING] = "standing",
+	};
+
+	return names[kind];
 }
 
 const struct jt_peer_counters *
--- a/src/director/jt_peer_exchange.h
+++ b/src/director/jt_peer_exchange.h
@@ -43,12 +43,18 @@
 	void *private_data;
 };
 
+/* Messages of one kind, and their bytes. */
+struct jt_message_count {
+	uint64_t messages;
+	uint64_t bytes;
+};
+
+/* Kinds of messages: enum jt_wire_director_kind, from 1 on. */
+enum { JT_MESSAGE_KINDS = JT_WIRE_STANDING + 1 };
+
 struct jt_peer_counters {
-	uint64_t digests_sent;
-	uint64_t digests_received;
-	uint64_t news_sent;
-	uint64_t news_received;
-	uint64_t bytes_sent;
+	struct jt_message_count sent[JT_MESSAGE_KINDS];
+	struct jt_message_count received[JT_MESSAGE_KINDS];
 	uint64_t rejected[JT_CODEC_SIZE + 1];
 	uint64_t fetches;
 	uint64_t fetches_failed;
@@ -88,9 +94,11 @@
 /* The id of this process among its peers. */
 uint64_t jt_peer_exchange_id(const struct jt_peer_exchange *exchange);
 size_t jt_peer_exchange_live(const struct jt_peer_exchange *exchange);
-/* Their ids; returns how many. */
+/* Their ids, below @mem_ctx; returns how many. */
 size_t jt_peer_exchange_ids(const struct jt_peer_exchange *exchange,
-			    uint64_t ids[JT_PEER_LIMIT]);
+			    TALLOC_CTX *mem_ctx, uint64_t **ids);
+/* What a kind of messages is called on the metrics page. */
+const char *jt_message_kind_name(jt_wire_director_kind kind);
 const struct jt_peer_counters *
 jt_peer_exchange_counters(const struct jt_peer_exchange *exchange);
 
--- a/src/director/jt_peer_exchange_private.h
+++ b/src/director/jt_peer_exchange_private.h
@@ -33,6 +33,14 @@
 	struct jt_peer_counters counters;
 };
 
+static inline void jt_message_count_add(struct jt_message_count *counts,
+					jt_wire_director_kind kind,
+					size_t bytes)
+{
+	counts[kind].messages++;
+	counts[kind].bytes += bytes;
+}
+
 /* Fetch from a peer that knows more, if that is due (jt_peer_knowledge.c). */
 void jt_peer_knowledge_look(struct jt_peer_exchange *exchange, uint64_t now_ms);
 /* The same, from the exchange's fetch timer. */
--- a/src/director/jt_peer_knowledge.c
+++ b/src/director/jt_peer_knowledge.c
@@ -54,6 +54,8 @@
 		exchange->counters.rejected[error]++;
 		return false;
 	}
+	jt_message_count_add(exchange->counters.received, message.body.kind,
+			     length);
 	if (message.body.kind == JT_WIRE_KNOWLEDGE)
 		part_take(exchange,
 			  &message.body.jt_wire_director_body_u.knowledge);
@@ -194,6 +196,8 @@
 	if (length > 0) {
 		exchange->counters.fetches_served++;
 		jt_serve_budget_given(&exchange->budget, length, jt_clock_ms());
+		jt_message_count_add(exchange->counters.sent, JT_WIRE_KNOWLEDGE,
+				     length);
 		jt_http_reply_bytes(request, 200, "application/octet-stream",
 				    body, length);
 	} else {
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -8,7 +8,7 @@
 	 * where there are many, each is heard of less often. */
 	PEER_LOST_MS = 4000,
 	PEER_LOST_PEERS = 25,
-	PEER_FORGET_MS = 60000, /* and forgotten after so long */
+	PEER_FORGET_MS = 60000, /* and forgotten so long after that */
 	/* Where one digest tells of all peers, any of them is as good a target;
 	 * where there are more, most digests stay in their zone: one round in
 	 * so many has a target of any zone. */
@@ -484,7 +484,8 @@
 			peer->heard = false;
 			return peer;
 		}
-		if (peer->id != 0 && silent_ms >= PEER_FORGET_MS)
+		if (peer->id != 0 &&
+		    silent_ms >= lost_ms(membership) + PEER_FORGET_MS)
 			peer_forget(membership, i);
 		else
 			i++;
@@ -493,13 +494,16 @@
 }
 
 size_t jt_membership_ids(const struct jt_membership *membership,
-			 uint64_t ids[JT_PEER_LIMIT])
+			 TALLOC_CTX *mem_ctx, uint64_t **ids)
 {
 	size_t count = 0;
 
+	*ids = talloc_array(mem_ctx, uint64_t, membership->count + 1);
+	if (*ids == NULL)
+		return 0;
 	for (size_t i = 0; i < membership->count; i++) {
 		if (jt_peer_lives(&membership->peers[i]))
-			ids[count++] = membership->peers[i].id;
+			(*ids)[count++] = membership->peers[i].id;
 	}
 	return count;
 }
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -21,7 +21,8 @@
 #include <talloc.h>
 
 enum {
-	JT_PEER_LIMIT = 512,  /* peers known at once */
+	/* Peers known at once: twice the nodes to design for, 2.7 MB. */
+	JT_PEER_LIMIT = 38000,
 	JT_DIGEST_FANOUT = 2, /* peers told in each round */
 	JT_NEWS_FANOUT = 4,   /* peers that news is sent on to at once */
 };
@@ -160,8 +161,8 @@
 			   enum jt_fetch_end end, uint64_t now_ms);
 /* Peers that were heard lately. */
 size_t jt_membership_live(const struct jt_membership *membership);
-/* Their ids; returns how many. */
+/* Their ids, below @mem_ctx; returns how many, 0 when memory runs out. */
 size_t jt_membership_ids(const struct jt_membership *membership,
-			 uint64_t ids[JT_PEER_LIMIT]);
+			 TALLOC_CTX *mem_ctx, uint64_t **ids);
 
 #endif
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -464,11 +464,33 @@
 	talloc_free(membership);
 }
 
+/* Where nodes are many each is heard of seldom: none of them gives way to
+ * another, or is forgotten before it is taken for lost. */
+static void test_thousands_are_known_at_once(void **state)
+{
+	enum { MANY = 2000, QUIET_MS = 90000 };
+	struct jt_membership *membership =
+		jt_membership_create(NULL, 1, address_of(0), 1);
+	const jt_wire_digest digest = {.zone = 1, .started = true};
+	uint64_t *ids;
+
+	(void)state;
+	for (int i = 1; i <= MANY; i++)
+		jt_membership_digest(membership, 1000 + (uint64_t)i,
+				     address_of(i), &digest, 1000);
+	assert_null(jt_membership_next_lost(membership, 1000 + QUIET_MS));
+	assert_int_equal(jt_membership_live(membership), MANY);
+	assert_int_equal(jt_membership_ids(membership, membership, &ids), MANY);
+	assert_int_equal(ids[MANY - 1], 1000 + MANY);
+	talloc_free(membership);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_all_find_each_other_from_three_seeds),
 		cmocka_unit_test(test_live_peers_of_many_are_not_lost),
+		cmocka_unit_test(test_thousands_are_known_at_once),
 		cmocka_unit_test(test_news_crosses_through_some_nodes),
 		cmocka_unit_test(test_digests_of_many_stay_in_their_zone),
 		cmocka_unit_test(test_dead_peer_is_lost_and_told_once),
