Two endpoints with one label: the one that came first has it

Cause: ids are folded to labels of 32 bits; the second endpoint with a label was refused by the table, so that which of the two a node knew hung on what it heard first, and nodes sent flows of one to the other. By the birthday bound 1% of fleets of 10,000 endpoints have such a pair, 97% of those of 170,000. Ways weighed: the smaller id has the label (a newcomer would take the flows of one that is older); neither gets new flows (two endpoints idle, and a node that knows only one still places them); the one that came to discovery first, which every node works out from the revision at which its entry was created. Kept: the third; the other one gets no new flows until the first is forgotten. Left: an entry that lapsed and came back has a new revision of creation, so that nodes that start later may take the other order.

--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -65,8 +65,9 @@
 	struct jt_address address;
 	uint32_t capacity; /* requests worked on at once */
 	bool draining;
-	uint32_t cold_left_ms;	/* slow for so long after its start */
-	uint64_t revision;	/* of the entry in discovery */
+	uint32_t cold_left_ms; /* slow for so long after its start */
+	uint64_t revision;     /* of the entry in discovery */
+	uint64_t created; /* revision at which the entry came; 0: unknown */
 	uint64_t gone_revision; /* when it went; 0: it is there */
 };
 
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -262,7 +262,7 @@
 		    const struct jt_incarnation *in,
 		    const struct jt_routed_service *service, uint64_t now_ms)
 {
-	if (zone_drained(chooser, in) ||
+	if (!jt_endpoint_table_has_label(in) || zone_drained(chooser, in) ||
 	    rate_exceeded(chooser, in, service, now_ms))
 		return UNWILLING;
 	if (incarnation_full(chooser, in, service, now_ms))
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -126,6 +126,9 @@
 {
 	struct jt_cached_flow *flow = director->flows->rested;
 
+	/* Flows with its label are another's. */
+	if (!jt_endpoint_table_has_label(incarnation))
+		return;
 	while (flow != NULL) {
 		struct jt_cached_flow *newer = flow->newer;
 
--- a/src/label/jt_endpoint_table.c
+++ b/src/label/jt_endpoint_table.c
@@ -112,6 +112,53 @@
 			 sizeof(rest->address_key), rest);
 }
 
+/* Whether @a came to discovery before @b: the same at every node. */
+static int label_order(const struct jt_incarnation *a,
+		       const struct jt_incarnation *b)
+{
+	if (a->entry.created != b->entry.created)
+		return a->entry.created < b->entry.created ? -1 : 1;
+	return a->entry.id < b->entry.id ? -1 : 1;
+}
+
+bool jt_endpoint_table_has_label(const struct jt_incarnation *incarnation)
+{
+	/* The first of a list has the last as the one before it. */
+	return incarnation->label_prev->label_next == NULL;
+}
+
+static void label_join(struct jt_endpoint_table *table,
+		       struct jt_incarnation *incarnation)
+{
+	struct jt_incarnation *first =
+		jt_endpoint_table_by_label(table, incarnation->label);
+	struct jt_incarnation *oldest = first;
+
+	DL_INSERT_INORDER2(oldest, incarnation, label_order, label_prev,
+			   label_next);
+	if (oldest == first)
+		return;
+	if (first != NULL)
+		HASH_DELETE(by_label, table->labels, first);
+	HASH_ADD(by_label, table->labels, label, sizeof(oldest->label), oldest);
+}
+
+static void label_leave(struct jt_endpoint_table *table,
+			struct jt_incarnation *incarnation)
+{
+	struct jt_incarnation *first =
+		jt_endpoint_table_by_label(table, incarnation->label);
+	struct jt_incarnation *oldest = first;
+
+	DL_DELETE2(oldest, incarnation, label_prev, label_next);
+	if (oldest == first)
+		return;
+	HASH_DELETE(by_label, table->labels, first);
+	if (oldest != NULL)
+		HASH_ADD(by_label, table->labels, label, sizeof(oldest->label),
+			 oldest);
+}
+
 static struct jt_service_pool *pool_add(struct jt_endpoint_table *table,
 					uint32_t service_id)
 {
@@ -258,22 +305,19 @@
 				      uint64_t now_ms,
 				      struct jt_incarnation **incarnation)
 {
-	uint32_t label = jt_flow_label(entry->id);
 	struct jt_incarnation *added;
 
 	if (table->count >= table->limit)
 		return JT_ENTRY_NO_ROOM;
-	if (jt_endpoint_table_by_label(table, label) != NULL)
-		return JT_ENTRY_CLASH;
 	added = talloc_zero(table, struct jt_incarnation);
 	if (added == NULL)
 		return JT_ENTRY_NO_ROOM;
-	added->label = label;
+	added->label = jt_flow_label(entry->id);
 	added->told = true;
 	added->state_ms = now_ms;
 	entry_copy(added, entry, now_ms);
 	HASH_ADD(by_id, table->ids, entry.id, sizeof(entry->id), added);
-	HASH_ADD(by_label, table->labels, label, sizeof(label), added);
+	label_join(table, added);
 	address_join(table, added);
 	slice_join(table, added);
 	pool_join(table, added);
@@ -338,7 +382,7 @@
 			      struct jt_incarnation *incarnation)
 {
 	HASH_DELETE(by_id, table->ids, incarnation);
-	HASH_DELETE(by_label, table->labels, incarnation);
+	label_leave(table, incarnation);
 	address_leave(table, incarnation);
 	slice_leave(table, incarnation);
 	jt_endpoint_table_unwatch(table, incarnation);
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -65,7 +65,13 @@
 	struct jt_incarnation *watched_next, *watched_prev;
 	bool watched; /* something is due there some time */
 	UT_hash_handle by_id;
-	UT_hash_handle by_label;
+	/*
+	 * Ids are folded to labels, so that two may have the same one. The one
+	 * that came first to discovery has it, and flows follow it there; the
+	 * others get no new flows as long as it is known.
+	 */
+	struct jt_incarnation *label_next, *label_prev; /* oldest first */
+	UT_hash_handle by_label; /* the oldest of each label alone */
 };
 
 /* The incarnations of one service. */
@@ -121,7 +127,6 @@
 	JT_ENTRY_CHANGED,
 	JT_ENTRY_OLD, /* not newer than what is known */
 	JT_ENTRY_NO_ROOM,
-	JT_ENTRY_CLASH, /* another incarnation has the same label */
 };
 
 struct jt_endpoint_table *jt_endpoint_table_create(TALLOC_CTX *mem_ctx,
@@ -149,9 +154,12 @@
 			      struct jt_incarnation *incarnation);
 struct jt_incarnation *
 jt_endpoint_table_by_id(const struct jt_endpoint_table *table, uint64_t id);
+/* The one of those with @label that flows with it follow. */
 struct jt_incarnation *
 jt_endpoint_table_by_label(const struct jt_endpoint_table *table,
 			   uint32_t label);
+/* Whether flows can be told from those of all others by its label. */
+bool jt_endpoint_table_has_label(const struct jt_incarnation *incarnation);
 /* The first incarnation that discovery told at @address; the others follow by
  * address_next. */
 struct jt_incarnation *
--- a/src/label/jt_knowledge.c
+++ b/src/label/jt_knowledge.c
@@ -100,6 +100,7 @@
 		.capacity = entry->capacity,
 		.cold_left_ms = cold_left_ms(in, now_ms),
 		.revision = entry->revision,
+		.created = entry->created,
 		.draining = entry->draining,
 		.gone_revision = entry->gone_revision,
 	};
@@ -310,6 +311,7 @@
 		.draining = wire->draining,
 		.cold_left_ms = wire->cold_left_ms,
 		.revision = wire->revision,
+		.created = wire->created,
 		.gone_revision = wire->gone_revision,
 	};
 	return true;
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -137,6 +137,7 @@
 	u_int capacity;
 	u_int cold_left_ms;
 	u_quad_t revision;
+	u_quad_t created;
 	u_quad_t gone_revision;
 	bool_t draining;
 };
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -116,6 +116,7 @@
 	unsigned int capacity;
 	unsigned int cold_left_ms;
 	unsigned hyper revision;
+	unsigned hyper created;       /* revision at which it came there */
 	unsigned hyper gone_revision; /* 0: it is in discovery */
 	bool draining;
 };
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -426,6 +426,8 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->created))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->gone_revision))
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->draining))
@@ -459,6 +461,8 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->created))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->gone_revision))
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->draining))
@@ -482,6 +486,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->created))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->gone_revision))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->draining))
--- a/tests/test_many_endpoints.c
+++ b/tests/test_many_endpoints.c
@@ -156,6 +156,88 @@
 	talloc_free(bench);
 }
 
+/* Two ids with one label; discovery has the second one for longer. */
+enum { LABEL = 4 };
+static const uint64_t YOUNG_ID = 0x100000005, OLD_ID = 0x200000006;
+
+static void take_clashing(struct bench *bench, uint64_t id)
+{
+	struct jt_endpoint_entry entry =
+		entry_of(id, SERVICE_BOARD, ZONE_A, 10 + (uint32_t)id % 16);
+
+	entry.created = id == OLD_ID ? 3 : 8;
+	bench_entry(bench, entry);
+}
+
+/* Whichever a node hears of first, new flows and open ones go to the older. */
+static void test_the_older_one_has_the_label(void **state)
+{
+	for (int order = 0; order < 2; order++) {
+		struct bench *bench = bench_create(0);
+		struct caller_flow open;
+
+		assert_int_equal(jt_flow_label(YOUNG_ID), LABEL);
+		assert_int_equal(jt_flow_label(OLD_ID), LABEL);
+		bench_routing(bench, 1, 50, 50);
+		take_clashing(bench, order == 0 ? YOUNG_ID : OLD_ID);
+		take_clashing(bench, order == 0 ? OLD_ID : YOUNG_ID);
+		bench_listed(bench, 20);
+		bench_tick(bench, LEARNED_MS);
+		assert_int_equal(flows_at(bench, 20, OLD_ID), 20);
+		open = flow_new(bench, CALLER, BOARD_PORT);
+		open.label = LABEL;
+		assert_int_equal(
+			flow_send(bench, &open, JT_PACKET_ACK, 10)->endpoint_id,
+			OLD_ID);
+		talloc_free(bench);
+	}
+	(void)state;
+}
+
+/* Once flows of the older one can't live any more, the other takes over. */
+static void test_the_younger_one_follows(void **state)
+{
+	struct bench *bench = bench_create(0);
+	struct caller_flow flow = flow_new(bench, CALLER, BOARD_PORT);
+
+	(void)state;
+	bench_routing(bench, 1, 50, 50);
+	take_clashing(bench, OLD_ID);
+	take_clashing(bench, YOUNG_ID);
+	bench_listed(bench, 20);
+	bench_gone(bench, OLD_ID, 21);
+	bench_tick(bench, LEARNED_MS);
+	assert_int_equal(flow_syn(bench, &flow), 0);
+	bench_tick(bench, 3600 * 1000);
+	assert_int_equal(flow_syn(bench, &flow), YOUNG_ID);
+	talloc_free(bench);
+}
+
+/* The younger one's end is no matter of flows that are at the older one. */
+static void test_the_younger_one_ends_alone(void **state)
+{
+	struct bench *bench = bench_create(0);
+	struct jt_endpoint_entry next =
+		entry_of(0x300, SERVICE_BOARD, ZONE_A, 30);
+	struct caller_flow flow = flow_new(bench, CALLER, BOARD_PORT);
+
+	(void)state;
+	bench_routing(bench, 1, 50, 50);
+	take_clashing(bench, OLD_ID);
+	take_clashing(bench, YOUNG_ID);
+	bench_listed(bench, 20);
+	bench_tick(bench, LEARNED_MS);
+	flow_open(bench, &flow);
+	assert_int_equal(flow.endpoint_id, OLD_ID);
+	/* Another incarnation has its address. */
+	next.address = entry_of(YOUNG_ID, 0, 0, 0).address;
+	bench_entry(bench, next);
+	assert_int_equal(state_of(bench, YOUNG_ID), JT_INCARNATION_DEAD);
+	assert_int_equal(bench_count(bench, JT_DIRECTOR_RESET), 0);
+	assert_non_null(flow_send(bench, &flow, JT_PACKET_ACK, 10));
+	talloc_free(bench);
+}
+
 /* Who has or had an address is found without a look at the others. */
 static void test_addresses(void **state)
 {
@@ -204,6 +286,9 @@
 		cmocka_unit_test(test_all_are_told),
 		cmocka_unit_test(test_all_are_used),
 		cmocka_unit_test(test_addresses),
+		cmocka_unit_test(test_the_older_one_has_the_label),
+		cmocka_unit_test(test_the_younger_one_follows),
+		cmocka_unit_test(test_the_younger_one_ends_alone),
 		cmocka_unit_test(test_ticks_leave_the_well_alone),
 		cmocka_unit_test(test_probed_endpoints_are_looked_at),
 	};
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -13,8 +13,8 @@
 
 	sodium_bin2base64(text, sizeof(text), (const uint8_t *)value,
 			  strlen(value), sodium_base64_VARIANT_ORIGINAL);
-	return json_pack("{s:s, s:s, s:i}", "tlsKey", key, "value", text,
-			 "revision", 412);
+	return json_pack("{s:s, s:s, s:i, s:i}", "tlsKey", key, "value", text,
+			 "revision", 412, "created", 410);
 }
 
 /* The change that a document makes; JT_CHANGE_INVALID with @field. */
@@ -114,6 +114,7 @@
 	assert_int_equal(change.endpoint.capacity, 2);
 	assert_int_equal(change.endpoint.cold_left_ms, 70);
 	assert_int_equal(change.endpoint.revision, 412);
+	assert_int_equal(change.endpoint.created, 410);
 	assert_true(change.endpoint.draining);
 }
 
