Nodes that start together don't all read the store

Ways: wait by strength (costs small fleets some 0.1 s a start); ask seeds for the number of nodes (they choke); let go of a page that is late. Kept: the last: where a first page takes 0.15 s, most nodes give it up, once in their lives, and wait; a node that knows some endpoints tells them to one that knows none (`places` in digests); one that has some from peers leaves the list to others for 1.5 s, and one that a peer tells part after part does not list beside it. Tests: test_follower (late first page), test_membership (learns some first), test_many_endpoints (some are told before the start).

--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -187,11 +187,16 @@
 	return jt_director_revision(node->director);
 }
 
-static bool on_peer_tells(void *private_data)
+static enum jt_peers_tell on_peers_tell(void *private_data)
 {
 	const struct jt_director_node *node = private_data;
 
-	return jt_peer_exchange_fetching(node->peers);
+	if (jt_peer_exchange_learns(node->peers))
+		return JT_PEERS_TELL;
+	if (jt_director_places(node->director))
+		return JT_PEERS_TOLD_SOME;
+	return jt_peer_exchange_fetching(node->peers) ? JT_PEERS_ASKED
+						      : JT_PEERS_SILENT;
 }
 
 /* Peers */
@@ -204,6 +209,7 @@
 	own->routing_version = routing ? routing->version : 0;
 	own->revision = jt_director_revision(node->director);
 	own->started = jt_director_started(node->director);
+	own->places = jt_director_places(node->director);
 	own->leaving = node->leave.stage != JT_LEAVE_STAYS;
 	own->ready = node->told_ready;
 	own->reading = node->reader.reading == JT_READING_WATCHES;
@@ -364,7 +370,7 @@
 		.partly_told = on_partly_told,
 		.listed = on_listed,
 		.known = on_known,
-		.peer_tells = on_peer_tells,
+		.peers_tell = on_peers_tell,
 		.reachable = on_reachable,
 		.private_data = node,
 	};
--- a/src/director/jt_directory_sync.c
+++ b/src/director/jt_directory_sync.c
@@ -16,11 +16,17 @@
 	/* The same beside a page that is long in coming. */
 	PAGE_CHECK_MS = 250,
 	PAGE_CHECK_TIMEOUT_MS = 400,
+	/* A first page takes some 20 ms where few ask; later than this many do,
+	 * or the store is slow. */
+	FIRST_PAGE_MS = 150,
 	/* A node that leaves the store to peers looks if it is back. */
 	LOST_CHECK_MS = 2500,
 	/* Before the first list, while a peer is about to tell. */
 	PEER_TELLS_MS = 20,
 	PEERS_KEEP_MS = 300,
+	/* A node that knows some endpoints by peers places flows already: peers
+	 * have that long, from its start, to learn the rest and tell it. */
+	PEERS_KEEP_PLACING_MS = 1500,
 };
 
 struct jt_directory_sync {
@@ -37,7 +43,9 @@
 	uint64_t watch_ms;	  /* when the watch under way began */
 	bool watching;		  /* the call under way is a watch */
 	bool asking;		  /* the check under way is a step */
+	bool first_page_due;	  /* the check timer waits for it */
 	uint64_t peers_until_ms;  /* peers may keep the first list so long */
+	uint64_t some_until_ms;	  /* and so long where they told a part */
 	uint64_t asked_ms;	  /* when the page under way was asked for */
 	char *page_key;		  /* last key of the page before */
 	bool lost;
@@ -94,6 +102,7 @@
 
 	TALLOC_FREE(sync->call);
 	sync->watching = false;
+	sync->first_page_due = false;
 	return answer;
 }
 
@@ -103,6 +112,7 @@
 	TALLOC_FREE(sync->check);
 	sync->watching = false;
 	sync->asking = false;
+	sync->first_page_due = false;
 	jt_timer_stop(sync->check_timer);
 }
 
@@ -237,10 +247,27 @@
 		tevent_req_set_callback(sync->check, on_checked, sync);
 }
 
+/* A list's first page has not come yet. */
+static void first_page_late(struct jt_directory_sync *sync)
+{
+	sync->first_page_due = false;
+	if (sync->call == NULL || sync->watching)
+		return;
+	jt_timer_set(sync->check_timer, PAGE_CHECK_MS - FIRST_PAGE_MS);
+	if (!jt_follower_gives_way(&sync->follower, jt_clock_ms()))
+		return;
+	calls_end(sync);
+	sync_step(sync);
+}
+
 static void on_check_due(void *private_data)
 {
 	struct jt_directory_sync *sync = private_data;
 
+	if (sync->first_page_due) {
+		first_page_late(sync);
+		return;
+	}
 	if (sync->call != NULL) {
 		jt_timer_set(sync->check_timer,
 			     sync->watching ? CHECK_MS : PAGE_CHECK_MS);
@@ -255,10 +282,12 @@
 
 static void list_start(struct jt_directory_sync *sync)
 {
-	if (!sync->follower.paging)
+	sync->first_page_due = !sync->follower.paging;
+	if (sync->first_page_due)
 		sync->watcher.listing(sync->watcher.private_data);
 	sync->asked_ms = jt_clock_ms();
-	jt_timer_set(sync->check_timer, PAGE_CHECK_MS);
+	jt_timer_set(sync->check_timer,
+		     sync->first_page_due ? FIRST_PAGE_MS : PAGE_CHECK_MS);
 	sync->call =
 		sync->directory->list_send(sync, sync->client, sync->store,
 					   sync->page_key, LIST_TIMEOUT_MS);
@@ -286,8 +315,16 @@
 /* A peer tells sooner, and for nothing, what a list would. */
 static bool list_can_wait(const struct jt_directory_sync *sync, uint64_t now_ms)
 {
-	return now_ms < sync->peers_until_ms &&
-	       sync->watcher.peer_tells(sync->watcher.private_data);
+	switch (sync->watcher.peers_tell(sync->watcher.private_data)) {
+	case JT_PEERS_ASKED:
+		return now_ms < sync->peers_until_ms;
+	case JT_PEERS_TOLD_SOME:
+		return !sync->follower.paging && now_ms < sync->some_until_ms;
+	case JT_PEERS_TELL:
+		return true;
+	default:
+		return false;
+	}
 }
 
 static void ask_start(struct jt_directory_sync *sync)
@@ -349,6 +386,7 @@
 	}
 	sync->follower.due_ms = jt_clock_ms() + start_wait_ms;
 	sync->peers_until_ms = sync->follower.due_ms + PEERS_KEEP_MS;
+	sync->some_until_ms = sync->follower.due_ms + PEERS_KEEP_PLACING_MS;
 	jt_timer_set(sync->timer, start_wait_ms);
 	return sync;
 }
--- a/src/director/jt_directory_sync.h
+++ b/src/director/jt_directory_sync.h
@@ -8,6 +8,14 @@
 #include "jt_environment.h"
 #include "jt_log.h"
 
+/* What a node that has not started may expect of its peers. */
+enum jt_peers_tell {
+	JT_PEERS_SILENT,
+	JT_PEERS_ASKED,	    /* one was asked and has not answered yet */
+	JT_PEERS_TOLD_SOME, /* one has told enough endpoints to place flows */
+	JT_PEERS_TELL,	    /* one tells part after part */
+};
+
 /* What the owner of a directory sync is told. */
 struct jt_directory_watcher {
 	/* One change, in the order of the store. */
@@ -22,8 +30,7 @@
 	void (*partly_told)(void *private_data);
 	/* Up to which revision all changes are known, from whomever. */
 	uint64_t (*known)(void *private_data);
-	/* Whether a peer is about to tell all that it knows. */
-	bool (*peer_tells)(void *private_data);
+	enum jt_peers_tell (*peers_tell)(void *private_data);
 	/* The store was lost, or regained. */
 	void (*reachable)(bool reachable, enum jt_kv_status status,
 			  void *private_data);
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -293,7 +293,8 @@
 	exchange->handler.own_state(&own, exchange->handler.private_data);
 	/* It looks for somebody to learn from. */
 	if (!digest->started &&
-	    (own.started || jt_membership_knows_source(exchange->membership)))
+	    (own.started || (own.places && !digest->places) ||
+	     jt_membership_knows_source(exchange->membership)))
 		sources_tell(exchange, from, digest->zone, &own, now_ms);
 	if (digest->revision <= own.revision &&
 	    digest->routing_version <= own.routing_version &&
@@ -524,6 +525,11 @@
 	return exchange->fetch != NULL;
 }
 
+bool jt_peer_exchange_learns(const struct jt_peer_exchange *exchange)
+{
+	return exchange->fetch != NULL && exchange->fetch_answered;
+}
+
 uint64_t jt_peer_exchange_id(const struct jt_peer_exchange *exchange)
 {
 	return exchange->membership->id;
--- a/src/director/jt_peer_exchange.h
+++ b/src/director/jt_peer_exchange.h
@@ -91,6 +91,8 @@
 			      uint32_t own_weight);
 /* Whether a peer was asked for what it knows and has not answered yet. */
 bool jt_peer_exchange_fetching(const struct jt_peer_exchange *exchange);
+/* Whether such a peer has told a part already, and goes on. */
+bool jt_peer_exchange_learns(const struct jt_peer_exchange *exchange);
 /* The id of this process among its peers. */
 uint64_t jt_peer_exchange_id(const struct jt_peer_exchange *exchange);
 size_t jt_peer_exchange_live(const struct jt_peer_exchange *exchange);
--- a/src/director/jt_peer_knowledge.c
+++ b/src/director/jt_peer_knowledge.c
@@ -105,6 +105,7 @@
 	size_t length = 0;
 	long status = 0;
 	char *body = NULL;
+	uint32_t before = exchange->fetched.slice;
 	bool worked;
 
 	worked = jt_http_recv_bytes(req, exchange, &status, &body, &length) ==
@@ -114,13 +115,15 @@
 	talloc_free(req);
 	exchange->fetch = NULL;
 	exchange->fetch_answered = worked;
-	if (worked && exchange->fetched.begun)
-		part_ask(exchange);
-	else if (worked)
-		fetch_end(exchange, JT_FETCH_WORKED);
-	else
+	if (!worked)
 		fetch_end(exchange, status == STATUS_BUSY ? JT_FETCH_BUSY
 							  : JT_FETCH_FAILED);
+	else if (!exchange->fetched.begun)
+		fetch_end(exchange, JT_FETCH_WORKED);
+	else if (exchange->fetched.slice > before)
+		part_ask(exchange);
+	else
+		fetch_end(exchange, JT_FETCH_BUSY); /* some endpoints alone */
 }
 
 static void fetch_start(struct jt_peer_exchange *exchange,
--- a/src/label/jt_follower.c
+++ b/src/label/jt_follower.c
@@ -151,6 +151,13 @@
 	follower->paging = false;
 }
 
+/* Others ask for the same: what they learn comes from them soon. */
+static void give_way(struct jt_follower *follower, uint64_t now_ms)
+{
+	follower->due_ms = now_ms + GIVE_WAY_MS / 2 +
+			   jt_random_next(&follower->random) % GIVE_WAY_MS;
+}
+
 bool jt_follower_page(struct jt_follower *follower, enum jt_kv_status status,
 		      uint64_t at, bool more, uint64_t took_ms, uint64_t now_ms)
 {
@@ -168,9 +175,7 @@
 	if (more) {
 		if (took_ms >= SLOW_PAGE_MS &&
 		    jt_random_next(&follower->random) % GO_ON_ONE_IN != 0)
-			follower->due_ms =
-				now_ms + GIVE_WAY_MS / 2 +
-				jt_random_next(&follower->random) % GIVE_WAY_MS;
+			give_way(follower, now_ms);
 		return false;
 	}
 	follower->listed = true;
@@ -181,6 +186,17 @@
 	return true;
 }
 
+bool jt_follower_gives_way(struct jt_follower *follower, uint64_t now_ms)
+{
+	if (follower->listed || follower->paging || follower->gave_way)
+		return false;
+	follower->gave_way = true;
+	if (jt_random_next(&follower->random) % GO_ON_ONE_IN == 0)
+		return false;
+	give_way(follower, now_ms);
+	return true;
+}
+
 bool jt_follower_page_checked(struct jt_follower *follower,
 			      enum jt_kv_status status)
 {
--- a/src/label/jt_follower.h
+++ b/src/label/jt_follower.h
@@ -54,6 +54,7 @@
 	uint64_t listing;  /* the revision of a list's first page */
 	bool listed;	   /* a list is complete */
 	bool paging;	   /* a list has begun */
+	bool gave_way;	   /* to others, before its first page came */
 	uint32_t failures; /* in a row */
 	uint64_t failures_ever;
 	uint64_t due_ms;
@@ -104,6 +105,12 @@
 /* A watch's answer. */
 void jt_follower_watched(struct jt_follower *follower, enum jt_kv_status status,
 			 uint64_t at, bool changes, uint64_t now_ms);
+/*
+ * A list's first page is long in coming: many nodes start and ask for the same.
+ * True: give the call up, most nodes do so, once in their lives; what the
+ * others get they tell.
+ */
+bool jt_follower_gives_way(struct jt_follower *follower, uint64_t now_ms);
 /*
  * A short call beside a page that is long in coming came to @status. True: ask
  * for the page again. One that was asked for while the store could not be
--- a/src/label/jt_knowledge.c
+++ b/src/label/jt_knowledge.c
@@ -142,6 +142,29 @@
 	return end;
 }
 
+/* Some entries of a node that does not know all yet: from a slice at random
+ * on, so that nodes that learn of several peers know different ones. */
+static bool some_write(TALLOC_CTX *mem_ctx, const struct jt_director *director,
+		       uint64_t now_ms, jt_wire_knowledge *knowledge)
+{
+	const struct jt_endpoint_table *table = director->endpoints;
+	uint32_t first = (uint32_t)(now_ms % JT_DIRECTOR_SLICES);
+	size_t room, count = 0;
+	uint32_t end = slices_end(table, first, 0, &room);
+	jt_wire_entry *entries =
+		talloc_zero_array(mem_ctx, jt_wire_entry, room + 1);
+
+	if (entries == NULL)
+		return false;
+	for (uint32_t i = first; i < end; i++)
+		count += slice_write(&table->slices[i], 0, now_ms,
+				     &entries[count]);
+	knowledge->slice_next = knowledge->slice;
+	knowledge->entries.entries_val = entries;
+	knowledge->entries.entries_len = (u_int)count;
+	return true;
+}
+
 static bool entries_write(TALLOC_CTX *mem_ctx,
 			  const struct jt_director *director, uint64_t now_ms,
 			  jt_wire_knowledge *knowledge)
@@ -203,8 +226,11 @@
 	if (routing != NULL && routing->version > need->version &&
 	    !routing_write(mem_ctx, routing, &knowledge->routing))
 		return false;
-	return zones_write(mem_ctx, &director->zone_drains, knowledge) &&
-	       entries_write(mem_ctx, director, now_ms, knowledge);
+	if (!zones_write(mem_ctx, &director->zone_drains, knowledge))
+		return false;
+	return jt_director_started(director)
+		       ? entries_write(mem_ctx, director, now_ms, knowledge)
+		       : some_write(mem_ctx, director, now_ms, knowledge);
 }
 
 bool jt_knowledge_whole(const jt_wire_knowledge *knowledge)
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -208,6 +208,7 @@
 		return false;
 	peer->routing_version = digest->routing_version;
 	peer->revision = digest->revision;
+	peer->places = digest->places;
 	for (u_int i = 0; i < digest->peers.peers_len; i++)
 		peer_hearsay(membership, &digest->peers.peers_val[i], now_ms);
 	return news;
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -37,6 +37,7 @@
 	uint64_t revision;
 	bool heard; /* directly, since it was last lost */
 	bool started;
+	bool places; /* new flows: it knows some endpoints */
 	bool leaving;
 	bool ready; /* routers were told that it is */
 	bool lost;
@@ -61,6 +62,7 @@
 	uint64_t routing_version;
 	uint64_t revision;
 	bool started;
+	bool places; /* new flows: it knows some endpoints */
 	bool leaving;
 	bool ready;		 /* routers were told that it is */
 	bool reading;		 /* the store tells it of changes */
--- a/src/label/jt_membership_fetch.c
+++ b/src/label/jt_membership_fetch.c
@@ -12,11 +12,18 @@
 	FETCH_BUSY_PAUSE_MS = 60,
 };
 
+/* Whether the peer can tell a node that knows nothing some endpoints. */
+static bool tells_some(const struct jt_peer *peer)
+{
+	return peer->heard && peer->places && !peer->lost;
+}
+
 static bool knows_more(const struct jt_peer *peer,
 		       const struct jt_own_state *own)
 {
 	if (!own->started)
-		return jt_peer_started(peer);
+		return jt_peer_started(peer) ||
+		       (!own->places && tells_some(peer));
 	if (!peer->heard || peer->lost || !peer->started)
 		return false;
 	return peer->revision > own->revision ||
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -42,6 +42,7 @@
 	bool_t started;
 	bool_t leaving;
 	bool_t ready;
+	bool_t places;
 	u_int weight;
 	u_int store_age_ms;
 	u_quad_t store_reader;
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -38,6 +38,7 @@
 	bool started;
 	bool leaving;
 	bool ready;                  /* routers were told that it is */
+	bool places;                 /* new flows: it knows some endpoints */
 	unsigned int weight;         /* as a reader of the store; 0: not now */
 	unsigned int store_age_ms;   /* all that the store had then is known */
 	unsigned hyper store_reader; /* the node that read it */
@@ -146,7 +147,9 @@
  */
 struct jt_wire_knowledge {
 	unsigned int slice;      /* the first one in it */
-	unsigned int slice_next; /* the first one that is not */
+	/* The first one that is not. The same slice: the sender has not started
+	 * and tells some of the endpoints that it knows so far. */
+	unsigned int slice_next;
 	unsigned hyper since;
 	unsigned hyper revision;
 	unsigned int learning_ms;    /* entries may be missing so long yet */
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -87,7 +87,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->started))
 				 return FALSE;
@@ -95,6 +95,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->ready))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->places))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->weight))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->store_age_ms))
@@ -104,6 +106,7 @@
 		IXDR_PUT_BOOL(buf, objp->started);
 		IXDR_PUT_BOOL(buf, objp->leaving);
 		IXDR_PUT_BOOL(buf, objp->ready);
+		IXDR_PUT_BOOL(buf, objp->places);
 		IXDR_PUT_U_LONG(buf, objp->weight);
 		IXDR_PUT_U_LONG(buf, objp->store_age_ms);
 		}
@@ -120,7 +123,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->started))
 				 return FALSE;
@@ -128,6 +131,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->ready))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->places))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->weight))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->store_age_ms))
@@ -137,6 +142,7 @@
 		objp->started = IXDR_GET_BOOL(buf);
 		objp->leaving = IXDR_GET_BOOL(buf);
 		objp->ready = IXDR_GET_BOOL(buf);
+		objp->places = IXDR_GET_BOOL(buf);
 		objp->weight = IXDR_GET_U_LONG(buf);
 		objp->store_age_ms = IXDR_GET_U_LONG(buf);
 		}
@@ -160,6 +166,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->ready))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->places))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->weight))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->store_age_ms))
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -153,9 +153,51 @@
 	assert_int_equal(follower.revision, 11);
 }
 
+/* Where all nodes start at once most leave a late first page to others, and
+ * each does so once: a store that is slow is read all the same. */
+static void test_late_first_page_makes_most_nodes_give_way(void **state)
+{
+	enum { NODES = 400, ASKED_MS = 1000 };
+	unsigned gave_way = 0;
+
+	(void)state;
+	for (unsigned node = 0; node < NODES; node++) {
+		struct jt_follower follower;
+		bool gives_way;
+
+		jt_follower_init(&follower, node);
+		gives_way = jt_follower_gives_way(&follower, ASKED_MS);
+		gave_way += gives_way;
+		assert_int_equal(jt_follower_next(&follower, ASKED_MS),
+				 gives_way ? JT_FOLLOWER_WAIT
+					   : JT_FOLLOWER_LIST);
+		/* It asks again before long, and then waits for the answer. */
+		assert_int_equal(jt_follower_next(&follower, ASKED_MS + 900),
+				 JT_FOLLOWER_LIST);
+		assert_false(jt_follower_gives_way(&follower, ASKED_MS + 900));
+	}
+	assert_in_range(gave_way, NODES * 3 / 4, NODES * 19 / 20);
+}
+
+/* What has come of a list is not given up. */
+static void test_later_pages_don_t_give_way(void **state)
+{
+	struct jt_follower follower;
+
+	(void)state;
+	for (unsigned node = 0; node < 20; node++) {
+		jt_follower_init(&follower, node);
+		jt_follower_page(&follower, JT_KV_OK, 5, true, 10, 1000);
+		assert_false(jt_follower_gives_way(&follower, 1200));
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_late_first_page_makes_most_nodes_give_way),
+		cmocka_unit_test(test_later_pages_don_t_give_way),
 		cmocka_unit_test(test_pause_after_changes),
 		cmocka_unit_test(test_pages_form_no_snapshot),
 		cmocka_unit_test(test_peers_knowledge_is_as_good_as_a_list),
--- a/tests/test_many_endpoints.c
+++ b/tests/test_many_endpoints.c
@@ -85,6 +85,30 @@
 	talloc_free(from);
 }
 
+/* A node that has not started tells some of the endpoints it knows so far: they
+ * are no part of what is fetched slice by slice. */
+static void test_some_are_told_before_the_start(void **state)
+{
+	struct bench *from = bench_create(0);
+	struct jt_knowledge_fetch fetch = {0};
+	const struct jt_own_state own = {0};
+	const struct jt_knowledge_need need =
+		jt_knowledge_fetch_need(&fetch, &own);
+	jt_wire_knowledge knowledge;
+
+	(void)state;
+	bench_routing(from, 1, 50, 50);
+	for (uint32_t i = 0; i < 2000; i++)
+		bench_entry(from, entry_number(i));
+	assert_true(jt_knowledge_write(from, from->director, &need,
+				       from->now_ms, &knowledge));
+	assert_in_range(knowledge.entries.entries_len, 1, 600);
+	assert_int_equal(knowledge.routing.number, 1);
+	assert_false(jt_knowledge_fetch_took(&fetch, &knowledge, from->now_ms));
+	assert_int_equal(jt_knowledge_fetch_need(&fetch, &own).slice, 0);
+	talloc_free(from);
+}
+
 /* As many stay without a flow as chance would leave. */
 static void test_all_are_used(void **state)
 {
@@ -285,6 +309,7 @@
 		cmocka_unit_test(test_all_are_known),
 		cmocka_unit_test(test_all_are_told),
 		cmocka_unit_test(test_all_are_used),
+		cmocka_unit_test(test_some_are_told_before_the_start),
 		cmocka_unit_test(test_addresses),
 		cmocka_unit_test(test_the_older_one_has_the_label),
 		cmocka_unit_test(test_the_younger_one_follows),
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -485,11 +485,41 @@
 	talloc_free(membership);
 }
 
+/* A node that knows nothing learns some endpoints of one that knows some; for
+ * the rest it waits for one that knows all. */
+static void test_node_that_starts_learns_some_first(void **state)
+{
+	struct jt_membership *membership =
+		jt_membership_create(NULL, 1, address_of(0), 1);
+	jt_wire_digest digest = {.zone = 1};
+	struct jt_own_state own = {0};
+	const struct jt_peer *peer;
+
+	(void)state;
+	jt_membership_digest(membership, 1001, address_of(1), &digest, 1000);
+	assert_null(jt_membership_fetch(membership, &own, 1000));
+	digest.places = true;
+	jt_membership_digest(membership, 1002, address_of(2), &digest, 1000);
+	peer = jt_membership_fetch(membership, &own, 1000);
+	assert_non_null(peer);
+	assert_int_equal(peer->id, 1002);
+	jt_membership_fetched(membership, JT_FETCH_BUSY, 1010);
+	own.places = true;
+	assert_null(jt_membership_fetch(membership, &own, 2000));
+	digest.started = true;
+	jt_membership_digest(membership, 1003, address_of(3), &digest, 2000);
+	peer = jt_membership_fetch(membership, &own, 2000);
+	assert_non_null(peer);
+	assert_int_equal(peer->id, 1003);
+	talloc_free(membership);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_all_find_each_other_from_three_seeds),
 		cmocka_unit_test(test_live_peers_of_many_are_not_lost),
+		cmocka_unit_test(test_node_that_starts_learns_some_first),
 		cmocka_unit_test(test_thousands_are_known_at_once),
 		cmocka_unit_test(test_news_crosses_through_some_nodes),
 		cmocka_unit_test(test_digests_of_many_stay_in_their_zone),
