Of nodes that start together the strong ones go on with the list

One node in eight went on with a list whose pages come late, whatever it is: on 0.12 of a core a list of 10,000 takes some 3 s, on half a core less than one, and a strong node's link tells ten times as many others. The chance to go on is now the node's part of a core, an eighth at the least. Test: test_strong_nodes_go_on.

--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -258,7 +258,8 @@
 		return false;
 	node->sync = jt_directory_sync_create(
 		node, node->loop, node->client, node->environment->directory,
-		node->settings->store, &watcher, first_wait_ms(node), seed);
+		node->settings->store, &watcher, first_wait_ms(node),
+		node->settings->reader_weight, seed);
 	node->tick = jt_timer_create(node, node->loop, on_tick, node);
 	if (node->sync == NULL || node->tick == NULL)
 		return false;
--- a/src/director/jt_directory_sync.c
+++ b/src/director/jt_directory_sync.c
@@ -364,7 +364,7 @@
 	TALLOC_CTX *mem_ctx, struct tevent_context *loop,
 	struct jt_http_client *client, const struct jt_directory *directory,
 	struct jt_address store, const struct jt_directory_watcher *watcher,
-	uint64_t start_wait_ms, uint64_t seed)
+	uint64_t start_wait_ms, uint32_t strength_permille, uint64_t seed)
 {
 	struct jt_directory_sync *sync =
 		talloc_zero(mem_ctx, struct jt_directory_sync);
@@ -378,6 +378,7 @@
 	sync->watcher = *watcher;
 	jt_follower_init(&sync->follower, seed);
 	sync->follower.reading = JT_READING_CHECKS;
+	sync->follower.strength_permille = strength_permille;
 	sync->timer = jt_timer_create(sync, loop, on_due, sync);
 	sync->check_timer = jt_timer_create(sync, loop, on_check_due, sync);
 	if (sync->timer == NULL || sync->check_timer == NULL) {
--- a/src/director/jt_directory_sync.h
+++ b/src/director/jt_directory_sync.h
@@ -52,7 +52,7 @@
 	TALLOC_CTX *mem_ctx, struct tevent_context *loop,
 	struct jt_http_client *client, const struct jt_directory *directory,
 	struct jt_address store, const struct jt_directory_watcher *watcher,
-	uint64_t start_wait_ms, uint64_t seed);
+	uint64_t start_wait_ms, uint32_t strength_permille, uint64_t seed);
 /* A peer told all that it knew at @revision: no list is needed. */
 void jt_directory_sync_informed(struct jt_directory_sync *sync,
 				uint64_t revision);
--- a/src/label/jt_follower.c
+++ b/src/label/jt_follower.c
@@ -11,10 +11,12 @@
 	DEFAULT_RETRY_LEAST_MS = 100,
 	DEFAULT_RETRY_MOST_MS = 1600,
 	DOUBLINGS_MOST = 16,
-	/* A page that took so long shows that many ask at once; then one node
-	 * in so many goes on, and the others give way for about so long. */
+	/* A page that took so long shows that many ask at once; then some go
+	 * on, and the others give way for about so long. A list takes a strong
+	 * node far less time, and it tells others faster. */
 	SLOW_PAGE_MS = 100,
-	GO_ON_ONE_IN = 8,
+	GO_ON_LEAST_PERMILLE = 125,
+	PERMILLE = 1000,
 	GIVE_WAY_MS = 600,
 	/* Between two checks of a node that does not watch, and for how long a
 	 * change that one of them shows may be under way by peers. */
@@ -151,6 +153,16 @@
 	follower->paging = false;
 }
 
+/* Whether this node is one of those that go on. */
+static bool goes_on(struct jt_follower *follower)
+{
+	uint32_t permille = follower->strength_permille;
+
+	if (permille < GO_ON_LEAST_PERMILLE)
+		permille = GO_ON_LEAST_PERMILLE;
+	return jt_random_next(&follower->random) % PERMILLE < permille;
+}
+
 /* Others ask for the same: what they learn comes from them soon. */
 static void give_way(struct jt_follower *follower, uint64_t now_ms)
 {
@@ -173,8 +185,7 @@
 	follower->paging = more;
 	follower->due_ms = now_ms;
 	if (more) {
-		if (took_ms >= SLOW_PAGE_MS &&
-		    jt_random_next(&follower->random) % GO_ON_ONE_IN != 0)
+		if (took_ms >= SLOW_PAGE_MS && !goes_on(follower))
 			give_way(follower, now_ms);
 		return false;
 	}
@@ -191,7 +202,7 @@
 	if (follower->listed || follower->paging || follower->gave_way)
 		return false;
 	follower->gave_way = true;
-	if (jt_random_next(&follower->random) % GO_ON_ONE_IN == 0)
+	if (goes_on(follower))
 		return false;
 	give_way(follower, now_ms);
 	return true;
--- a/src/label/jt_follower.h
+++ b/src/label/jt_follower.h
@@ -50,12 +50,13 @@
 			    * that changes come together */
 	uint32_t retry_least_ms;
 	uint32_t retry_most_ms;
-	uint64_t revision; /* all changes up to here are known */
-	uint64_t listing;  /* the revision of a list's first page */
-	bool listed;	   /* a list is complete */
-	bool paging;	   /* a list has begun */
-	bool gave_way;	   /* to others, before its first page came */
-	uint32_t failures; /* in a row */
+	uint64_t revision;	    /* all changes up to here are known */
+	uint64_t listing;	    /* the revision of a list's first page */
+	bool listed;		    /* a list is complete */
+	bool paging;		    /* a list has begun */
+	bool gave_way;		    /* to others, before its first page came */
+	uint32_t strength_permille; /* of this node: thousandths of a core */
+	uint32_t failures;	    /* in a row */
 	uint64_t failures_ever;
 	uint64_t due_ms;
 	uint64_t answered_ms; /* last answer that made sense */
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -179,6 +179,22 @@
 	assert_in_range(gave_way, NODES * 3 / 4, NODES * 19 / 20);
 }
 
+/* Strong nodes list sooner, and tell more: more of them go on. */
+static void test_strong_nodes_go_on(void **state)
+{
+	unsigned gave_way = 0;
+
+	(void)state;
+	for (unsigned node = 0; node < 400; node++) {
+		struct jt_follower follower;
+
+		jt_follower_init(&follower, node);
+		follower.strength_permille = 500;
+		gave_way += jt_follower_gives_way(&follower, 1000);
+	}
+	assert_in_range(gave_way, 160, 240);
+}
+
 /* What has come of a list is not given up. */
 static void test_later_pages_don_t_give_way(void **state)
 {
@@ -198,6 +214,7 @@
 		cmocka_unit_test(
 			test_late_first_page_makes_most_nodes_give_way),
 		cmocka_unit_test(test_later_pages_don_t_give_way),
+		cmocka_unit_test(test_strong_nodes_go_on),
 		cmocka_unit_test(test_pause_after_changes),
 		cmocka_unit_test(test_pages_form_no_snapshot),
 		cmocka_unit_test(test_peers_knowledge_is_as_good_as_a_list),
