A circle less: the hollow cluster's platform calls back

jt_cluster.c and jt_cluster_platform.c called each other. The platform now tells a node of an event through the cluster's handler, and random numbers have a file of their own.

--- a/src/cluster/jt_cluster.c
+++ b/src/cluster/jt_cluster.c
@@ -28,20 +28,7 @@
 	}
 }
 
-/* SplitMix64 (Steele, Lea and Flood, 2014): one state for the cluster. */
-uint64_t cluster_random64(struct jt_cluster *cluster)
-{
-	uint64_t z = cluster->random_state += 0x9e3779b97f4a7c15ull;
-
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ull;
-	z = (z ^ (z >> 27)) * 0x94d049bb133111ebull;
-	return z ^ (z >> 31);
-}
-
-uint32_t jt_cluster_random(struct jt_cluster *cluster, uint32_t below)
-{
-	return below ? (uint32_t)(cluster_random64(cluster) % below) : 0;
-}
+static void node_event(struct node *node, struct jt_event *event);
 
 struct jt_cluster *jt_cluster_create(TALLOC_CTX *mem_ctx,
 				     struct jt_scheduler *scheduler,
@@ -54,6 +41,7 @@
 	cluster->options = *options;
 	cluster->scheduler = scheduler;
 	cluster->random_state = options->seed;
+	cluster->handle_event = node_event;
 	cluster->keys.count = 1;
 	cluster->keys.keys[0].id = 1;
 	cluster->actions = jt_actions_create(cluster);
@@ -322,7 +310,8 @@
 	return node->clock_offset_ms + cluster_now_us(node->cluster) / 1000;
 }
 
-void node_event(struct node *node, struct jt_event *event)
+/* Give an event to a node and carry out the actions that come of it. */
+static void node_event(struct node *node, struct jt_event *event)
 {
 	struct jt_cluster *cluster = node->cluster;
 	struct jt_actions *actions = cluster->actions;
--- a/src/cluster/jt_cluster_platform.c
+++ b/src/cluster/jt_cluster_platform.c
@@ -57,7 +57,7 @@
 	if (call->node->incarnation == incarnation &&
 	    node_running(call->node)) {
 		event.u.witness = &call->reply;
-		node_event(call->node, &event);
+		node_tell(call->node, &event);
 	}
 	talloc_free(call);
 }
@@ -109,7 +109,7 @@
 	}
 	event.u.candidates.addresses = cluster->listed;
 	event.u.candidates.count = count;
-	node_event(node, &event);
+	node_tell(node, &event);
 }
 
 static bool is_reader(const struct node *node)
@@ -128,7 +128,7 @@
 		return;
 	node_spend(node, PLATFORM, platform_document_bytes(cluster->stored));
 	event.u.config = cluster->stored;
-	node_event(node, &event);
+	node_tell(node, &event);
 }
 
 /* A watch: the answer comes when there is something newer. */
@@ -210,7 +210,7 @@
 	cell->id = cluster_random64(cluster) | 1;
 	cell->renewed_us = now;
 	event.u.cell = cell->id;
-	node_event(node, &event);
+	node_tell(node, &event);
 }
 
 static void probe_endpoints(struct node *node)
@@ -243,7 +243,7 @@
 		event.u.health.endpoint_id = id;
 		if (cluster->options.read_health(cluster->options.private_data,
 						 id, &event.u.health))
-			node_event(node, &event);
+			node_tell(node, &event);
 		state = jt_core_state(node->core);
 		count = state ? state->endpoint_count : 0;
 	}
@@ -318,7 +318,7 @@
 		return;
 	}
 	event.u.config = write->config;
-	node_event(node, &event);
+	node_tell(node, &event);
 	/* Accepted means agreed on by the cell, not only stored. */
 	state = jt_core_state(node->core);
 	if (state != NULL &&
--- a/src/cluster/jt_cluster_private.h
+++ b/src/cluster/jt_cluster_private.h
@@ -91,6 +91,8 @@
 	struct jt_cluster_options options;
 	struct jt_scheduler *scheduler;
 	uint64_t random_state;
+	/* What the platform has for a node: see node_tell(). */
+	void (*handle_event)(struct node *node, struct jt_event *event);
 	struct node *nodes[JT_CLUSTER_NODES];
 	size_t node_count;
 	bool cut[JT_CLUSTER_ZONES][JT_CLUSTER_ZONES];
@@ -134,8 +136,11 @@
 /* The cluster's own random numbers, from its seed. */
 uint64_t cluster_random64(struct jt_cluster *cluster);
 
-/* Give an event to a node and carry out the actions that come of it. */
-void node_event(struct node *node, struct jt_event *event);
+/* Tell a node of an event, as jt_cluster.c handles it. */
+static inline void node_tell(struct node *node, struct jt_event *event)
+{
+	node->cluster->handle_event(node, event);
+}
 
 /* Platform: store, machine list and health pages as one node sees them. */
 void platform_tick(struct node *node);
