--- a/src/label/jt_endpoint_table.c
+++ b/src/label/jt_endpoint_table.c
@@ -102,6 +102,8 @@
 	struct jt_incarnation *first, *rest;
 
 	HASH_FIND(by_address, table->addresses, &key, sizeof(key), first);
+	if (first == NULL)
+		return;
 	rest = first;
 	DL_DELETE2(rest, incarnation, address_prev, address_next);
 	if (rest == first)
