--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -189,11 +189,14 @@
 
 static enum jt_peers_tell on_peers_tell(void *private_data)
 {
-	const struct jt_director_node *node = private_data;
+	struct jt_director_node *node = private_data;
 
 	if (jt_peer_exchange_learns(node->peers))
 		return JT_PEERS_TELL;
-	if (jt_director_places(node->director))
+	if (jt_director_places(node->director) &&
+	    jt_reader_list_waits(&node->reader,
+				 jt_peer_exchange_live(node->peers) + 1,
+				 jt_clock_ms()))
 		return JT_PEERS_TOLD_SOME;
 	return jt_peer_exchange_fetching(node->peers) ? JT_PEERS_ASKED
 						      : JT_PEERS_SILENT;
--- a/src/director/jt_directory_sync.c
+++ b/src/director/jt_directory_sync.c
@@ -24,9 +24,6 @@
 	/* Before the first list, while a peer is about to tell. */
 	PEER_TELLS_MS = 20,
 	PEERS_KEEP_MS = 300,
-	/* A node that knows some endpoints by peers places flows already: peers
-	 * have that long, from its start, to learn the rest and tell it. */
-	PEERS_KEEP_PLACING_MS = 1500,
 };
 
 struct jt_directory_sync {
@@ -45,7 +42,6 @@
 	bool asking;		  /* the check under way is a step */
 	bool first_page_due;	  /* the check timer waits for it */
 	uint64_t peers_until_ms;  /* peers may keep the first list so long */
-	uint64_t some_until_ms;	  /* and so long where they told a part */
 	uint64_t asked_ms;	  /* when the page under way was asked for */
 	char *page_key;		  /* last key of the page before */
 	bool lost;
@@ -319,7 +315,7 @@
 	case JT_PEERS_ASKED:
 		return now_ms < sync->peers_until_ms;
 	case JT_PEERS_TOLD_SOME:
-		return !sync->follower.paging && now_ms < sync->some_until_ms;
+		return sync->follower.gave_way || !sync->follower.paging;
 	case JT_PEERS_TELL:
 		return true;
 	default:
@@ -387,7 +383,6 @@
 	}
 	sync->follower.due_ms = jt_clock_ms() + start_wait_ms;
 	sync->peers_until_ms = sync->follower.due_ms + PEERS_KEEP_MS;
-	sync->some_until_ms = sync->follower.due_ms + PEERS_KEEP_PLACING_MS;
 	jt_timer_set(sync->timer, start_wait_ms);
 	return sync;
 }
--- a/src/label/jt_follower.c
+++ b/src/label/jt_follower.c
@@ -166,6 +166,7 @@
 /* Others ask for the same: what they learn comes from them soon. */
 static void give_way(struct jt_follower *follower, uint64_t now_ms)
 {
+	follower->gave_way = true;
 	follower->due_ms = now_ms + GIVE_WAY_MS / 2 +
 			   jt_random_next(&follower->random) % GIVE_WAY_MS;
 }
@@ -173,19 +174,24 @@
 bool jt_follower_page(struct jt_follower *follower, enum jt_kv_status status,
 		      uint64_t at, bool more, uint64_t took_ms, uint64_t now_ms)
 {
+	bool first;
+
 	follower->page_doubted = false;
 	if (status != JT_KV_OK) {
 		back_off(follower, now_ms);
 		return false;
 	}
 	answered(follower, now_ms);
+	first = !follower->paging;
 	/* Pages form no snapshot: watch from the first one's revision. */
-	if (!follower->paging)
+	if (first)
 		follower->listing = at;
 	follower->paging = more;
 	follower->due_ms = now_ms;
 	if (more) {
-		if (took_ms >= SLOW_PAGE_MS && !goes_on(follower))
+		/* Whoever has gone on past the first page goes on to the end.
+		 */
+		if (first && took_ms >= SLOW_PAGE_MS && !goes_on(follower))
 			give_way(follower, now_ms);
 		return false;
 	}
@@ -199,9 +205,9 @@
 
 bool jt_follower_gives_way(struct jt_follower *follower, uint64_t now_ms)
 {
-	if (follower->listed || follower->paging || follower->gave_way)
+	if (follower->listed || follower->paging || follower->page_late)
 		return false;
-	follower->gave_way = true;
+	follower->page_late = true;
 	if (goes_on(follower))
 		return false;
 	give_way(follower, now_ms);
--- a/src/label/jt_follower.h
+++ b/src/label/jt_follower.h
@@ -54,7 +54,8 @@
 	uint64_t listing;	    /* the revision of a list's first page */
 	bool listed;		    /* a list is complete */
 	bool paging;		    /* a list has begun */
-	bool gave_way;		    /* to others, before its first page came */
+	bool page_late;		    /* its first page was, once */
+	bool gave_way;		    /* to others that list */
 	uint32_t strength_permille; /* of this node: thousandths of a core */
 	uint32_t failures;	    /* in a row */
 	uint64_t failures_ever;
--- a/src/label/jt_reader.c
+++ b/src/label/jt_reader.c
@@ -20,6 +20,9 @@
 	LIST_COST = 10 * 1000,
 	LIST_MS = 100,
 	START_WAIT_MOST_MS = 1000,
+	/* A node that knows some endpoints by peers places flows already: peers
+	 * have that long to list the rest and tell it. */
+	PEERS_LIST_MS = 1500,
 	/* A live peer has answered by then. */
 	PEER_ANSWER_MS = 15,
 	/* Nobody sends packets yet when the whole system starts: seeds have
@@ -162,6 +165,22 @@
 	       jt_random_next(&reader->random) % FIRST_START_MS;
 }
 
+bool jt_reader_list_waits(struct jt_reader *reader, size_t nodes,
+			  uint64_t now_ms)
+{
+	uint64_t spread_ms = (uint64_t)nodes * TRY_SHARE_MS;
+
+	if (reader->list_after_ms == 0)
+		reader->list_after_ms = now_ms + PEERS_LIST_MS;
+	if (now_ms >= reader->list_after_ms && !reader->list_spread) {
+		reader->list_spread = true;
+		reader->list_after_ms =
+			now_ms +
+			jt_random_next(&reader->random) % (spread_ms + 1);
+	}
+	return now_ms < reader->list_after_ms;
+}
+
 uint64_t jt_reader_as_of(const struct jt_reader *reader, uint64_t own_id,
 			 uint64_t *from)
 {
--- a/src/label/jt_reader.h
+++ b/src/label/jt_reader.h
@@ -42,6 +42,10 @@
 	uint64_t hold_until_ms; /* its watch failed: it watches on until then */
 	uint64_t try_after_ms;	/* the store gave no answer: not before then */
 	enum jt_reading reading;
+	/* A node that knows some endpoints leaves the list to peers so long;
+	 * and whether that is the time of its own among all nodes. */
+	uint64_t list_after_ms;
+	bool list_spread;
 	struct jt_random random;
 };
 
@@ -90,4 +94,12 @@
 uint64_t jt_reader_as_of(const struct jt_reader *reader, uint64_t own_id,
 			 uint64_t *from);
 
+/*
+ * Whether a node that has not started, but knows some endpoints by its peers,
+ * still leaves the list of all to them. After a while such nodes, of @nodes
+ * that are known, begin one after the other.
+ */
+bool jt_reader_list_waits(struct jt_reader *reader, size_t nodes,
+			  uint64_t now_ms);
+
 #endif
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -78,6 +78,17 @@
 				 JT_FOLLOWER_LIST);
 	}
 	assert_in_range(waiting, 45, 63);
+	/* Whoever has gone on past its first page goes on to the end. */
+	for (uint64_t seed = 1; seed <= 64; seed++) {
+		struct jt_follower follower;
+
+		jt_follower_init(&follower, seed);
+		jt_follower_page(&follower, JT_KV_OK, 10, true, 10, 1000);
+		jt_follower_page(&follower, JT_KV_OK, 10, true, 300, 1300);
+		assert_int_equal(jt_follower_next(&follower, 1300),
+				 JT_FOLLOWER_LIST);
+		assert_false(follower.gave_way);
+	}
 }
 
 static void test_failed_page_is_asked_for_again(void **state)
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -532,9 +532,36 @@
 	assert_int_equal(jt_follower_next(&follower, 1100), JT_FOLLOWER_WATCH);
 }
 
+/* A node that knows some endpoints leaves the list to peers for a while; where
+ * they don't come to an end, such nodes begin one after the other. */
+static void test_lists_begin_one_after_the_other(void **state)
+{
+	enum { NODES = 1000, START_MS = 5000, PEERS_MS = 1500, SHARE_MS = 25 };
+	unsigned at_once = 0, in_time = 0;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= NODES; seed++) {
+		struct jt_reader reader;
+
+		jt_reader_init(&reader, 3000, seed);
+		assert_true(jt_reader_list_waits(&reader, NODES, START_MS));
+		assert_true(jt_reader_list_waits(&reader, NODES,
+						 START_MS + PEERS_MS - 1));
+		(void)jt_reader_list_waits(&reader, NODES, START_MS + PEERS_MS);
+		at_once += !jt_reader_list_waits(&reader, NODES,
+						 START_MS + PEERS_MS + 1000);
+		in_time += !jt_reader_list_waits(
+			&reader, NODES, START_MS + PEERS_MS + NODES * SHARE_MS);
+	}
+	/* 40 a second, whatever their number. */
+	assert_in_range(at_once, 20, 60);
+	assert_int_equal(in_time, NODES);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_lists_begin_one_after_the_other),
 		cmocka_unit_test(test_first_of_its_zone_reads),
 		cmocka_unit_test(test_node_that_has_not_started_reads),
 		cmocka_unit_test(
