Only a node that has not started leaves its list to peers

Found by reading the diff: after the store forgot its history a started node would have left its new list to peers for 1.5 s, or given up a late first page, while others hang on what it reads (CONFIG, EVAC after a compaction). It now lists at once as before. Test: test_node_that_knew_all_does_not_give_way.

--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -191,6 +191,9 @@
 {
 	struct jt_director_node *node = private_data;
 
+	/* One that has started reads the store for others as well. */
+	if (jt_director_started(node->director))
+		return JT_PEERS_SILENT;
 	if (jt_peer_exchange_learns(node->peers))
 		return JT_PEERS_TELL;
 	if (jt_director_places(node->director) &&
--- a/src/label/jt_follower.c
+++ b/src/label/jt_follower.c
@@ -205,7 +205,8 @@
 
 bool jt_follower_gives_way(struct jt_follower *follower, uint64_t now_ms)
 {
-	if (follower->listed || follower->paging || follower->page_late)
+	/* One that knew all before reads the store for others as well. */
+	if (follower->revision != 0 || follower->paging || follower->page_late)
 		return false;
 	follower->page_late = true;
 	if (goes_on(follower))
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -190,6 +190,23 @@
 	assert_in_range(gave_way, NODES * 3 / 4, NODES * 19 / 20);
 }
 
+/* A node that lists anew since history is gone waits for its page: others hang
+ * on what it reads. */
+static void test_node_that_knew_all_does_not_give_way(void **state)
+{
+	(void)state;
+	for (unsigned node = 0; node < 20; node++) {
+		struct jt_follower follower;
+
+		jt_follower_init(&follower, node);
+		jt_follower_page(&follower, JT_KV_OK, 5, false, 10, 1000);
+		jt_follower_watched(&follower, JT_KV_COMPACTED, 0, false, 2000);
+		assert_int_equal(jt_follower_next(&follower, 2000),
+				 JT_FOLLOWER_LIST);
+		assert_false(jt_follower_gives_way(&follower, 2150));
+	}
+}
+
 /* Strong nodes list sooner, and tell more: more of them go on. */
 static void test_strong_nodes_go_on(void **state)
 {
@@ -226,6 +243,7 @@
 			test_late_first_page_makes_most_nodes_give_way),
 		cmocka_unit_test(test_later_pages_don_t_give_way),
 		cmocka_unit_test(test_strong_nodes_go_on),
+		cmocka_unit_test(test_node_that_knew_all_does_not_give_way),
 		cmocka_unit_test(test_pause_after_changes),
 		cmocka_unit_test(test_pages_form_no_snapshot),
 		cmocka_unit_test(test_peers_knowledge_is_as_good_as_a_list),
