--- a/src/director/jt_directory_sync.h
+++ b/src/director/jt_directory_sync.h
@@ -30,6 +30,7 @@
 	void (*partly_told)(void *private_data);
 	/* Up to which revision all changes are known, from whomever. */
 	uint64_t (*known)(void *private_data);
+	/* Whether to leave a list to peers for now. */
 	enum jt_peers_tell (*peers_tell)(void *private_data);
 	/* The store was lost, or regained. */
 	void (*reachable)(bool reachable, enum jt_kv_status status,
