Few endpoints are told well; an outdated fetch begins anew

A node that has not started told its endpoints from a slice at random to the last: of 200 it might tell none, and the one that asked would hold its flows, taking itself for one that places them. It now begins in the first half of the slices. A fetch that was broken off went on with what news had told meanwhile: it now begins anew. Tests, which fail without: test_few_are_told_before_the_start, test_outdated_fetch_begins_anew.

--- a/src/label/jt_knowledge.c
+++ b/src/label/jt_knowledge.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 enum {
-	/* Entries told at once, some 27 kB: a link of 20 Mbit/s carries them in
-	 * 11 ms, so that many peers that ask at once share it fairly. */
+	/* Entries told at once, some 31 kB: a link of 20 Mbit/s carries them in
+	 * 12 ms, so that many peers that ask at once share it fairly. */
 	ENTRIES_AT_ONCE = 512,
 };
 
@@ -142,13 +142,14 @@
 	return end;
 }
 
-/* Some entries of a node that does not know all yet: from a slice at random
- * on, so that nodes that learn of several peers know different ones. */
+/* Some entries of a node that does not know all yet: from any slice of the
+ * first half on, so that nodes know different ones, and half of them at the
+ * least where there are few. */
 static bool some_write(TALLOC_CTX *mem_ctx, const struct jt_director *director,
 		       uint64_t now_ms, jt_wire_knowledge *knowledge)
 {
 	const struct jt_endpoint_table *table = director->endpoints;
-	uint32_t first = (uint32_t)(now_ms % JT_DIRECTOR_SLICES);
+	uint32_t first = (uint32_t)(now_ms % (JT_DIRECTOR_SLICES / 2));
 	size_t room, count = 0;
 	uint32_t end = slices_end(table, first, 0, &room);
 	jt_wire_entry *entries =
--- a/src/label/jt_knowledge_fetch.c
+++ b/src/label/jt_knowledge_fetch.c
@@ -15,7 +15,10 @@
 jt_knowledge_fetch_need(struct jt_knowledge_fetch *fetch,
 			const struct jt_own_state *own)
 {
-	if (!fetch->begun)
+	/* What came would tell nothing new any more. */
+	bool outdated = own->started && own->revision >= fetch->revision;
+
+	if (!fetch->begun || outdated)
 		fetch_begin(fetch, own);
 	return (struct jt_knowledge_need){
 		.since = fetch->since,
--- a/tests/test_knowledge_fetch.c
+++ b/tests/test_knowledge_fetch.c
@@ -60,6 +60,24 @@
 	assert_int_equal(jt_knowledge_fetch_need(&fetch, &own).since, 20);
 }
 
+/* News has told meanwhile what a fetch that was broken off would tell. */
+static void test_outdated_fetch_begins_anew(void **state)
+{
+	struct jt_own_state own = {.started = true, .revision = 20};
+	struct jt_knowledge_fetch fetch = {0};
+	jt_wire_knowledge part = part_of(0, 300, 40);
+
+	(void)state;
+	part.since = 20;
+	(void)jt_knowledge_fetch_need(&fetch, &own);
+	assert_false(jt_knowledge_fetch_took(&fetch, &part, NOW_MS));
+	own.revision = 39;
+	assert_int_equal(jt_knowledge_fetch_need(&fetch, &own).slice, 300);
+	own.revision = 40;
+	assert_int_equal(jt_knowledge_fetch_need(&fetch, &own).slice, 0);
+	assert_int_equal(jt_knowledge_fetch_need(&fetch, &own).since, 40);
+}
+
 static void test_other_answers_change_nothing(void **state)
 {
 	const struct jt_own_state own = {0};
@@ -104,6 +122,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_goes_on_at_another_peer),
 		cmocka_unit_test(test_since_stays_until_the_end),
+		cmocka_unit_test(test_outdated_fetch_begins_anew),
 		cmocka_unit_test(test_other_answers_change_nothing),
 		cmocka_unit_test(test_budget),
 	};
--- a/tests/test_many_endpoints.c
+++ b/tests/test_many_endpoints.c
@@ -109,6 +109,29 @@
 	talloc_free(from);
 }
 
+/* Where it knows few, it tells a good part of them whenever it is asked. */
+static void test_few_are_told_before_the_start(void **state)
+{
+	enum { FEW = 200 };
+	struct bench *from = bench_create(0);
+	const struct jt_knowledge_need need = {0};
+	jt_wire_knowledge knowledge;
+	u_int least = FEW;
+
+	(void)state;
+	bench_routing(from, 1, 50, 50);
+	for (uint32_t i = 0; i < FEW; i++)
+		bench_entry(from, entry_number(i));
+	for (uint64_t ms = 0; ms < 2 * JT_DIRECTOR_SLICES; ms++) {
+		assert_true(jt_knowledge_write(from, from->director, &need,
+					       from->now_ms + ms, &knowledge));
+		if (knowledge.entries.entries_len < least)
+			least = knowledge.entries.entries_len;
+	}
+	assert_in_range(least, FEW / 3, FEW);
+	talloc_free(from);
+}
+
 /* As many stay without a flow as chance would leave. */
 static void test_all_are_used(void **state)
 {
@@ -310,6 +333,7 @@
 		cmocka_unit_test(test_all_are_told),
 		cmocka_unit_test(test_all_are_used),
 		cmocka_unit_test(test_some_are_told_before_the_start),
+		cmocka_unit_test(test_few_are_told_before_the_start),
 		cmocka_unit_test(test_addresses),
 		cmocka_unit_test(test_the_older_one_has_the_label),
 		cmocka_unit_test(test_the_younger_one_follows),
