--- a/src/label/jt_endpoint_table.c
+++ b/src/label/jt_endpoint_table.c
@@ -98,10 +98,10 @@
 static void address_leave(struct jt_endpoint_table *table,
 			  struct jt_incarnation *incarnation)
 {
-	uint64_t key = incarnation->address_key;
-	struct jt_incarnation *first, *rest;
+	struct jt_incarnation *first =
+		jt_endpoint_table_at(table, incarnation->entry.address);
+	struct jt_incarnation *rest;
 
-	HASH_FIND(by_address, table->addresses, &key, sizeof(key), first);
 	if (first == NULL)
 		return;
 	rest = first;
--- a/src/label/jt_knowledge.c
+++ b/src/label/jt_knowledge.c
@@ -142,49 +142,39 @@
 	return end;
 }
 
-/* Some entries of a node that does not know all yet: from any slice of the
- * first half on, so that nodes know different ones, and half of them at the
- * least where there are few. */
-static bool some_write(TALLOC_CTX *mem_ctx, const struct jt_director *director,
-		       uint64_t now_ms, jt_wire_knowledge *knowledge)
+/* Tell the entries that changed after @since, from slice @first on, as many as
+ * are told at once; @end is the first slice after them. */
+static bool entries_write(TALLOC_CTX *mem_ctx,
+			  const struct jt_endpoint_table *table, uint32_t first,
+			  uint64_t since, uint64_t now_ms,
+			  jt_wire_knowledge *knowledge, uint32_t *end)
 {
-	const struct jt_endpoint_table *table = director->endpoints;
-	uint32_t first = (uint32_t)(now_ms % (JT_DIRECTOR_SLICES / 2));
+	jt_wire_entry *entries;
 	size_t room, count = 0;
-	uint32_t end = slices_end(table, first, 0, &room);
-	jt_wire_entry *entries =
-		talloc_zero_array(mem_ctx, jt_wire_entry, room + 1);
 
+	*end = slices_end(table, first, since, &room);
+	entries = talloc_zero_array(mem_ctx, jt_wire_entry, room + 1);
 	if (entries == NULL)
 		return false;
-	for (uint32_t i = first; i < end; i++)
-		count += slice_write(&table->slices[i], 0, now_ms,
+	for (uint32_t i = first; i < *end; i++)
+		count += slice_write(&table->slices[i], since, now_ms,
 				     &entries[count]);
-	knowledge->slice_next = knowledge->slice;
 	knowledge->entries.entries_val = entries;
 	knowledge->entries.entries_len = (u_int)count;
 	return true;
 }
 
-static bool entries_write(TALLOC_CTX *mem_ctx,
-			  const struct jt_director *director, uint64_t now_ms,
-			  jt_wire_knowledge *knowledge)
+/* Some entries of a node that does not know all yet: from any slice of the
+ * first half on, so that nodes know different ones, and half of them at the
+ * least where there are few. */
+static bool some_write(TALLOC_CTX *mem_ctx, const struct jt_director *director,
+		       uint64_t now_ms, jt_wire_knowledge *knowledge)
 {
-	const struct jt_endpoint_table *table = director->endpoints;
-	jt_wire_entry *entries;
-	size_t room, count = 0;
+	uint32_t first = (uint32_t)(now_ms % (JT_DIRECTOR_SLICES / 2)), end;
 
-	knowledge->slice_next =
-		slices_end(table, knowledge->slice, knowledge->since, &room);
-	entries = talloc_zero_array(mem_ctx, jt_wire_entry, room + 1);
-	if (entries == NULL)
-		return false;
-	for (uint32_t i = knowledge->slice; i < knowledge->slice_next; i++)
-		count += slice_write(&table->slices[i], knowledge->since,
-				     now_ms, &entries[count]);
-	knowledge->entries.entries_val = entries;
-	knowledge->entries.entries_len = (u_int)count;
-	return true;
+	knowledge->slice_next = knowledge->slice;
+	return entries_write(mem_ctx, director->endpoints, first, 0, now_ms,
+			     knowledge, &end);
 }
 
 static bool zones_write(TALLOC_CTX *mem_ctx, const struct jt_zone_drains *zones,
@@ -230,7 +220,10 @@
 	if (!zones_write(mem_ctx, &director->zone_drains, knowledge))
 		return false;
 	return jt_director_started(director)
-		       ? entries_write(mem_ctx, director, now_ms, knowledge)
+		       ? entries_write(mem_ctx, director->endpoints,
+				       knowledge->slice, knowledge->since,
+				       now_ms, knowledge,
+				       &knowledge->slice_next)
 		       : some_write(mem_ctx, director, now_ms, knowledge);
 }
 
--- a/tests/test_many_endpoints.c
+++ b/tests/test_many_endpoints.c
@@ -241,17 +241,24 @@
 	(void)state;
 }
 
-/* Once flows of the older one can't live any more, the other takes over. */
-static void test_the_younger_one_follows(void **state)
+static struct bench *two_clashing(void)
 {
 	struct bench *bench = bench_create(0);
-	struct caller_flow flow = flow_new(bench, CALLER, BOARD_PORT);
 
-	(void)state;
 	bench_routing(bench, 1, 50, 50);
 	take_clashing(bench, OLD_ID);
 	take_clashing(bench, YOUNG_ID);
 	bench_listed(bench, 20);
+	return bench;
+}
+
+/* Once flows of the older one can't live any more, the other takes over. */
+static void test_the_younger_one_follows(void **state)
+{
+	struct bench *bench = two_clashing();
+	struct caller_flow flow = flow_new(bench, CALLER, BOARD_PORT);
+
+	(void)state;
 	bench_gone(bench, OLD_ID, 21);
 	bench_tick(bench, LEARNED_MS);
 	assert_int_equal(flow_syn(bench, &flow), 0);
@@ -263,16 +270,12 @@
 /* The younger one's end is no matter of flows that are at the older one. */
 static void test_the_younger_one_ends_alone(void **state)
 {
-	struct bench *bench = bench_create(0);
+	struct bench *bench = two_clashing();
 	struct jt_endpoint_entry next =
 		entry_of(0x300, SERVICE_BOARD, ZONE_A, 30);
 	struct caller_flow flow = flow_new(bench, CALLER, BOARD_PORT);
 
 	(void)state;
-	bench_routing(bench, 1, 50, 50);
-	take_clashing(bench, OLD_ID);
-	take_clashing(bench, YOUNG_ID);
-	bench_listed(bench, 20);
 	bench_tick(bench, LEARNED_MS);
 	flow_open(bench, &flow);
 	assert_int_equal(flow.endpoint_id, OLD_ID);
