--- a/fuzz/fuzz_director.c
+++ b/fuzz/fuzz_director.c
@@ -7,7 +7,8 @@
  * late or twice, restart, tell each other. The oracle knows callers and
  * endpoints, never what a node believes:
  *
- *   an open flow whose endpoint lives is never reset by a node;
+ *   an open flow whose endpoint lives is never reset by a node, also where the
+ *   endpoint fails requests;
  *   a first packet that the network doubles leads to no second endpoint;
  *   a flow's packets reach no endpoint but its own;
  *   a first packet reaches a service that some configuration ever allowed;
@@ -45,6 +46,8 @@
 	FULL_AT = 6,			/* flows that an endpoint holds */
 	LATE_MS = 1000,			/* how late a doubled packet may come */
 	FLOWS_REMEMBERED = 16,		/* by a node */
+	ANSWER = 50,			/* bytes */
+	SHORT_ANSWER = 5,
 };
 
 enum life { UNUSED, ALIVE, DRAINING, ENDED, SILENT_END };
@@ -594,6 +597,14 @@
 	return true;
 }
 
+/* Some endpoints answer part of the requests with a few bytes. */
+static uint32_t answer_length(const struct world *world, int index)
+{
+	if (index % 4 == 1 && world->now_ms % 3 == 0)
+		return SHORT_ANSWER;
+	return ANSWER;
+}
+
 static void on_forward(struct world *world, int node,
 		       const struct jt_director_action *a)
 {
@@ -620,7 +631,7 @@
 	} else if (flow->endpoint >= 0) {
 		flow->queued = false;
 		flow->sequence += 10;
-		flow->acknowledged += 50;
+		flow->acknowledged += answer_length(world, index);
 	} else if (world->endpoints[index].life == ENDED) {
 		flow->over = true; /* the endpoint's host resets it */
 	}
@@ -668,6 +679,20 @@
 static uint64_t failing[VERDICTS];
 static size_t failing_count;
 
+/* Failed requests that a node tells of; all hear of them at the next step. */
+static struct jt_endpoint_failure failures[JT_FAILURE_LIMIT];
+static size_t failures_count;
+
+static void failures_take(struct world *world, int node)
+{
+	size_t peers;
+
+	failures_count = jt_director_failures(world->directors[node],
+					      world->now_ms, failures, &peers);
+	if (peers >= NODES)
+		broken(world, "failures are told to more peers than there are");
+}
+
 static void probe_note(int node, uint64_t id, bool identify)
 {
 	if (pending_count < sizeof(pendings) / sizeof(pendings[0]))
@@ -705,6 +730,9 @@
 			if (failing_count < VERDICTS)
 				failing[failing_count++] = a->endpoint_id;
 			break;
+		case JT_DIRECTOR_FAILURES:
+			failures_take(world, node);
+			break;
 		case JT_DIRECTOR_VERDICT:
 			verdicts[verdict_count++ % VERDICTS] = a->endpoint_id;
 			break;
@@ -860,12 +888,22 @@
 static void failing_tell(struct world *world)
 {
 	struct jt_director_event event = {.kind = JT_DIRECTOR_OVERDUE};
+	struct jt_endpoint_failure told[JT_FAILURE_LIMIT];
 
 	while (failing_count > 0) {
 		event.u.suspicion.id = failing[--failing_count];
 		for (int node = 0; node < NODES; node++)
 			tell(world, node, &event);
 	}
+	if (failures_count == 0)
+		return;
+	event.kind = JT_DIRECTOR_FAILURES_TOLD;
+	memcpy(told, failures, sizeof(told));
+	event.u.failures.items = told;
+	event.u.failures.count = failures_count;
+	failures_count = 0;
+	for (int node = 0; node < NODES; node++)
+		tell(world, node, &event);
 }
 
 static void step(struct world *world)
@@ -937,6 +975,7 @@
 	pending_count = 0;
 	verdict_count = 0;
 	failing_count = 0;
+	failures_count = 0;
 	world->data = data;
 	world->size = size;
 	world->now_ms = 1000000;
--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -19,6 +19,7 @@
 	JT_ROUTE_PART_LIMIT = 16, /* services that share one route */
 	JT_LOAD_LIMIT = 96,	  /* endpoints in one report of loads */
 	JT_ZONE_DRAIN_LIMIT = 64, /* zones whose drains are known */
+	JT_FAILURE_LIMIT = 12,	  /* endpoints in one report of failures */
 };
 
 /* A service's part of a route's new flows. */
@@ -87,6 +88,15 @@
 
 enum { JT_WORK_UNIT = 1000 }; /* of work_permille in a request */
 
+/* What became of requests at an endpoint that fails some, since the last
+ * report, in thousandths of requests. */
+struct jt_endpoint_failure {
+	uint32_t label;
+	uint32_t failed_permille;
+	uint32_t served_permille;
+	uint32_t share_permille; /* that the endpoint has at the teller */
+};
+
 /* How this node sees one incarnation. */
 enum jt_incarnation_state {
 	JT_INCARNATION_READY,
@@ -143,12 +153,13 @@
 	JT_DIRECTOR_CAUGHT_UP, /* all changes up to a revision are told */
 	JT_DIRECTOR_INFORMED,  /* a peer told all it knows at a revision */
 	JT_DIRECTOR_NEWS, /* entries that changed up to a revision were told */
-	JT_DIRECTOR_SUSPICION,	 /* a peer has found the endpoint dead */
-	JT_DIRECTOR_OVERDUE,	 /* a peer gets no answers from the endpoint */
-	JT_DIRECTOR_IDENTIFIED,	 /* who answers at an endpoint's address */
-	JT_DIRECTOR_PROBED,	 /* the outcome of a probe */
-	JT_DIRECTOR_LOADS,	 /* a peer's share of the endpoints' flows */
-	JT_DIRECTOR_ZONE_DRAINS, /* drains of zones that began or ended */
+	JT_DIRECTOR_SUSPICION, /* a peer has found the endpoint dead */
+	JT_DIRECTOR_OVERDUE,   /* a peer gets no answers from the endpoint */
+	JT_DIRECTOR_FAILURES_TOLD, /* a peer tells of failed requests */
+	JT_DIRECTOR_IDENTIFIED,	   /* who answers at an endpoint's address */
+	JT_DIRECTOR_PROBED,	   /* the outcome of a probe */
+	JT_DIRECTOR_LOADS,	   /* a peer's share of the endpoints' flows */
+	JT_DIRECTOR_ZONE_DRAINS,   /* drains of zones that began or ended */
 	JT_DIRECTOR_TICK,
 };
 
@@ -191,6 +202,10 @@
 			const struct jt_endpoint_load *loads;
 			size_t count;
 		} loads;
+		struct {
+			const struct jt_endpoint_failure *items;
+			size_t count;
+		} failures;
 		struct {
 			const struct jt_zone_drain *drains;
 			size_t count;
@@ -217,10 +232,13 @@
 	JT_DIRECTOR_IDENTIFY, /* ask who answers at an endpoint's address */
 	JT_DIRECTOR_VERDICT,  /* an endpoint is dead: tell peers */
 	JT_DIRECTOR_FAILING, /* an endpoint's answers are overdue: tell peers */
-	JT_DIRECTOR_REVIVED, /* a dead endpoint lives */
-	JT_DIRECTOR_SEEN,    /* an endpoint's state changed */
-	JT_DIRECTOR_ZONE_DRAINED,  /* a drain of a zone began */
-	JT_DIRECTOR_ZONE_RESTORED, /* and ended */
+	JT_DIRECTOR_FAILURES, /* tell peers what jt_director_failures() says */
+	JT_DIRECTOR_SHARE_REDUCED,  /* an endpoint gets few new flows */
+	JT_DIRECTOR_SHARE_RESTORED, /* or its whole part again */
+	JT_DIRECTOR_REVIVED,	    /* a dead endpoint lives */
+	JT_DIRECTOR_SEEN,	    /* an endpoint's state changed */
+	JT_DIRECTOR_ZONE_DRAINED,   /* a drain of a zone began */
+	JT_DIRECTOR_ZONE_RESTORED,  /* and ended */
 };
 
 enum jt_director_reason {
@@ -257,6 +275,13 @@
 	uint64_t version;    /* of the routing that decided */
 	uint32_t service_id; /* of the endpoint */
 	bool peers_know;     /* of the verdict: a peer has told it to all */
+	/* Of a share that was reduced or restored, in thousandths: the share,
+	 * requests that failed and were served lately, and the failing part
+	 * of the better endpoints of its service. */
+	uint32_t share_permille;
+	uint32_t failed_permille;
+	uint32_t served_permille;
+	uint32_t usual_permille;
 	const char *zone; /* drained or restored; good until the next event */
 };
 
@@ -279,6 +304,7 @@
 	JT_DIRECTOR_BREAK_STALE_ENTRY = 1 << 6,	 /* older entries are taken */
 	JT_DIRECTOR_BREAK_ZONE_DRAIN = 1 << 7,	 /* drains change nothing */
 	JT_DIRECTOR_BREAK_COLD = 1 << 8,	 /* cold ones get any number */
+	JT_DIRECTOR_BREAK_END_FAILING = 1 << 11, /* their flows are reset */
 };
 
 /* Limits and times; jt_director_options_init() gives the defaults. */
@@ -315,6 +341,10 @@
 	uint64_t entries_refused; /* older than what is known, or no room */
 	uint64_t resent;	  /* packets that were sent again */
 	uint64_t overdue;	  /* requests whose answers were overdue */
+	uint64_t short_answers;	  /* that were taken for failures */
+	uint64_t failures_told;	  /* endpoints in reports to peers */
+	uint64_t failures_heard;  /* and in theirs */
+	uint64_t shares_reduced;
 };
 
 struct jt_director;
--- a/include/jaspertrack/director.h
+++ b/include/jaspertrack/director.h
@@ -66,6 +66,17 @@
 size_t jt_director_loads(struct jt_director *director, uint64_t now_ms,
 			 struct jt_endpoint_load loads[JT_LOAD_LIMIT]);
 
+/* Failed requests that so many @peers are to be told of (JT_DIRECTOR_FAILURES);
+ * returns how many of @failures were set. */
+size_t
+jt_director_failures(struct jt_director *director, uint64_t now_ms,
+		     struct jt_endpoint_failure failures[JT_FAILURE_LIMIT],
+		     size_t *peers);
+/* Endpoints that get less than their part of new flows at @now_ms, since they
+ * fail requests. */
+size_t jt_director_reduced_count(const struct jt_director *director,
+				 uint64_t now_ms);
+
 /* The label that names an incarnation in a flow's packets; never 0. */
 uint32_t jt_flow_label(uint64_t endpoint_id);
 
--- a/src/common/jt_mechanism.c
+++ b/src/common/jt_mechanism.c
@@ -10,7 +10,8 @@
 	"refuse-full",	  "parts-give-way",  "outage-lapses", "news",
 	"near-digests",	  "one-watcher",     "few-readers",   "first-start",
 	"peers-first",	  "leave-in-turn",   "early-end",     "outliers",
-	"hold-unknown",	  "spread-learning", "partly-known",  NULL,
+	"hold-unknown",	  "spread-learning", "partly-known",  "short-answers",
+	NULL,
 };
 
 uint32_t jt_mechanism_find(const char *name)
--- a/src/director/jt_director_log.c
+++ b/src/director/jt_director_log.c
@@ -107,6 +107,25 @@
 		    (unsigned long long)action->age_ms);
 }
 
+void jt_director_log_share(const struct jt_log *log,
+			   const struct jt_director_action *action,
+			   const char *event, uint64_t now_ms)
+{
+	char address[JT_ADDRESS_TEXT];
+
+	/* Most endpoints of a service may turn at the same moment. */
+	if (!allowed(log, JT_LOG_UNUSUAL, now_ms))
+		return;
+	jt_log_line(log, LOG_NOTICE,
+		    "event=%s endpoint=%llx address=%s share_permille=%u "
+		    "failed_permille=%u served_permille=%u "
+		    "usual_permille=%u",
+		    event, (unsigned long long)action->endpoint_id,
+		    jt_address_format(action->address, address),
+		    action->share_permille, action->failed_permille,
+		    action->served_permille, action->usual_permille);
+}
+
 void jt_director_log_zone(const struct jt_log *log,
 			  const struct jt_director_action *action)
 {
--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -365,6 +365,16 @@
 		    overdue ? "overdue" : "dead");
 }
 
+static void on_failures(const struct jt_endpoint_failure *failures,
+			size_t count, void *private_data)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_FAILURES_TOLD};
+
+	event.u.failures.items = failures;
+	event.u.failures.count = count;
+	jt_director_node_event(private_data, &event);
+}
+
 void jt_director_node_handlers(struct jt_director_node *node,
 			       struct jt_directory_watcher *watcher,
 			       struct jt_peer_handler *handler)
@@ -390,6 +400,7 @@
 		.suspicion = on_suspicion,
 		.own_loads = on_own_loads,
 		.loads = on_loads,
+		.failures = on_failures,
 		.private_data = node,
 	};
 }
--- a/src/director/jt_director_node_packets.c
+++ b/src/director/jt_director_node_packets.c
@@ -125,6 +125,17 @@
 	return action->reason != JT_DIRECTOR_LABELLED;
 }
 
+static void act_failures(struct jt_director_node *node)
+{
+	struct jt_endpoint_failure failures[JT_FAILURE_LIMIT];
+	size_t peers;
+	size_t count = jt_director_failures(node->director, node->event_ms,
+					    failures, &peers);
+
+	if (count > 0)
+		jt_peer_exchange_failures(node->peers, failures, count, peers);
+}
+
 static void node_act(struct jt_director_node *node,
 		     const struct jt_director_action *action)
 {
@@ -165,6 +176,17 @@
 		jt_peer_exchange_suspect(node->peers, JT_WIRE_ANSWERS_OVERDUE,
 					 action->endpoint_id);
 		break;
+	case JT_DIRECTOR_FAILURES:
+		act_failures(node);
+		break;
+	case JT_DIRECTOR_SHARE_REDUCED:
+		jt_director_log_share(node->log, action, "share_reduced",
+				      node->event_ms);
+		break;
+	case JT_DIRECTOR_SHARE_RESTORED:
+		jt_director_log_share(node->log, action, "share_restored",
+				      node->event_ms);
+		break;
 	case JT_DIRECTOR_REVIVED:
 		jt_director_log_endpoint(node->log, action, "endpoint_back");
 		break;
--- a/src/director/jt_director_pages.c
+++ b/src/director/jt_director_pages.c
@@ -105,6 +105,14 @@
 			  counters->suspicions);
 	text = add_metric(text, "requests_overdue_total", "counter",
 			  counters->overdue);
+	text = add_metric(text, "answers_short_total", "counter",
+			  counters->short_answers);
+	text = add_metric(text, "failures_told_total", "counter",
+			  counters->failures_told);
+	text = add_metric(text, "failures_heard_total", "counter",
+			  counters->failures_heard);
+	text = add_metric(text, "endpoint_shares_reduced_total", "counter",
+			  counters->shares_reduced);
 	text = add_metric(text, "probes_total", "counter", counters->probes);
 	text = add_metric(text, "probes_void_total", "counter",
 			  counters->probes_void);
@@ -153,6 +161,8 @@
 			  jt_directory_sync_revision(sync));
 	text = add_metric(text, "store_age_ms", "gauge",
 			  jt_directory_sync_age_ms(sync));
+	text = add_metric(text, "endpoints_reduced", "gauge",
+			  jt_director_reduced_count(director, jt_clock_ms()));
 	text = add_type(text, "endpoints", "gauge");
 	for (int i = JT_INCARNATION_READY; i <= JT_INCARNATION_DEAD; i++)
 		text = add_label(text, "endpoints", "state",
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -144,6 +144,26 @@
 	return sent;
 }
 
+/* To so many live peers; the next ones follow on. */
+static void message_send_some(struct jt_peer_exchange *exchange,
+			      const jt_wire_director_message *message,
+			      size_t peers)
+{
+	const struct jt_membership *membership = exchange->membership;
+	size_t sent = 0;
+
+	for (size_t i = 0; i < membership->count && sent < peers; i++) {
+		const struct jt_peer *peer =
+			&membership->peers[exchange->failures_next++ %
+					   membership->count];
+
+		if (!jt_peer_lives(peer))
+			continue;
+		message_send(exchange, peer->address, message);
+		sent++;
+	}
+}
+
 /* Whether this node takes flows, to all at once. */
 static void standing_tell(struct jt_peer_exchange *exchange, bool only_zone)
 {
@@ -270,6 +290,27 @@
 	message_send_peers(exchange, &message, false);
 }
 
+void jt_peer_exchange_failures(struct jt_peer_exchange *exchange,
+			       const struct jt_endpoint_failure *failures,
+			       size_t count, size_t peers)
+{
+	jt_wire_failure wire[JT_FAILURE_LIMIT];
+	jt_wire_director_message message = {
+		.from = exchange->membership->id,
+		.body.kind = JT_WIRE_FAILURES,
+	};
+	jt_wire_failures *told = &message.body.jt_wire_director_body_u.failures;
+
+	for (size_t i = 0; i < count; i++)
+		wire[i] = (jt_wire_failure){failures[i].label,
+					    failures[i].failed_permille,
+					    failures[i].served_permille,
+					    failures[i].share_permille};
+	told->failures.failures_val = wire;
+	told->failures.failures_len = (u_int)count;
+	message_send_some(exchange, &message, peers);
+}
+
 /* Datagrams */
 
 static void peer_seen(const struct jt_peer_exchange *exchange,
@@ -306,6 +347,21 @@
 	jt_peer_knowledge_look(exchange, now_ms);
 }
 
+static void failures_take(struct jt_peer_exchange *exchange,
+			  const jt_wire_failures *wire)
+{
+	struct jt_endpoint_failure failures[JT_FAILURE_LIMIT];
+
+	for (u_int i = 0; i < wire->failures.failures_len; i++)
+		failures[i] = (struct jt_endpoint_failure){
+			wire->failures.failures_val[i].label,
+			wire->failures.failures_val[i].failed_permille,
+			wire->failures.failures_val[i].served_permille,
+			wire->failures.failures_val[i].share_permille};
+	exchange->handler.failures(failures, wire->failures.failures_len,
+				   exchange->handler.private_data);
+}
+
 static void message_take(struct jt_peer_exchange *exchange,
 			 struct jt_address from,
 			 const jt_wire_director_message *message)
@@ -333,6 +389,10 @@
 		loads_take(exchange, message->from,
 			   &message->body.jt_wire_director_body_u.loads);
 		break;
+	case JT_WIRE_FAILURES:
+		failures_take(exchange,
+			      &message->body.jt_wire_director_body_u.failures);
+		break;
 	case JT_WIRE_SUSPICION:
 		exchange->handler.suspicion(
 			message->body.jt_wire_director_body_u.suspicion.kind,
@@ -555,6 +615,7 @@
 		[JT_WIRE_LOADS] = "loads",
 		[JT_WIRE_NEWS] = "news",
 		[JT_WIRE_STANDING] = "standing",
+		[JT_WIRE_FAILURES] = "failures",
 	};
 
 	return names[kind];
--- a/src/director/jt_peer_exchange.h
+++ b/src/director/jt_peer_exchange.h
@@ -40,6 +40,9 @@
 	/* A peer has found an endpoint dead, or gets no answers from it. */
 	void (*suspicion)(jt_wire_suspicion_kind kind, uint64_t endpoint_id,
 			  void *private_data);
+	/* A peer has seen requests fail. */
+	void (*failures)(const struct jt_endpoint_failure *failures,
+			 size_t count, void *private_data);
 	void *private_data;
 };
 
@@ -50,7 +53,7 @@
 };
 
 /* Kinds of messages: enum jt_wire_director_kind, from 1 on. */
-enum { JT_MESSAGE_KINDS = JT_WIRE_STANDING + 1 };
+enum { JT_MESSAGE_KINDS = JT_WIRE_FAILURES + 1 };
 
 struct jt_peer_counters {
 	struct jt_message_count sent[JT_MESSAGE_KINDS];
@@ -74,6 +77,10 @@
 void jt_peer_exchange_suspect(struct jt_peer_exchange *exchange,
 			      jt_wire_suspicion_kind kind,
 			      uint64_t endpoint_id);
+/* Tell so many peers, by turns, of failed requests. */
+void jt_peer_exchange_failures(struct jt_peer_exchange *exchange,
+			       const struct jt_endpoint_failure *failures,
+			       size_t count, size_t peers);
 /* Tell every live peer at once how this node stands. */
 void jt_peer_exchange_tell_all(struct jt_peer_exchange *exchange);
 /* The other nodes, as one that leaves must see them. */
--- a/src/director/jt_peer_exchange_private.h
+++ b/src/director/jt_peer_exchange_private.h
@@ -22,6 +22,7 @@
 	struct jt_timer *fetch_timer;
 	bool news_due;
 	uint64_t told_revision; /* up to which news was sent on */
+	size_t failures_next; /* place of the peer to tell of failures next */
 	struct tevent_req *fetch;
 	struct jt_address fetch_from; /* the peer that is asked */
 	bool fetch_answered;	      /* it has told a part already */
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -19,6 +19,8 @@
 	 * hardly worse than the best of all, and costs the same in a pool of
 	 * any size. Whoever looks at all finds one where few are willing. */
 	SAMPLE_MOST = 64,
+	/* A pool of no more is compared whole. */
+	NEAR_MOST = 256,
 	/* Answers before an endpoint's speed counts for less than this are
 	 * noise of the callers' own pace. */
 	LATENCY_LEAST_US = 5000,
@@ -287,33 +289,117 @@
 /* What a choice must know of the ready ones among some together. */
 struct pool_view {
 	uint32_t fastest_us; /* lowest smoothed latency; 0: none is known */
-	bool avoid_failing;  /* there are enough without those that fail */
+	/* One that fails requests and is tried nevertheless, in proportion to
+	 * its share; NULL: none. */
+	struct jt_incarnation *tried;
 };
 
-static struct pool_view pool_look(const struct jt_chooser *chooser,
+/* What the incarnation is worth of an ordinary share of new flows. */
+static uint32_t share_permille(const struct jt_chooser *chooser,
+			       const struct jt_incarnation *in, uint64_t now_ms)
+{
+	if (!jt_mechanism_on(chooser->without, JT_MECHANISM_OUTLIERS))
+		return JT_FULL_SHARE_PERMILLE;
+	return jt_outlier_share_permille(in, now_ms);
+}
+
+static bool is_reduced(const struct jt_chooser *chooser,
+		       const struct jt_incarnation *in, uint64_t now_ms)
+{
+	return share_permille(chooser, in, now_ms) < JT_FULL_SHARE_PERMILLE;
+}
+
+static bool is_near(const struct jt_chooser *chooser,
+		    const struct jt_incarnation *in)
+{
+	return in->entry.zone_id == chooser->zone_id ||
+	       !jt_mechanism_on(chooser->without, JT_MECHANISM_ZONE_FIRST);
+}
+
+/*
+ * The incarnation would get one in @near new flows if all were alike, and gets
+ * that times its share when each choice draws one at random and tries it with
+ * that probability. Loads can't do it: where a node sees less than one request
+ * of each endpoint, the least loaded one is any that was left alone.
+ */
+static struct jt_incarnation *draw_tried(struct jt_chooser *chooser,
+					 struct jt_incarnation *const *near,
+					 size_t count, uint64_t now_ms)
+{
+	struct jt_incarnation *drawn =
+		near[jt_random_next(&chooser->random) % count];
+	uint32_t share = jt_outlier_share_permille(drawn, now_ms);
+
+	if (share < JT_FULL_SHARE_PERMILLE &&
+	    jt_random_next(&chooser->random) % JT_FULL_SHARE_PERMILLE < share)
+		return drawn;
+	return NULL;
+}
+
+static struct pool_view pool_look(struct jt_chooser *chooser,
 				  struct incarnations some, uint64_t now_ms)
 {
 	struct pool_view view = {0};
-	size_t ready = 0, failing = 0;
+	struct jt_incarnation *near[NEAR_MOST];
+	size_t near_count = 0, reduced = 0;
 
 	for (size_t i = 0; i < some.count; i++) {
-		const struct jt_incarnation *in = some.items[i];
+		struct jt_incarnation *in = some.items[i];
 
 		if (in->state != JT_INCARNATION_READY ||
 		    zone_drained(chooser, in))
 			continue;
-		ready++;
-		failing += jt_outlier_failing(in, now_ms);
+		reduced += is_reduced(chooser, in, now_ms);
+		if (is_near(chooser, in) && near_count < NEAR_MOST)
+			near[near_count++] = in;
 		if (in->latency_us != 0 &&
 		    (view.fastest_us == 0 || in->latency_us < view.fastest_us))
 			view.fastest_us = in->latency_us;
 	}
-	view.avoid_failing =
-		jt_mechanism_on(chooser->without, JT_MECHANISM_OUTLIERS) &&
-		jt_outlier_few(failing, ready);
+	if (reduced > 0 && near_count > 0)
+		view.tried = draw_tried(chooser, near, near_count, now_ms);
 	return view;
 }
 
+/* Requests lately at the incarnation from all nodes, as far as is known. */
+static double requests_lately(const struct jt_chooser *chooser,
+			      const struct jt_incarnation *in, uint64_t now_ms)
+{
+	return jt_work_now(&in->work, now_ms) +
+	       jt_peer_loads_work(chooser->peer_loads, in->label, now_ms) *
+		       (double)(chooser->nodes - 1);
+}
+
+static uint32_t slots_of(const struct jt_incarnation *in)
+{
+	return in->entry.capacity > 0 ? in->entry.capacity : 1;
+}
+
+void jt_chooser_compare(struct jt_chooser *chooser,
+			struct jt_service_pool *pool, uint64_t now_ms)
+{
+	struct jt_incarnation *room[SAMPLE_MOST], *ready[NEAR_MOST];
+	struct incarnations some;
+	size_t count = 0;
+	double requests = 0, slots = 0;
+
+	if (pool == NULL || !jt_outlier_compare_due(pool, now_ms))
+		return;
+	some = pool->count <= NEAR_MOST ? pool_all(pool)
+					: pool_sample(chooser, pool, room);
+	for (size_t i = 0; i < some.count; i++) {
+		if (some.items[i]->state != JT_INCARNATION_READY ||
+		    zone_drained(chooser, some.items[i]))
+			continue;
+		requests += requests_lately(chooser, some.items[i], now_ms);
+		slots += slots_of(some.items[i]);
+		ready[count++] = some.items[i];
+	}
+	if (count > 0)
+		jt_outlier_compare(pool, ready, count, requests / (double)count,
+				   slots / (double)count, now_ms);
+}
+
 /* Time that a request takes there, in thousandths of the fastest. */
 static uint64_t slowness_permille(const struct jt_chooser *chooser,
 				  const struct jt_incarnation *in,
@@ -372,13 +458,6 @@
 		best->incarnation = in;
 }
 
-static bool is_near(const struct jt_chooser *chooser,
-		    const struct jt_incarnation *in)
-{
-	return in->entry.zone_id == chooser->zone_id ||
-	       !jt_mechanism_on(chooser->without, JT_MECHANISM_ZONE_FIRST);
-}
-
 static struct jt_incarnation *best_of(struct jt_chooser *chooser,
 				      struct incarnations some,
 				      const struct jt_routed_service *service,
@@ -393,8 +472,9 @@
 		enum willingness willing =
 			incarnation_willing(chooser, in, service, now_ms);
 
-		if (willing == WILLING && view.avoid_failing &&
-		    jt_outlier_failing(in, now_ms))
+		if (willing == WILLING && in == view.tried)
+			return in;
+		if (willing == WILLING && is_reduced(chooser, in, now_ms))
 			willing = SUSPECTED;
 		if (willing > lowest)
 			continue;
@@ -405,7 +485,9 @@
 		}
 		candidate_offer(
 			chooser, is_near(chooser, in) ? &local : &remote, in,
-			incarnation_load(chooser, in, view.fastest_us, now_ms));
+			incarnation_load(chooser, in, view.fastest_us, now_ms) *
+				JT_FULL_SHARE_PERMILLE /
+				share_permille(chooser, in, now_ms));
 	}
 	if (local.incarnation == NULL)
 		return remote.incarnation;
--- a/src/label/jt_choose.h
+++ b/src/label/jt_choose.h
@@ -56,6 +56,9 @@
  * from each node at another time. */
 void jt_chooser_spread(const struct jt_chooser *chooser,
 		       struct jt_incarnation *newcomer, uint64_t now_ms);
+/* Compare the failures of the pool's incarnations, where it is time. */
+void jt_chooser_compare(struct jt_chooser *chooser,
+			struct jt_service_pool *pool, uint64_t now_ms);
 /* The drain of a zone has ended: its endpoints count as ones that got as much
  * work as those of other zones. */
 void jt_chooser_welcome_zone(const struct jt_chooser *chooser,
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -1,3 +1,4 @@
+#include "jt_director_answers.h"
 #include "jt_director_expiry.h"
 #include "jt_director_flow.h"
 #include "jt_director_packet.h"
@@ -65,9 +66,10 @@
 	director->chooser = jt_chooser_create(
 		director, opts, director->peer_loads, &director->zone_drains);
 	director->latency = jt_latency_create(director);
+	director->answers = jt_answer_profiles_create(director);
 	if (director->endpoints == NULL || director->flows == NULL ||
 	    director->chooser == NULL || director->latency == NULL ||
-	    director->peer_loads == NULL)
+	    director->peer_loads == NULL || director->answers == NULL)
 		TALLOC_FREE(director);
 	return director;
 }
@@ -386,8 +388,11 @@
 	struct jt_incarnation *incarnation =
 		jt_endpoint_table_by_id(director->endpoints, id);
 
-	if (incarnation != NULL)
-		jt_outlier_told(incarnation, now_ms);
+	if (incarnation == NULL)
+		return;
+	jt_chooser_compare(director->chooser, incarnation->pool, now_ms);
+	jt_outlier_told(incarnation, now_ms);
+	jt_endpoint_table_watch(director->endpoints, incarnation);
 }
 
 static void verdict_act(struct jt_director *director,
@@ -486,6 +491,7 @@
 	}
 	director->routing = talloc_steal(director, routing);
 	jt_splits_prune(director->chooser->splits, routing);
+	jt_answer_profiles_prune(director->answers, routing);
 	talloc_free((void *)old);
 }
 
@@ -538,6 +544,10 @@
 	case JT_DIRECTOR_OVERDUE:
 		event_overdue(director, event->u.suspicion.id, now_ms);
 		break;
+	case JT_DIRECTOR_FAILURES_TOLD:
+		jt_director_failures_told(director, event->u.failures.items,
+					  event->u.failures.count, now_ms);
+		break;
 	case JT_DIRECTOR_PROBED:
 		event_probed(director, event->u.probed.id,
 			     event->u.probed.outcome, now_ms, actions);
@@ -567,6 +577,7 @@
 		jt_director_flows_expire(director, now_ms);
 		jt_director_openings(director, now_ms, actions);
 		jt_director_overdue(director, now_ms, actions);
+		jt_director_answers_look(director, now_ms, actions);
 		jt_director_endpoints_tick(director, now_ms, actions);
 		break;
 	}
--- /dev/null
+++ b/src/label/jt_director_answers.c
@@ -0,0 +1,275 @@
+#include "jt_director_answers.h"
+#include "jt_mechanism.h"
+#include "jt_outlier.h"
+
+#define PERMILLE 1000.0
+
+enum {
+	/* New part of the smoothed latency, in eighths. */
+	LATENCY_EIGHTHS = 2,
+	/* An answer of which nothing came for so long is whole: packets of one
+	 * follow each other within a round trip. */
+	ANSWER_QUIET_MS = 40,
+	ANSWERS_LOOK_MS = 5,
+};
+
+/* How fast the endpoint is, by a request that it served. */
+static void speed_note(struct jt_incarnation *incarnation, uint64_t took_ms)
+{
+	uint64_t took_us = took_ms * 1000;
+
+	jt_outlier_answered(incarnation, took_ms);
+	if (took_us > UINT32_MAX / 8)
+		took_us = UINT32_MAX / 8;
+	if (incarnation->latency_us == 0)
+		incarnation->latency_us = (uint32_t)took_us;
+	else
+		incarnation->latency_us =
+			(uint32_t)((incarnation->latency_us *
+					    (uint64_t)(8 - LATENCY_EIGHTHS) +
+				    took_us * LATENCY_EIGHTHS) /
+				   8);
+}
+
+/* NULL where lengths are not looked at. */
+static struct jt_answer_profile *
+profile_of(struct jt_director *director, const struct jt_cached_flow *flow,
+	   const struct jt_incarnation *incarnation)
+{
+	const struct jt_route *route =
+		jt_routing_route(director->routing, &flow->key);
+
+	if (route == NULL || !jt_mechanism_on(director->options.without,
+					      JT_MECHANISM_SHORT_ANSWERS))
+		return NULL;
+	return jt_answer_profiles_find(director->answers, route,
+				       incarnation->entry.service_id);
+}
+
+static uint32_t answer_bytes(const struct jt_cached_flow *flow)
+{
+	return flow->acknowledged - flow->answer_from;
+}
+
+/* Once an answer is long enough to be one that serves, its time counts: an
+ * endpoint that refuses at once is not fast. */
+static void speed_look(struct jt_director *director,
+		       struct jt_cached_flow *flow,
+		       struct jt_incarnation *incarnation)
+{
+	const struct jt_answer_profile *profile =
+		profile_of(director, flow, incarnation);
+
+	if (flow->answer_counted)
+		return;
+	if (profile != NULL && jt_answer_is_short(profile, answer_bytes(flow),
+						  flow->answer_took_ms))
+		return;
+	flow->answer_counted = true;
+	speed_note(incarnation, flow->answer_took_ms);
+}
+
+void jt_director_answer_progress(struct jt_director *director,
+				 struct jt_cached_flow *flow,
+				 struct jt_incarnation *incarnation,
+				 uint64_t now_ms)
+{
+	if (flow->waiting_ms != 0) {
+		flow->answer_took_ms = (uint32_t)(now_ms - flow->waiting_ms);
+		flow->answer_counted = false;
+		jt_latency_add(director->latency, flow->answer_took_ms);
+		jt_flow_cache_answered(director->flows, flow);
+		if (incarnation->waiting > 0)
+			incarnation->waiting--;
+	} else if (flow->answering_ms == 0) {
+		return;
+	}
+	jt_flow_cache_answering(director->flows, flow, now_ms);
+	speed_look(director, flow, incarnation);
+}
+
+static void failed_note(struct jt_director *director,
+			struct jt_incarnation *incarnation, double weight,
+			uint32_t share_permille, uint64_t now_ms)
+{
+	jt_chooser_compare(director->chooser, incarnation->pool, now_ms);
+	jt_outlier_failed(incarnation, weight, share_permille, now_ms);
+	jt_endpoint_table_watch(director->endpoints, incarnation);
+}
+
+/* Where failures are known, peers need to hear of what was served as well. */
+static void served_note(struct jt_director *director,
+			struct jt_incarnation *incarnation, uint64_t now_ms)
+{
+	if (!jt_outlier_pending(incarnation))
+		return;
+	jt_outlier_served(incarnation, 1, now_ms);
+	jt_failure_news_served(&director->failure_news, incarnation->label);
+}
+
+/* One that is known to fail says nothing of what is usual. */
+static void answer_learn(struct jt_answer_profile *profile,
+			 const struct jt_cached_flow *flow,
+			 const struct jt_incarnation *incarnation,
+			 uint64_t now_ms)
+{
+	if (profile != NULL && jt_outlier_share_permille(incarnation, now_ms) ==
+				       JT_FULL_SHARE_PERMILLE)
+		jt_answer_learn(profile, answer_bytes(flow),
+				flow->answer_took_ms, now_ms);
+}
+
+void jt_director_answer_end(struct jt_director *director,
+			    struct jt_cached_flow *flow,
+			    struct jt_incarnation *incarnation, uint64_t now_ms)
+{
+	struct jt_answer_profile *profile;
+	double weight, doubt;
+
+	if (flow->answering_ms == 0)
+		return;
+	profile = profile_of(director, flow, incarnation);
+	jt_flow_cache_answer_end(director->flows, flow);
+	if (profile == NULL || !jt_answer_is_short(profile, answer_bytes(flow),
+						   flow->answer_took_ms)) {
+		answer_learn(profile, flow, incarnation, now_ms);
+		served_note(director, incarnation, now_ms);
+		return;
+	}
+	weight = jt_answer_failure(profile);
+	answer_learn(profile, flow, incarnation, now_ms);
+	if (weight == 0)
+		return;
+	director->counters.short_answers++;
+	/* The less sure a failure is, the less it is told from a good one. */
+	doubt = weight < 1 - weight ? weight : 1 - weight;
+	failed_note(director, incarnation, weight, JT_FULL_SHARE_PERMILLE,
+		    now_ms);
+	jt_outlier_served(incarnation, doubt, now_ms);
+	if (weight > JT_FAILURE_UNSURE)
+		jt_failure_news_failed(&director->failure_news,
+				       incarnation->label, weight);
+}
+
+/* Peers are told soon, of several endpoints at once. */
+static void news_look(struct jt_director *director, uint64_t now_ms,
+		      struct jt_director_actions *actions)
+{
+	if (jt_failure_news_due(&director->failure_news, director->nodes,
+				now_ms))
+		jt_director_action_add(actions, JT_DIRECTOR_FAILURES, 0);
+}
+
+void jt_director_answers_look(struct jt_director *director, uint64_t now_ms,
+			      struct jt_director_actions *actions)
+{
+	struct jt_cached_flow *flow = director->flows->answering;
+
+	/* Packets come far more often than answers end in silence. */
+	if (now_ms - director->answers_ms < ANSWERS_LOOK_MS)
+		return;
+	director->answers_ms = now_ms;
+	while (flow != NULL &&
+	       now_ms - flow->answer_seen_ms >= ANSWER_QUIET_MS) {
+		struct jt_cached_flow *next = flow->answering_next;
+		struct jt_incarnation *incarnation = jt_endpoint_table_by_label(
+			director->endpoints, flow->label);
+
+		if (incarnation != NULL)
+			jt_director_answer_end(director, flow, incarnation,
+					       now_ms);
+		else
+			jt_flow_cache_answer_end(director->flows, flow);
+		flow = next;
+	}
+	news_look(director, now_ms, actions);
+}
+
+static void failure_told(struct jt_director *director,
+			 const struct jt_endpoint_failure *failure,
+			 uint64_t now_ms)
+{
+	struct jt_incarnation *incarnation =
+		jt_endpoint_table_by_label(director->endpoints, failure->label);
+
+	director->counters.failures_heard++;
+	if (incarnation == NULL)
+		return;
+	if (failure->failed_permille > 0)
+		failed_note(director, incarnation,
+			    failure->failed_permille / PERMILLE,
+			    failure->share_permille, now_ms);
+	jt_outlier_served(incarnation, failure->served_permille / PERMILLE,
+			  now_ms);
+}
+
+void jt_director_failures_told(struct jt_director *director,
+			       const struct jt_endpoint_failure *failures,
+			       size_t count, uint64_t now_ms)
+{
+	for (size_t i = 0; i < count; i++)
+		failure_told(director, &failures[i], now_ms);
+}
+
+size_t
+jt_director_failures(struct jt_director *director, uint64_t now_ms,
+		     struct jt_endpoint_failure failures[JT_FAILURE_LIMIT],
+		     size_t *peers)
+{
+	size_t count =
+		jt_failure_news_take(&director->failure_news, director->nodes,
+				     now_ms, failures, peers);
+
+	director->counters.failures_told += count;
+	for (size_t i = 0; i < count; i++) {
+		const struct jt_incarnation *incarnation =
+			jt_endpoint_table_by_label(director->endpoints,
+						   failures[i].label);
+
+		failures[i].share_permille = JT_FULL_SHARE_PERMILLE;
+		if (incarnation != NULL)
+			failures[i].share_permille =
+				jt_outlier_share_permille(incarnation, now_ms);
+	}
+	return count;
+}
+
+void jt_director_share_look(struct jt_director *director,
+			    struct jt_incarnation *incarnation, uint64_t now_ms,
+			    struct jt_director_actions *actions)
+{
+	struct jt_director_action *action;
+	struct jt_outlier_view view;
+
+	if (incarnation->pool != NULL)
+		jt_chooser_compare(director->chooser, incarnation->pool,
+				   now_ms);
+	if (!jt_outlier_turned(incarnation, now_ms))
+		return;
+	director->counters.shares_reduced += incarnation->outlier.reduced;
+	action = jt_director_action_about(actions,
+					  incarnation->outlier.reduced
+						  ? JT_DIRECTOR_SHARE_REDUCED
+						  : JT_DIRECTOR_SHARE_RESTORED,
+					  0, incarnation, now_ms);
+	if (action == NULL)
+		return;
+	view = jt_outlier_view(incarnation, now_ms);
+	action->share_permille = view.share_permille;
+	action->failed_permille = view.failed_permille;
+	action->served_permille = view.served_permille;
+	action->usual_permille = view.usual_permille;
+}
+
+size_t jt_director_reduced_count(const struct jt_director *director,
+				 uint64_t now_ms)
+{
+	const struct jt_incarnation *in =
+		jt_endpoint_table_first(director->endpoints);
+	size_t count = 0;
+
+	for (; in != NULL; in = jt_endpoint_table_next(in))
+		count += jt_outlier_share_permille(in, now_ms) <
+			 JT_FULL_SHARE_PERMILLE;
+	return count;
+}
--- a/src/label/jt_director_expiry.c
+++ b/src/label/jt_director_expiry.c
@@ -1,6 +1,8 @@
 #include "jt_director_expiry.h"
+#include "jt_director_answers.h"
 #include "jt_director_flow.h"
 #include "jt_director_suspicion.h"
+#include "jt_outlier.h"
 
 enum {
 	DEFAULT_FLOW_IDLE_MS = 60 * 1000,
@@ -50,11 +52,13 @@
 	jt_endpoint_table_remove(director->endpoints, incarnation);
 }
 
-/* Whether a probe or the end of the incarnation may be due some time. */
+/* Whether a probe, the end of the incarnation, or a change of its share may be
+ * due some time. */
 static bool incarnation_pending(const struct jt_incarnation *incarnation)
 {
 	return incarnation->entry.gone_revision != 0 ||
-	       jt_detector_pending(incarnation);
+	       jt_detector_pending(incarnation) ||
+	       jt_outlier_pending(incarnation);
 }
 
 void jt_director_endpoints_tick(struct jt_director *director, uint64_t now_ms,
@@ -70,6 +74,9 @@
 					  now_ms))
 			jt_director_probe(director, incarnation, now_ms,
 					  actions);
+		if (jt_outlier_pending(incarnation))
+			jt_director_share_look(director, incarnation, now_ms,
+					       actions);
 		if (incarnation_outdated(director, incarnation, now_ms))
 			incarnation_forget(director, incarnation);
 		else if (!incarnation_pending(incarnation))
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -1,5 +1,6 @@
 /* What becomes of one packet of a caller. */
 #include "jt_director_packet.h"
+#include "jt_director_answers.h"
 #include "jt_director_flow.h"
 #include "jt_director_suspicion.h"
 #include "jt_mechanism.h"
@@ -9,8 +10,6 @@
 #define FLOW_BYTES_MOST (1u << 24)
 
 enum {
-	/* New part of the smoothed latency, in eighths. */
-	LATENCY_EIGHTHS = 2,
 	/* New part of the smoothed time to open: one in so many. */
 	OPEN_PART = 16,
 	/* A caller waits longer than that before it sends the same again: what
@@ -96,32 +95,6 @@
 		action->version = director->routing->version;
 }
 
-static void flow_answered(struct jt_director *director,
-			  struct jt_cached_flow *flow,
-			  struct jt_incarnation *incarnation, uint64_t now_ms)
-{
-	uint64_t took_us;
-
-	if (flow->waiting_ms == 0)
-		return;
-	took_us = (now_ms - flow->waiting_ms) * 1000;
-	jt_latency_add(director->latency, now_ms - flow->waiting_ms);
-	jt_outlier_answered(incarnation, now_ms - flow->waiting_ms);
-	jt_flow_cache_answered(director->flows, flow);
-	if (incarnation->waiting > 0)
-		incarnation->waiting--;
-	if (took_us > UINT32_MAX / 8)
-		took_us = UINT32_MAX / 8;
-	if (incarnation->latency_us == 0)
-		incarnation->latency_us = (uint32_t)took_us;
-	else
-		incarnation->latency_us =
-			(uint32_t)((incarnation->latency_us *
-					    (uint64_t)(8 - LATENCY_EIGHTHS) +
-				    took_us * LATENCY_EIGHTHS) /
-				   8);
-}
-
 static void flow_opened(struct jt_director *director,
 			const struct jt_cached_flow *flow,
 			struct jt_incarnation *incarnation, uint64_t now_ms)
@@ -139,6 +112,7 @@
 	if (flow->waiting_ms != 0)
 		return;
 	jt_flow_cache_waits(director->flows, flow, now_ms);
+	flow->answer_from = flow->acknowledged;
 	incarnation->waiting++;
 	if (!flow->expected)
 		jt_work_add(&incarnation->work, 1, now_ms);
@@ -358,17 +332,19 @@
 				     flow->opening_ms != 0 ? flow->opening_ms
 							   : flow->waiting_ms,
 				     now_ms);
+		flow->acknowledged = packet->acknowledged;
 		if (flow->opening_ms != 0)
 			flow_opened(director, flow, incarnation, now_ms);
 		else
-			flow_answered(director, flow, incarnation, now_ms);
+			jt_director_answer_progress(director, flow, incarnation,
+						    now_ms);
 		flow->answered = flow->answered || flow->opening_ms == 0;
-		flow->acknowledged = packet->acknowledged;
 		jt_flow_cache_opened(director->flows, flow);
 	}
 	if (packet->length == 0)
 		return;
 	if (sequence_after(end, flow->sequence_end)) {
+		jt_director_answer_end(director, flow, incarnation, now_ms);
 		flow->sequence_end = end;
 		flow->sent_ms = now_ms;
 		if (flow->waiting_ms == 0) {
@@ -392,7 +368,7 @@
 static void flow_close(struct jt_director *director,
 		       struct jt_cached_flow *flow,
 		       struct jt_incarnation *incarnation,
-		       const struct jt_label_packet *packet)
+		       const struct jt_label_packet *packet, uint64_t now_ms)
 {
 	if (packet->flags & JT_PACKET_RST) {
 		jt_director_flow_forget(director, flow);
@@ -400,11 +376,23 @@
 	}
 	if (flow->closing || !(packet->flags & JT_PACKET_FIN))
 		return;
+	jt_director_answer_end(director, flow, incarnation, now_ms);
 	flow->closing = true;
 	if (incarnation->flows > 0)
 		incarnation->flows--;
 }
 
+/* A fault of tests: flows end where new ones are kept away. */
+static bool breaks_failing(const struct jt_director *director,
+			   const struct jt_incarnation *incarnation,
+			   uint64_t now_ms)
+{
+	return (director->options.break_mechanism &
+		JT_DIRECTOR_BREAK_END_FAILING) != 0 &&
+	       jt_outlier_share_permille(incarnation, now_ms) <
+		       JT_FULL_SHARE_PERMILLE;
+}
+
 /* A packet of a flow that is open, or half open. */
 static void packet_later(struct jt_director *director,
 			 const struct jt_label_packet *packet, uint64_t now_ms,
@@ -455,6 +443,11 @@
 					       incarnation, now_ms, actions);
 		return;
 	}
+	if (flow != NULL && breaks_failing(director, incarnation, now_ms)) {
+		jt_director_flow_reset(director, flow, incarnation, now_ms,
+				       actions);
+		return;
+	}
 	if (flow == NULL) {
 		if (!(packet->flags & JT_PACKET_RST))
 			flow = flow_add(director, packet, incarnation, now_ms);
@@ -468,7 +461,7 @@
 			     actions);
 	}
 	if (flow != NULL)
-		flow_close(director, flow, incarnation, packet);
+		flow_close(director, flow, incarnation, packet, now_ms);
 	add_forward(director, packet, incarnation, reason, now_ms, actions);
 }
 
@@ -479,6 +472,7 @@
 	bool first = packet->flags & JT_PACKET_SYN;
 
 	jt_director_openings(director, now_ms, actions);
+	jt_director_answers_look(director, now_ms, actions);
 	if (packet->held_ms >= (first ? JT_CALLER_ENDS_MS : HELD_MOST_MS)) {
 		add_drop(director, packet, JT_DIRECTOR_LEARNING, actions);
 		return;
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -3,9 +3,11 @@
 #define JT_DIRECTOR_PRIVATE_H
 
 #include "jaspertrack/director.h"
+#include "jt_answer_profile.h"
 #include "jt_choose.h"
 #include "jt_detector.h"
 #include "jt_endpoint_table.h"
+#include "jt_failure_news.h"
 #include "jt_flow_cache.h"
 #include "jt_latency.h"
 #include "jt_peer_loads.h"
@@ -30,6 +32,9 @@
 	struct jt_chooser *chooser;
 	struct jt_detector detector;
 	struct jt_latency *latency;
+	struct jt_answer_profiles *answers;
+	uint64_t answers_ms; /* when whole answers were last looked for */
+	struct jt_failure_news failure_news;
 	struct jt_peer_loads *peer_loads;
 	struct jt_random random;
 	size_t loads_told; /* where the next report of loads begins */
--- a/src/label/jt_director_suspicion.c
+++ b/src/label/jt_director_suspicion.c
@@ -102,6 +102,8 @@
 	    incarnation->state == JT_INCARNATION_DEAD)
 		return;
 	director->counters.overdue++;
+	jt_chooser_compare(director->chooser, incarnation->pool, now_ms);
+	jt_endpoint_table_watch(director->endpoints, incarnation);
 	if (jt_outlier_overdue(incarnation, now_ms))
 		jt_director_action_about(actions, JT_DIRECTOR_FAILING, 0,
 					 incarnation, now_ms);
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -11,6 +11,7 @@
 #include "jaspertrack/director-t.h"
 
 #include "jt_director_proto.h"
+#include "jt_outlier_state.h"
 #include "jt_work.h"
 
 #include <uthash.h>
@@ -49,11 +50,7 @@
 	bool probing;
 	bool probe_owed; /* the last one said nothing, and is made up for */
 
-	/* Requests left unanswered (jt_outlier.h). */
-	uint64_t failing_until_ms; /* new flows avoid it until then */
-	uint64_t failed_ms;	   /* the last sign of it */
-	uint64_t failing_told_ms;  /* when this node or a peer told all */
-	uint32_t relapses;
+	struct jt_outlier outlier; /* failed requests (jt_outlier.h) */
 
 	struct jt_service_pool *pool;
 	size_t pool_place; /* among the pool's members */
@@ -81,6 +78,7 @@
 	size_t count;
 	size_t room;
 	double answer_ms; /* smoothed time to an answer; 0: unknown */
+	struct jt_outlier_peers outliers;
 	UT_hash_handle hh;
 };
 
--- a/src/label/jt_flow_cache.c
+++ b/src/label/jt_flow_cache.c
@@ -110,11 +110,33 @@
 		DL_DELETE2(cache->waiting, flow, waiting_prev, waiting_next);
 }
 
+void jt_flow_cache_answering(struct jt_flow_cache *cache,
+			     struct jt_cached_flow *flow, uint64_t now_ms)
+{
+	if (flow->answering_ms != 0)
+		DL_DELETE2(cache->answering, flow, answering_prev,
+			   answering_next);
+	else
+		flow->answering_ms = now_ms;
+	flow->answer_seen_ms = now_ms;
+	DL_APPEND2(cache->answering, flow, answering_prev, answering_next);
+}
+
+void jt_flow_cache_answer_end(struct jt_flow_cache *cache,
+			      struct jt_cached_flow *flow)
+{
+	if (flow->answering_ms == 0)
+		return;
+	flow->answering_ms = 0;
+	DL_DELETE2(cache->answering, flow, answering_prev, answering_next);
+}
+
 void jt_flow_cache_remove(struct jt_flow_cache *cache,
 			  struct jt_cached_flow *flow)
 {
 	jt_flow_cache_opened(cache, flow);
 	jt_flow_cache_answered(cache, flow);
+	jt_flow_cache_answer_end(cache, flow);
 	HASH_DEL(cache->flows, flow);
 	DL_DELETE2(cache->rested, flow, older, newer);
 	cache->count--;
--- a/src/label/jt_flow_cache.h
+++ b/src/label/jt_flow_cache.h
@@ -19,7 +19,14 @@
 	uint64_t sent_ms;      /* when the caller last sent data, or again */
 	uint32_t acknowledged; /* highest that the caller acknowledged */
 	uint64_t seen_ms;
-	uint64_t waiting_ms; /* since when a request waits, 0: none */
+	uint64_t waiting_ms;  /* since when a request waits, 0: none */
+	uint32_t answer_from; /* acknowledged when that request came */
+	/* Since when an answer is under way whose end is not seen yet, and when
+	 * the caller last acknowledged more of it; 0: none is. */
+	uint64_t answering_ms;
+	uint64_t answer_seen_ms;
+	uint32_t answer_took_ms; /* from the request to its first bytes */
+	bool answer_counted;	 /* it is long enough to be one that serves */
 	bool overdue;	     /* that request's answer is known to be overdue */
 	uint64_t opening_ms; /* when its first SYN came, 0: it is open */
 	bool expected;	     /* its first request counts as work already */
@@ -30,14 +37,16 @@
 	struct jt_cached_flow *newer, *older;
 	struct jt_cached_flow *opening_next, *opening_prev;
 	struct jt_cached_flow *waiting_next, *waiting_prev;
+	struct jt_cached_flow *answering_next, *answering_prev;
 	UT_hash_handle hh;
 };
 
 struct jt_flow_cache {
-	struct jt_cached_flow *flows;	/* hash by key */
-	struct jt_cached_flow *rested;	/* list, longest at rest first */
-	struct jt_cached_flow *opening; /* list, oldest first */
-	struct jt_cached_flow *waiting; /* list, oldest first; not overdue */
+	struct jt_cached_flow *flows;	  /* hash by key */
+	struct jt_cached_flow *rested;	  /* list, longest at rest first */
+	struct jt_cached_flow *opening;	  /* list, oldest first */
+	struct jt_cached_flow *waiting;	  /* list, oldest first; not overdue */
+	struct jt_cached_flow *answering; /* list, longest at rest first */
 	size_t count;
 	size_t limit;
 };
@@ -68,6 +77,13 @@
 /* The answer has come. */
 void jt_flow_cache_answered(struct jt_flow_cache *cache,
 			    struct jt_cached_flow *flow);
+/* The caller acknowledges an answer to the request that waited since
+ * @asked_ms, or more of one. */
+void jt_flow_cache_answering(struct jt_flow_cache *cache,
+			     struct jt_cached_flow *flow, uint64_t now_ms);
+/* The answer is whole. */
+void jt_flow_cache_answer_end(struct jt_flow_cache *cache,
+			      struct jt_cached_flow *flow);
 void jt_flow_cache_remove(struct jt_flow_cache *cache,
 			  struct jt_cached_flow *flow);
 bool jt_flow_cache_full(const struct jt_flow_cache *cache);
--- a/src/label/jt_work.h
+++ b/src/label/jt_work.h
@@ -8,6 +8,10 @@
 
 #include <stdint.h>
 
+/* The mean age of the requests that count, milliseconds: at a steady rate they
+ * are that rate times this. */
+#define JT_WORK_MEMORY_MS 721.0
+
 struct jt_work {
 	double requests; /* as of @as_of_ms */
 	uint64_t as_of_ms;
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -21,6 +21,7 @@
 #define JT_DIRECTOR_MAX_ENTRIES 8192
 #define JT_DIRECTOR_MAX_NAME 63
 #define JT_DIRECTOR_MAX_LOADS 96
+#define JT_DIRECTOR_MAX_FAILURES 12
 #define JT_DIRECTOR_MAX_ZONES 64
 #define JT_DIRECTOR_MAX_NEWS 20
 #define JT_DIRECTOR_MAX_NEWS_ZONES 2
@@ -74,6 +75,22 @@
 };
 typedef struct jt_wire_suspicion jt_wire_suspicion;
 
+struct jt_wire_failure {
+	u_int label;
+	u_int failed_permille;
+	u_int served_permille;
+	u_int share_permille;
+};
+typedef struct jt_wire_failure jt_wire_failure;
+
+struct jt_wire_failures {
+	struct {
+		u_int failures_len;
+		jt_wire_failure *failures_val;
+	} failures;
+};
+typedef struct jt_wire_failures jt_wire_failures;
+
 struct jt_wire_load {
 	u_int label;
 	u_int flows;
@@ -192,6 +209,7 @@
 	JT_WIRE_LOADS = 4,
 	JT_WIRE_NEWS = 5,
 	JT_WIRE_STANDING = 6,
+	JT_WIRE_FAILURES = 7,
 };
 typedef enum jt_wire_director_kind jt_wire_director_kind;
 
@@ -204,6 +222,7 @@
 		jt_wire_loads loads;
 		jt_wire_news news;
 		jt_wire_standing standing;
+		jt_wire_failures failures;
 	} jt_wire_director_body_u;
 };
 typedef struct jt_wire_director_body jt_wire_director_body;
@@ -222,6 +241,8 @@
 extern  bool_t xdr_jt_wire_standing (XDR *, jt_wire_standing*);
 extern  bool_t xdr_jt_wire_suspicion_kind (XDR *, jt_wire_suspicion_kind*);
 extern  bool_t xdr_jt_wire_suspicion (XDR *, jt_wire_suspicion*);
+extern  bool_t xdr_jt_wire_failure (XDR *, jt_wire_failure*);
+extern  bool_t xdr_jt_wire_failures (XDR *, jt_wire_failures*);
 extern  bool_t xdr_jt_wire_load (XDR *, jt_wire_load*);
 extern  bool_t xdr_jt_wire_loads (XDR *, jt_wire_loads*);
 extern  bool_t xdr_jt_wire_part (XDR *, jt_wire_part*);
@@ -242,6 +263,8 @@
 extern bool_t xdr_jt_wire_standing ();
 extern bool_t xdr_jt_wire_suspicion_kind ();
 extern bool_t xdr_jt_wire_suspicion ();
+extern bool_t xdr_jt_wire_failure ();
+extern bool_t xdr_jt_wire_failures ();
 extern bool_t xdr_jt_wire_load ();
 extern bool_t xdr_jt_wire_loads ();
 extern bool_t xdr_jt_wire_part ();
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -16,6 +16,7 @@
 const JT_DIRECTOR_MAX_ENTRIES = 8192;
 const JT_DIRECTOR_MAX_NAME = 63;
 const JT_DIRECTOR_MAX_LOADS = 96;
+const JT_DIRECTOR_MAX_FAILURES = 12;
 const JT_DIRECTOR_MAX_ZONES = 64;
 /* Entries and drains of zones that fit into one datagram. */
 const JT_DIRECTOR_MAX_NEWS = 20;
@@ -69,6 +70,21 @@
 	unsigned hyper endpoint_id;
 };
 
+/* What the sender saw of requests at an endpoint that fails some, since the
+ * last such message, in thousandths of requests. */
+struct jt_wire_failure {
+	unsigned int label; /* of the endpoint */
+	unsigned int failed_permille;
+	unsigned int served_permille;
+	unsigned int share_permille; /* of new flows, at the sender */
+};
+
+/* Sent soon after the first failure: to every peer, or to some of them where
+ * there are many failures. */
+struct jt_wire_failures {
+	jt_wire_failure failures<JT_DIRECTOR_MAX_FAILURES>;
+};
+
 struct jt_wire_load {
 	unsigned int label; /* of the endpoint */
 	unsigned int flows; /* open through the sender */
@@ -166,7 +182,8 @@
 	JT_WIRE_KNOWLEDGE = 3,
 	JT_WIRE_LOADS = 4,
 	JT_WIRE_NEWS = 5,
-	JT_WIRE_STANDING = 6
+	JT_WIRE_STANDING = 6,
+	JT_WIRE_FAILURES = 7
 };
 
 union jt_wire_director_body switch (jt_wire_director_kind kind) {
@@ -182,6 +199,8 @@
 	jt_wire_news news;
 case JT_WIRE_STANDING:
 	jt_wire_standing standing;
+case JT_WIRE_FAILURES:
+	jt_wire_failures failures;
 };
 
 struct jt_wire_director_message {
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -265,6 +265,72 @@
 	return TRUE;
 }
 
+bool_t
+xdr_jt_wire_failure (XDR *xdrs, jt_wire_failure *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->label))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failed_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->served_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->share_permille))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->label);
+			IXDR_PUT_U_LONG(buf, objp->failed_permille);
+			IXDR_PUT_U_LONG(buf, objp->served_permille);
+			IXDR_PUT_U_LONG(buf, objp->share_permille);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->label))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failed_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->served_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->share_permille))
+				 return FALSE;
+		} else {
+			objp->label = IXDR_GET_U_LONG(buf);
+			objp->failed_permille = IXDR_GET_U_LONG(buf);
+			objp->served_permille = IXDR_GET_U_LONG(buf);
+			objp->share_permille = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->label))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failed_permille))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->served_permille))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->share_permille))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_jt_wire_failures (XDR *xdrs, jt_wire_failures *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->failures.failures_val, (u_int *) &objp->failures.failures_len, JT_DIRECTOR_MAX_FAILURES,
+		sizeof (jt_wire_failure), (xdrproc_t) xdr_jt_wire_failure))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_jt_wire_load (XDR *xdrs, jt_wire_load *objp)
 {
@@ -607,6 +673,10 @@
 		 if (!xdr_jt_wire_standing (xdrs, &objp->jt_wire_director_body_u.standing))
 			 return FALSE;
 		break;
+	case JT_WIRE_FAILURES:
+		 if (!xdr_jt_wire_failures (xdrs, &objp->jt_wire_director_body_u.failures))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/tests/director_fixture.h
+++ b/tests/director_fixture.h
@@ -269,17 +269,24 @@
 	flow_send(bench, flow, JT_PACKET_ACK, 0);
 }
 
-/* One request and its answer. */
-static inline void flow_request(struct bench *bench, struct caller_flow *flow,
-				uint64_t took_ms)
+/* One request and its answer of so many bytes. */
+static inline void flow_request_of(struct bench *bench,
+				   struct caller_flow *flow, uint64_t took_ms,
+				   uint32_t bytes)
 {
 	flow_send(bench, flow, JT_PACKET_ACK, 100);
 	flow->sequence += 100;
-	flow->acknowledged += 600;
+	flow->acknowledged += bytes;
 	bench->now_ms += took_ms;
 	flow_send(bench, flow, JT_PACKET_ACK, 0);
 }
 
+static inline void flow_request(struct bench *bench, struct caller_flow *flow,
+				uint64_t took_ms)
+{
+	flow_request_of(bench, flow, took_ms, 600);
+}
+
 static inline struct bench *two_endpoints_of(struct bench *bench)
 {
 	bench_routing(bench, 1, 50, 50);
--- a/tests/test_mechanisms.c
+++ b/tests/test_mechanisms.c
@@ -166,6 +166,29 @@
 	}
 }
 
+static void test_short_answers(void **state)
+{
+	(void)state;
+	for (int off = 0; off < 2; off++) {
+		struct bench *bench = two_endpoints_of(bench_create_without(
+			0, off ? JT_MECHANISM_SHORT_ANSWERS : 0));
+		struct caller_flow bad, good;
+
+		flow_at_each(bench, &bad, &good);
+		for (int i = 0; i < 20; i++) {
+			flow_request(bench, &bad, 20);
+			flow_request(bench, &good, 20);
+		}
+		for (int i = 0; i < 20; i++) {
+			flow_request_of(bench, &bad, 20, 100);
+			flow_request(bench, &good, 20);
+		}
+		assert_in_range(flows_at(bench, 12, 0x101), off ? 4 : 0,
+				off ? 8 : 2);
+		talloc_free(bench);
+	}
+}
+
 static void test_refuse_full(void **state)
 {
 	(void)state;
@@ -321,6 +344,7 @@
 		cmocka_unit_test(test_doubt_resent),
 		cmocka_unit_test(test_peer_suspicion),
 		cmocka_unit_test(test_outliers),
+		cmocka_unit_test(test_short_answers),
 		cmocka_unit_test(test_refuse_full),
 		cmocka_unit_test(test_parts_give_way),
 		cmocka_unit_test(test_outage_lapses),
