--- /dev/null
+++ b/tests/test_soak_oracle.c
@@ -0,0 +1,201 @@
+/*
+ * The soak's oracle on refused first packets: what it takes for a broken
+ * promise, and what a node may do. Times are virtual.
+ */
+#include "soak/soak.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+enum {
+	NODE = 2,
+	STEADY_SERVICE = 0,
+	OTHER_SERVICE = 1,
+	OTHER_ENDPOINT = 1, /* of the second service */
+	LONG_AGO_MS = 1000,
+	SENT_MS = 100000,
+	JUST_BEFORE_MS = SENT_MS - 100,
+	/* Every node has to know by SENT_MS what was acknowledged by then. */
+	KNOWN_MS = SENT_MS - SOAK_CONFIG_MS - 1,
+};
+
+/* What the oracle asks of the rest of the soak. */
+
+uint64_t soak_store_put(struct soak_store *store, const char *key,
+			const char *value)
+{
+	(void)store;
+	(void)key;
+	(void)value;
+	return 0;
+}
+
+uint64_t soak_store_disturbed_ms(const struct soak_store *store)
+{
+	(void)store;
+	return 0;
+}
+
+bool soak_node_in_touch(const struct soak *soak, int node, uint64_t since_ms)
+{
+	return soak->nodes[node].disturbed_ms + SOAK_CONTACT_MS <= since_ms;
+}
+
+/* An endpoint of each service and one version, all known for long. */
+static int setup(void **state)
+{
+	struct soak *soak = talloc_zero(NULL, struct soak);
+
+	soak->events = fopen("/dev/null", "w");
+	assert_non_null(soak->events);
+	soak->endpoint_count = SOAK_SERVICES;
+	for (uint32_t i = 0; i < SOAK_SERVICES; i++) {
+		soak->endpoints[i] = (struct soak_endpoint){
+			.id = i + 1, .service = i, .zone = i, .listed = true};
+	}
+	soak->version = 1;
+	soak->versions[1] = (struct soak_version){LONG_AGO_MS, OTHER_SERVICE};
+	*state = soak;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	struct soak *soak = *state;
+
+	fclose(soak->events);
+	talloc_free(soak);
+	return 0;
+}
+
+static void version_add(struct soak *soak, uint64_t acked_ms, uint32_t service)
+{
+	soak->versions[++soak->version] =
+		(struct soak_version){acked_ms, service};
+}
+
+/* The endpoint of the second service ends; another one takes its place. */
+static void endpoint_replaced(struct soak *soak, uint64_t end_ms)
+{
+	struct soak_endpoint *ended = &soak->endpoints[OTHER_ENDPOINT];
+
+	soak->endpoints[soak->endpoint_count] = *ended;
+	soak->endpoints[soak->endpoint_count].id = soak->endpoint_count + 1;
+	soak->endpoint_count++;
+	ended->life = SOAK_ENDED;
+	ended->end_ms = end_ms;
+}
+
+/* Whether the oracle takes a refusal of the route for a broken promise. */
+static bool refusal_breaks(struct soak *soak, uint16_t route_port)
+{
+	unsigned broken = soak->broken;
+
+	soak_check_refused(soak, NODE, route_port, SENT_MS);
+	return soak->broken > broken;
+}
+
+static void test_refusal_with_endpoints_breaks(void **state)
+{
+	assert_true(refusal_breaks(*state, SOAK_STEADY_PORT));
+	assert_true(refusal_breaks(*state, SOAK_SWITCH_PORT));
+}
+
+static void test_refusal_without_endpoints_holds(void **state)
+{
+	struct soak *soak = *state;
+
+	soak->endpoints[OTHER_ENDPOINT].life = SOAK_DRAINING;
+	assert_false(refusal_breaks(soak, SOAK_SWITCH_PORT));
+	assert_true(refusal_breaks(soak, SOAK_STEADY_PORT));
+}
+
+static void test_refusal_by_a_disturbed_node_holds(void **state)
+{
+	struct soak *soak = *state;
+
+	soak->nodes[NODE].disturbed_ms = JUST_BEFORE_MS;
+	assert_false(refusal_breaks(soak, SOAK_STEADY_PORT));
+}
+
+/* A zone is drained by the older version's service alone; the newer one has
+ * just been acknowledged. */
+static void test_refusal_by_an_older_version_holds(void **state)
+{
+	struct soak *soak = *state;
+
+	soak->zones[1] = (struct soak_zone){true, LONG_AGO_MS};
+	version_add(soak, JUST_BEFORE_MS, STEADY_SERVICE);
+	assert_false(refusal_breaks(soak, SOAK_SWITCH_PORT));
+}
+
+static void test_refusal_after_the_bound_of_a_version_breaks(void **state)
+{
+	struct soak *soak = *state;
+
+	soak->zones[1] = (struct soak_zone){true, LONG_AGO_MS};
+	version_add(soak, KNOWN_MS, STEADY_SERVICE);
+	assert_true(refusal_breaks(soak, SOAK_SWITCH_PORT));
+}
+
+static void test_reset_at_an_ended_endpoint_holds(void **state)
+{
+	struct soak *soak = *state;
+
+	endpoint_replaced(soak, JUST_BEFORE_MS);
+	assert_false(refusal_breaks(soak, SOAK_SWITCH_PORT));
+	/* No flow of the steady route goes there. */
+	assert_true(refusal_breaks(soak, SOAK_STEADY_PORT));
+}
+
+/* The first packet came after its route had changed service, but before the
+ * node knew it: it went to the ended endpoint of the service before. */
+static void test_reset_by_an_older_version_holds(void **state)
+{
+	struct soak *soak = *state;
+
+	endpoint_replaced(soak, JUST_BEFORE_MS - 1000);
+	version_add(soak, JUST_BEFORE_MS, STEADY_SERVICE);
+	assert_false(refusal_breaks(soak, SOAK_SWITCH_PORT));
+}
+
+/* Then no first packet may have gone to the service before. */
+static void test_reset_after_the_bound_of_a_version_breaks(void **state)
+{
+	struct soak *soak = *state;
+
+	endpoint_replaced(soak, JUST_BEFORE_MS);
+	version_add(soak, KNOWN_MS, STEADY_SERVICE);
+	assert_true(refusal_breaks(soak, SOAK_SWITCH_PORT));
+}
+
+static void test_refusal_long_after_an_end_breaks(void **state)
+{
+	struct soak *soak = *state;
+
+	endpoint_replaced(soak, LONG_AGO_MS);
+	assert_true(refusal_breaks(soak, SOAK_SWITCH_PORT));
+}
+
+#define ORACLE_TEST(test) cmocka_unit_test_setup_teardown(test, setup, teardown)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		ORACLE_TEST(test_refusal_with_endpoints_breaks),
+		ORACLE_TEST(test_refusal_without_endpoints_holds),
+		ORACLE_TEST(test_refusal_by_a_disturbed_node_holds),
+		ORACLE_TEST(test_refusal_by_an_older_version_holds),
+		ORACLE_TEST(test_refusal_after_the_bound_of_a_version_breaks),
+		ORACLE_TEST(test_reset_at_an_ended_endpoint_holds),
+		ORACLE_TEST(test_reset_by_an_older_version_holds),
+		ORACLE_TEST(test_reset_after_the_bound_of_a_version_breaks),
+		ORACLE_TEST(test_refusal_long_after_an_end_breaks),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
