Fetching of knowledge is a module of its own, below the peer exchange

jt_peer_knowledge.c worked on the whole state of jt_peer_exchange.c by a private header, and was called by it. It now has a header, a state that nobody else sees, and is given what it needs: the membership, the frames, and the four of the exchange's callbacks that it calls. Sealing, opening and counting of frames stood twice; it is jt_peer_frames.c, used by both. No change of behaviour.

--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -1,8 +1,8 @@
-#include "jt_peer_exchange_private.h"
-#include "jt_codec.h"
+#include "jt_peer_exchange.h"
 #include "jt_http_server.h"
 #include "jt_mechanism.h"
 #include "jt_net.h"
+#include "jt_peer_knowledge.h"
 #include "jt_timer.h"
 
 #include <errno.h>
@@ -21,25 +21,36 @@
 	NEWS_MS = 10, /* changes that come together are told together */
 };
 
+struct jt_peer_exchange {
+	struct tevent_context *loop;
+	const struct jt_log *log;
+	struct jt_peer_handler handler;
+	struct jt_peer_frames frames;
+	struct jt_membership *membership;
+	struct jt_peer_knowledge *knowledge;
+	struct jt_http_server *server;
+	struct jt_timer *timer;
+	struct jt_timer *news_timer;
+	bool news_due;
+	uint64_t told_revision; /* up to which news was sent on */
+	int fd;
+	uint64_t created_ms;
+};
+
 static void message_send(struct jt_peer_exchange *exchange,
 			 struct jt_address to,
 			 const jt_wire_director_message *message)
 {
 	uint8_t frame[DATAGRAM_MOST];
 	struct sockaddr_in name;
-	size_t length = jt_frame_seal(&exchange->keys, to, ++exchange->sequence,
-				      (xdrproc_t)xdr_jt_wire_director_message,
-				      message, frame, sizeof(frame));
+	size_t length = jt_peer_frames_seal(&exchange->frames, to, message,
+					    frame, sizeof(frame));
 
-	if (length == 0) {
-		exchange->counters.rejected[JT_CODEC_SIZE]++;
+	if (length == 0)
 		return;
-	}
 	jt_address_to_socket(to, &name);
 	(void)sendto(exchange->fd, frame, length, MSG_DONTWAIT,
 		     (struct sockaddr *)&name, sizeof(name));
-	jt_message_count_add(exchange->counters.sent, message->body.kind,
-			     length);
 }
 
 static void loads_send(struct jt_peer_exchange *exchange,
@@ -303,7 +314,7 @@
 		exchange->handler.store_heard(now_ms - digest->store_age_ms,
 					      digest->store_reader,
 					      exchange->handler.private_data);
-	jt_peer_knowledge_look(exchange, now_ms);
+	jt_peer_knowledge_look(exchange->knowledge, now_ms);
 }
 
 static void message_take(struct jt_peer_exchange *exchange,
@@ -350,20 +361,11 @@
 			  size_t length)
 {
 	jt_wire_director_message message = {0};
-	xdrproc_t decode = (xdrproc_t)xdr_jt_wire_director_message;
-	enum jt_codec_error error;
-	uint64_t sequence;
-
-	error = jt_frame_open(&exchange->keys, exchange->address, data, length,
-			      &sequence, decode, &message);
-	if (error != JT_CODEC_OK) {
-		exchange->counters.rejected[error]++;
+
+	if (!jt_peer_frames_open(&exchange->frames, data, length, &message))
 		return;
-	}
-	jt_message_count_add(exchange->counters.received, message.body.kind,
-			     length);
 	message_take(exchange, from, &message);
-	xdr_free(decode, &message);
+	jt_peer_frames_free(&message);
 }
 
 static void on_datagrams(struct tevent_context *loop, struct tevent_fd *fd,
@@ -412,7 +414,7 @@
 	/* Who leaves when hangs on it: a datagram that was lost is made up. */
 	if (own.leaving)
 		standing_tell(exchange, true);
-	jt_peer_knowledge_look(exchange, now_ms);
+	jt_peer_knowledge_look(exchange->knowledge, now_ms);
 	jt_timer_set(exchange->timer,
 		     now_ms - exchange->created_ms < ROUND_FAST_FOR_MS
 			     ? ROUND_FAST_MS
@@ -442,8 +444,8 @@
 void jt_peer_exchange_reload(struct jt_peer_exchange *exchange,
 			     const struct jt_director_settings *settings)
 {
-	exchange->keys = settings->keys;
-	jt_serve_budget_init(&exchange->budget, settings->link_mbps);
+	exchange->frames.keys = settings->keys;
+	jt_peer_knowledge_set_link(exchange->knowledge, settings->link_mbps);
 	if (settings->leave_limit_ms > 0)
 		exchange->membership->leave_limit_ms = settings->leave_limit_ms;
 	seeds_take(exchange, settings);
@@ -451,19 +453,42 @@
 
 static bool listen_start(struct jt_peer_exchange *exchange)
 {
-	struct jt_http_options options = {.address = exchange->address};
+	struct jt_http_options options = {.address = exchange->frames.address};
 
-	exchange->fd = jt_udp_open(exchange->address, false);
+	exchange->fd = jt_udp_open(exchange->frames.address, false);
 	if (exchange->fd < 0)
 		return false;
-	exchange->server =
-		jt_http_server_create(exchange, exchange->loop, &options,
-				      jt_peer_knowledge_request, exchange);
+	exchange->server = jt_http_server_create(
+		exchange, exchange->loop, &options, jt_peer_knowledge_request,
+		exchange->knowledge);
 	return exchange->server != NULL &&
 	       tevent_add_fd(exchange->loop, exchange, exchange->fd,
 			     TEVENT_FD_READ, on_datagrams, exchange) != NULL;
 }
 
+static struct jt_peer_knowledge *
+knowledge_create(struct jt_peer_exchange *exchange,
+		 struct jt_http_client *client)
+{
+	const struct jt_peer_knowledge_options options = {
+		.loop = exchange->loop,
+		.client = client,
+		.log = exchange->log,
+		.membership = exchange->membership,
+		.frames = &exchange->frames,
+		.handler =
+			{
+				.own_state = exchange->handler.own_state,
+				.knowledge = exchange->handler.knowledge,
+				.learned = exchange->handler.learned,
+				.learned_all = exchange->handler.learned_all,
+				.private_data = exchange->handler.private_data,
+			},
+	};
+
+	return jt_peer_knowledge_create(exchange, &options);
+}
+
 struct jt_peer_exchange *
 jt_peer_exchange_create(TALLOC_CTX *mem_ctx, struct tevent_context *loop,
 			struct jt_http_client *client, const struct jt_log *log,
@@ -480,9 +505,8 @@
 	exchange->fd = -1;
 	talloc_set_destructor(exchange, exchange_destructor);
 	exchange->loop = loop;
-	exchange->client = client;
 	exchange->log = log;
-	exchange->address = settings->peer;
+	exchange->frames.address = settings->peer;
 	exchange->handler = *handler;
 	exchange->created_ms = jt_clock_ms();
 	randombytes_buf(&id, sizeof(id));
@@ -493,10 +517,9 @@
 	exchange->timer = jt_timer_create(exchange, loop, on_round, exchange);
 	exchange->news_timer =
 		jt_timer_create(exchange, loop, on_news_due, exchange);
-	exchange->fetch_timer = jt_timer_create(
-		exchange, loop, jt_peer_knowledge_due, exchange);
+	exchange->knowledge = knowledge_create(exchange, client);
 	if (exchange->membership == NULL || exchange->timer == NULL ||
-	    exchange->news_timer == NULL || exchange->fetch_timer == NULL)
+	    exchange->news_timer == NULL || exchange->knowledge == NULL)
 		goto fail;
 	if (!listen_start(exchange)) {
 		*error = talloc_asprintf(
@@ -522,12 +545,12 @@
 
 bool jt_peer_exchange_fetching(const struct jt_peer_exchange *exchange)
 {
-	return exchange->fetch != NULL;
+	return jt_peer_knowledge_fetching(exchange->knowledge);
 }
 
 bool jt_peer_exchange_learns(const struct jt_peer_exchange *exchange)
 {
-	return exchange->fetch != NULL && exchange->fetch_answered;
+	return jt_peer_knowledge_learns(exchange->knowledge);
 }
 
 uint64_t jt_peer_exchange_id(const struct jt_peer_exchange *exchange)
@@ -563,5 +586,5 @@
 const struct jt_peer_counters *
 jt_peer_exchange_counters(const struct jt_peer_exchange *exchange)
 {
-	return &exchange->counters;
+	return &exchange->frames.counters;
 }
--- a/src/director/jt_peer_exchange.h
+++ b/src/director/jt_peer_exchange.h
@@ -11,6 +11,7 @@
 #include "jt_log.h"
 #include "jaspertrack/director-t.h"
 #include "jt_membership.h"
+#include "jt_peer_frames.h"
 
 /* What the owner of a peer exchange provides and is told. */
 struct jt_peer_handler {
@@ -43,25 +44,6 @@
 	void *private_data;
 };
 
-/* Messages of one kind, and their bytes. */
-struct jt_message_count {
-	uint64_t messages;
-	uint64_t bytes;
-};
-
-/* Kinds of messages: enum jt_wire_director_kind, from 1 on. */
-enum { JT_MESSAGE_KINDS = JT_WIRE_STANDING + 1 };
-
-struct jt_peer_counters {
-	struct jt_message_count sent[JT_MESSAGE_KINDS];
-	struct jt_message_count received[JT_MESSAGE_KINDS];
-	uint64_t rejected[JT_CODEC_SIZE + 1];
-	uint64_t fetches;
-	uint64_t fetches_failed;
-	uint64_t fetches_served;
-	uint64_t fetches_refused; /* this node was asked by too many */
-};
-
 struct jt_peer_exchange;
 
 /* NULL with a line in @error when the peer address can't be used. */
--- a/src/director/jt_peer_knowledge.c
+++ b/src/director/jt_peer_knowledge.c
@@ -1,7 +1,6 @@
-/* A peer that is behind fetches what it lacks, over HTTP: it may be long. */
-#include "jt_peer_exchange_private.h"
-#include "jt_codec.h"
+#include "jt_peer_knowledge.h"
 #include "jt_net.h"
+#include "jt_serve_budget.h"
 #include "jt_timer.h"
 
 #include <stdlib.h>
@@ -20,53 +19,58 @@
 
 #define KNOWLEDGE_PATH "/knowledge"
 
-static void fetch_end(struct jt_peer_exchange *exchange, enum jt_fetch_end end)
+struct jt_peer_knowledge {
+	struct jt_http_client *client;
+	const struct jt_log *log;
+	struct jt_membership *membership;
+	struct jt_peer_frames *frames;
+	struct jt_knowledge_handler handler;
+	struct jt_timer *timer;	  /* until this node looks again */
+	struct tevent_req *fetch; /* NULL: no peer is asked */
+	struct jt_address from;	  /* the peer that is asked */
+	bool answered;		  /* it has told a part already */
+	struct jt_knowledge_fetch fetched;
+	struct jt_serve_budget budget; /* of answers to others */
+};
+
+static void fetch_end(struct jt_peer_knowledge *sync, enum jt_fetch_end end)
 {
-	exchange->fetch = NULL;
+	sync->fetch = NULL;
 	if (end != JT_FETCH_WORKED)
-		exchange->counters.fetches_failed++;
-	jt_membership_fetched(exchange->membership, end, jt_clock_ms());
+		sync->frames->counters.fetches_failed++;
+	jt_membership_fetched(sync->membership, end, jt_clock_ms());
 }
 
-static void part_take(struct jt_peer_exchange *exchange,
+static void part_take(struct jt_peer_knowledge *sync,
 		      const jt_wire_knowledge *knowledge)
 {
-	struct jt_knowledge_fetch *fetched = &exchange->fetched;
-	void *private_data = exchange->handler.private_data;
+	struct jt_knowledge_fetch *fetched = &sync->fetched;
+	void *private_data = sync->handler.private_data;
 
-	exchange->handler.learned(knowledge, private_data);
+	sync->handler.learned(knowledge, private_data);
 	if (jt_knowledge_fetch_took(fetched, knowledge, jt_clock_ms()))
-		exchange->handler.learned_all(fetched, private_data);
+		sync->handler.learned_all(fetched, private_data);
 }
 
-static bool knowledge_take(struct jt_peer_exchange *exchange, const char *body,
+static bool knowledge_take(struct jt_peer_knowledge *sync, const char *body,
 			   size_t length)
 {
 	jt_wire_director_message message = {0};
-	xdrproc_t decode = (xdrproc_t)xdr_jt_wire_director_message;
-	enum jt_codec_error error;
-	uint64_t sequence;
-
-	error = jt_frame_open(&exchange->keys, exchange->address,
-			      (const uint8_t *)body, length, &sequence, decode,
-			      &message);
-	if (error != JT_CODEC_OK) {
-		exchange->counters.rejected[error]++;
+
+	if (!jt_peer_frames_open(sync->frames, (const uint8_t *)body, length,
+				 &message))
 		return false;
-	}
-	jt_message_count_add(exchange->counters.received, message.body.kind,
-			     length);
 	if (message.body.kind == JT_WIRE_KNOWLEDGE)
-		part_take(exchange,
+		part_take(sync,
 			  &message.body.jt_wire_director_body_u.knowledge);
-	xdr_free(decode, &message);
+	jt_peer_frames_free(&message);
 	return true;
 }
 
 static void on_fetched(struct tevent_req *req);
 
 /* Ask the peer for the next part. */
-static void part_ask(struct jt_peer_exchange *exchange)
+static void part_ask(struct jt_peer_knowledge *sync)
 {
 	char from[JT_ADDRESS_TEXT], to[JT_ADDRESS_TEXT];
 	struct jt_http_call call = {.method = "GET"};
@@ -74,74 +78,72 @@
 	struct jt_knowledge_need need;
 	char *url;
 
-	exchange->handler.own_state(&own, exchange->handler.private_data);
-	need = jt_knowledge_fetch_need(&exchange->fetched, &own);
-	call.timeout_ms = own.started || exchange->fetch_answered
+	sync->handler.own_state(&own, sync->handler.private_data);
+	need = jt_knowledge_fetch_need(&sync->fetched, &own);
+	call.timeout_ms = own.started || sync->answered
 				  ? FETCH_TIMEOUT_MS
 				  : FETCH_START_TIMEOUT_MS;
-	url = talloc_asprintf(exchange,
+	url = talloc_asprintf(sync,
 			      "http://%s" KNOWLEDGE_PATH
 			      "?to=%s&since=%llu&version=%llu&slice=%u",
-			      jt_address_format(exchange->fetch_from, to),
-			      jt_address_format(exchange->address, from),
+			      jt_address_format(sync->from, to),
+			      jt_address_format(sync->frames->address, from),
 			      (unsigned long long)need.since,
 			      (unsigned long long)need.version, need.slice);
 	if (url != NULL) {
 		call.url = url;
-		exchange->fetch =
-			jt_http_send(exchange, exchange->client, &call);
+		sync->fetch = jt_http_send(sync, sync->client, &call);
 		talloc_free(url);
 	}
-	if (exchange->fetch == NULL)
-		fetch_end(exchange, JT_FETCH_FAILED);
+	if (sync->fetch == NULL)
+		fetch_end(sync, JT_FETCH_FAILED);
 	else
-		tevent_req_set_callback(exchange->fetch, on_fetched, exchange);
+		tevent_req_set_callback(sync->fetch, on_fetched, sync);
 }
 
 static void on_fetched(struct tevent_req *req)
 {
-	struct jt_peer_exchange *exchange =
-		tevent_req_callback_data(req, struct jt_peer_exchange);
+	struct jt_peer_knowledge *sync =
+		tevent_req_callback_data(req, struct jt_peer_knowledge);
 	size_t length = 0;
 	long status = 0;
 	char *body = NULL;
-	uint32_t before = exchange->fetched.slice;
+	uint32_t before = sync->fetched.slice;
 	bool worked;
 
-	worked = jt_http_recv_bytes(req, exchange, &status, &body, &length) ==
-			 0 &&
-		 status == STATUS_OK && knowledge_take(exchange, body, length);
+	worked = jt_http_recv_bytes(req, sync, &status, &body, &length) == 0 &&
+		 status == STATUS_OK && knowledge_take(sync, body, length);
 	talloc_free(body);
 	talloc_free(req);
-	exchange->fetch = NULL;
-	exchange->fetch_answered = worked;
+	sync->fetch = NULL;
+	sync->answered = worked;
 	if (!worked)
-		fetch_end(exchange, status == STATUS_BUSY ? JT_FETCH_BUSY
-							  : JT_FETCH_FAILED);
-	else if (!exchange->fetched.begun)
-		fetch_end(exchange, JT_FETCH_WORKED);
-	else if (exchange->fetched.slice > before)
-		part_ask(exchange);
+		fetch_end(sync, status == STATUS_BUSY ? JT_FETCH_BUSY
+						      : JT_FETCH_FAILED);
+	else if (!sync->fetched.begun)
+		fetch_end(sync, JT_FETCH_WORKED);
+	else if (sync->fetched.slice > before)
+		part_ask(sync);
 	else
-		fetch_end(exchange, JT_FETCH_BUSY); /* some endpoints alone */
+		fetch_end(sync, JT_FETCH_BUSY); /* some endpoints alone */
 }
 
-static void fetch_start(struct jt_peer_exchange *exchange,
+static void fetch_start(struct jt_peer_knowledge *sync,
 			const struct jt_peer *peer)
 {
 	char text[JT_ADDRESS_TEXT];
 
-	exchange->counters.fetches++;
-	jt_log_line(exchange->log, LOG_NOTICE,
+	sync->frames->counters.fetches++;
+	jt_log_line(sync->log, LOG_NOTICE,
 		    "event=knowledge_fetch peer=%s revision=%llu version=%llu "
 		    "slice=%u",
 		    jt_address_format(peer->address, text),
 		    (unsigned long long)peer->revision,
 		    (unsigned long long)peer->routing_version,
-		    exchange->fetched.begun ? exchange->fetched.slice : 0);
-	exchange->fetch_from = peer->address;
-	exchange->fetch_answered = false;
-	part_ask(exchange);
+		    sync->fetched.begun ? sync->fetched.slice : 0);
+	sync->from = peer->address;
+	sync->answered = false;
+	part_ask(sync);
 }
 
 /* What a peer knows already, as its request says; 0 where it does not. */
@@ -154,26 +156,26 @@
 }
 
 /* As of when, and by whose reading, this node knows the store. */
-static void knowledge_set_age(const struct jt_peer_exchange *exchange,
+static void knowledge_set_age(const struct jt_peer_knowledge *sync,
 			      jt_wire_knowledge *knowledge)
 {
 	struct jt_own_state own = {0};
 
-	exchange->handler.own_state(&own, exchange->handler.private_data);
+	sync->handler.own_state(&own, sync->handler.private_data);
 	knowledge->store_age_ms = jt_own_store_age_ms(&own, jt_clock_ms());
 	knowledge->store_reader = own.store_reader;
 }
 
-static void knowledge_reply(struct jt_peer_exchange *exchange,
+static void knowledge_reply(struct jt_peer_knowledge *sync,
 			    struct jt_http_request *request,
 			    struct jt_address to)
 {
 	jt_wire_director_message message = {
-		.from = exchange->membership->id,
+		.from = sync->membership->id,
 		.body.kind = JT_WIRE_KNOWLEDGE,
 	};
 	xdrproc_t encode = (xdrproc_t)xdr_jt_wire_director_message;
-	TALLOC_CTX *frame = talloc_new(exchange);
+	TALLOC_CTX *frame = talloc_new(sync);
 	jt_wire_knowledge *knowledge =
 		&message.body.jt_wire_director_body_u.knowledge;
 	const struct jt_knowledge_need need = {
@@ -184,23 +186,20 @@
 	uint8_t *body = NULL;
 	size_t room, length = 0;
 
-	if (exchange->handler.knowledge(frame, &need, knowledge,
-					exchange->handler.private_data)) {
-		knowledge_set_age(exchange, knowledge);
+	if (sync->handler.knowledge(frame, &need, knowledge,
+				    sync->handler.private_data)) {
+		knowledge_set_age(sync, knowledge);
 		room = xdr_sizeof(encode, &message) + JT_FRAME_HEADER +
 		       JT_TAG_BYTES;
 		if (room <= KNOWLEDGE_MOST)
 			body = talloc_size(frame, room);
 		if (body != NULL)
-			length = jt_frame_seal(&exchange->keys, to,
-					       ++exchange->sequence, encode,
-					       &message, body, room);
+			length = jt_peer_frames_seal(sync->frames, to, &message,
+						     body, room);
 	}
 	if (length > 0) {
-		exchange->counters.fetches_served++;
-		jt_serve_budget_given(&exchange->budget, length, jt_clock_ms());
-		jt_message_count_add(exchange->counters.sent, JT_WIRE_KNOWLEDGE,
-				     length);
+		sync->frames->counters.fetches_served++;
+		jt_serve_budget_given(&sync->budget, length, jt_clock_ms());
 		jt_http_reply_bytes(request, 200, "application/octet-stream",
 				    body, length);
 	} else {
@@ -210,10 +209,10 @@
 }
 
 /* Too many ask: another peer answers sooner. */
-static void knowledge_refuse(struct jt_peer_exchange *exchange,
+static void knowledge_refuse(struct jt_peer_knowledge *sync,
 			     struct jt_http_request *request)
 {
-	exchange->counters.fetches_refused++;
+	sync->frames->counters.fetches_refused++;
 	jt_http_reply(request, STATUS_BUSY, "text/plain",
 		      "busy, ask another node\n");
 }
@@ -221,7 +220,7 @@
 void jt_peer_knowledge_request(struct jt_http_request *request,
 			       void *private_data)
 {
-	struct jt_peer_exchange *exchange = private_data;
+	struct jt_peer_knowledge *sync = private_data;
 	const char *to_text = jt_http_query(request, "to");
 	struct jt_address to;
 
@@ -230,26 +229,62 @@
 	else if (to_text == NULL || jt_address_parse(to_text, &to) != 0)
 		jt_http_reply(request, 400, "text/plain",
 			      "to: must be IPV4:PORT\n");
-	else if (jt_serve_budget_allows(&exchange->budget, jt_clock_ms()))
-		knowledge_reply(exchange, request, to);
+	else if (jt_serve_budget_allows(&sync->budget, jt_clock_ms()))
+		knowledge_reply(sync, request, to);
 	else
-		knowledge_refuse(exchange, request);
+		knowledge_refuse(sync, request);
 }
 
-void jt_peer_knowledge_look(struct jt_peer_exchange *exchange, uint64_t now_ms)
+void jt_peer_knowledge_look(struct jt_peer_knowledge *sync, uint64_t now_ms)
 {
 	struct jt_own_state own = {0};
 	const struct jt_peer *peer;
 
-	exchange->handler.own_state(&own, exchange->handler.private_data);
-	peer = jt_membership_fetch(exchange->membership, &own, now_ms);
+	sync->handler.own_state(&own, sync->handler.private_data);
+	peer = jt_membership_fetch(sync->membership, &own, now_ms);
 	if (peer != NULL)
-		fetch_start(exchange, peer);
-	else if (exchange->membership->behind_ms != 0)
-		jt_timer_set(exchange->fetch_timer, FETCH_LOOK_MS);
+		fetch_start(sync, peer);
+	else if (sync->membership->behind_ms != 0)
+		jt_timer_set(sync->timer, FETCH_LOOK_MS);
 }
 
-void jt_peer_knowledge_due(void *private_data)
+static void on_look_due(void *private_data)
 {
 	jt_peer_knowledge_look(private_data, jt_clock_ms());
 }
+
+bool jt_peer_knowledge_fetching(const struct jt_peer_knowledge *sync)
+{
+	return sync->fetch != NULL;
+}
+
+bool jt_peer_knowledge_learns(const struct jt_peer_knowledge *sync)
+{
+	return sync->fetch != NULL && sync->answered;
+}
+
+void jt_peer_knowledge_set_link(struct jt_peer_knowledge *sync,
+				uint32_t link_mbps)
+{
+	jt_serve_budget_init(&sync->budget, link_mbps);
+}
+
+struct jt_peer_knowledge *
+jt_peer_knowledge_create(TALLOC_CTX *mem_ctx,
+			 const struct jt_peer_knowledge_options *options)
+{
+	struct jt_peer_knowledge *sync =
+		talloc_zero(mem_ctx, struct jt_peer_knowledge);
+
+	if (sync == NULL)
+		return NULL;
+	sync->client = options->client;
+	sync->log = options->log;
+	sync->membership = options->membership;
+	sync->frames = options->frames;
+	sync->handler = options->handler;
+	sync->timer = jt_timer_create(sync, options->loop, on_look_due, sync);
+	if (sync->timer == NULL)
+		TALLOC_FREE(sync);
+	return sync;
+}
