--- a/fuzz/fuzz_director.c
+++ b/fuzz/fuzz_director.c
@@ -14,7 +14,13 @@
  *   an endpoint that a node was told leaves gets no first packet from it;
  *   one of a zone that a node was told is drained gets none until it is told
  *   that the drain has ended;
+ *   one whose newest entry, as the node was told, can't be read gets none;
+ *   a first packet goes to the address of the newest entry that the node was
+ *   told, never to one of an earlier incarnation;
  *   routing never goes back on a node.
+ *
+ * In some worlds half of the endpoints tell their births and start again under
+ * their ids, and another writer spoils entries.
  */
 #include "jaspertrack/director.h"
 #include "jt_knowledge.h"
@@ -43,19 +49,37 @@
 	OPEN_ACKNOWLEDGED = 0x40000000, /* of an endpoint's own choice */
 	RESET_WINDOW = 76800,		/* in which a reset is taken */
 	FULL_AT = 6,			/* flows that an endpoint holds */
-	LATE_MS = 1000,			/* how late a doubled packet may come */
-	FLOWS_REMEMBERED = 16,		/* by a node */
+	FULL_NEVER = 200,		/* the same, where births are told */
+	FLOW_IDLE_MS = 60000,
+	FLOW_IDLE_SHORT_MS = 3000, /* where births are told */
+	LATE_MS = 1000,		   /* how late a doubled packet may come */
+	FLOWS_REMEMBERED = 16,	   /* by a node */
+	BIRTHS_FROM = 0xa0,	   /* the first byte of such worlds */
 };
 
+#define LEAVING_NONE UINT64_MAX
+
 enum life { UNUSED, ALIVE, DRAINING, ENDED, SILENT_END };
 
+/* The newest that a node was told of an endpoint's entry. */
+struct told_entry {
+	uint64_t revision;
+	uint64_t gone_revision;
+	uint64_t leaving_born_ms; /* of the incarnation that leaves, or NONE */
+	uint32_t ip;
+	bool unreadable; /* as of gone_revision */
+};
+
 struct endpoint {
 	enum life life;
 	struct jt_endpoint_entry entry;
 	bool listed;
+	bool unreadable; /* what is listed */
+	uint64_t spoiled_revision;
 	bool slow;
+	unsigned starts;
 	unsigned flows;
-	bool told_draining[NODES];
+	struct told_entry told[NODES];
 };
 
 struct flow {
@@ -68,11 +92,13 @@
 	uint32_t acknowledged;
 	uint32_t copies;
 	bool queued;	  /* a request waits at a slow endpoint */
+	int home;	  /* endpoint whose label it has */
 	int endpoint;	  /* that has it, -1 while it is not open */
 	int half_open;	  /* endpoint that answered the first packet, or -1 */
+	unsigned start;	  /* of that endpoint, at which it answered */
 	int node;	  /* that got the first packet */
 	unsigned life;	  /* of that node, counted */
-	uint64_t sent_ms; /* its last packet through that node */
+	uint64_t sent_ms; /* the last packet that this node passed on */
 	uint64_t packet;  /* that packet, counted by the node */
 };
 
@@ -97,6 +123,9 @@
 	struct told_zone told_zones[NODES][ZONES];
 	unsigned node_lives[NODES];   /* starts of each node */
 	uint64_t node_packets[NODES]; /* that each node got */
+	unsigned full_at;
+	uint32_t flow_idle_ms;
+	bool births;	/* some endpoints tell theirs; bad entries */
 	bool late_copy; /* the packet in hand was doubled by the network */
 	struct endpoint endpoints[ENDPOINTS];
 	int endpoint_count;
@@ -165,6 +194,7 @@
 
 	endpoint->entry.revision = ++world->revision;
 	endpoint->listed = true;
+	endpoint->unreadable = false;
 	news.event.u.endpoint = endpoint->entry;
 	news_add(world, &news);
 }
@@ -181,21 +211,61 @@
 	news_add(world, &news);
 }
 
+/* Another writer writes what can't be read. */
+static void entry_spoil(struct world *world, struct endpoint *endpoint)
+{
+	struct news news = {.event.kind = JT_DIRECTOR_UNREADABLE};
+
+	endpoint->listed = true;
+	endpoint->unreadable = true;
+	endpoint->spoiled_revision = ++world->revision;
+	news.event.u.gone.id = endpoint->entry.id;
+	news.event.u.gone.revision = endpoint->spoiled_revision;
+	news_add(world, &news);
+}
+
+static bool address_taken(const struct world *world, uint32_t address)
+{
+	for (int i = 0; i < world->endpoint_count; i++) {
+		const struct endpoint *endpoint = &world->endpoints[i];
+
+		if (endpoint->entry.address.ip == address && lives(endpoint))
+			return true;
+	}
+	return false;
+}
+
+/* The endpoint crashes, if it has not, and starts again under its id. Its birth
+ * may be below the one before: its clock was set. */
+static void endpoint_restart(struct world *world, struct endpoint *endpoint,
+			     uint8_t choice)
+{
+	uint32_t address = endpoint->entry.address.ip;
+
+	if (choice & 1)
+		address = 0x0a000000 + choice / 4 % ADDRESSES;
+	if (endpoint->entry.born_ms == 0)
+		return;
+	endpoint_drop_flows(world, (int)(endpoint - world->endpoints));
+	endpoint->life = ENDED;
+	if (address_taken(world, address))
+		return;
+	endpoint->life = ALIVE;
+	endpoint->starts++;
+	endpoint->entry.address.ip = address;
+	endpoint->entry.draining = false;
+	endpoint->entry.born_ms =
+		world->now_ms * 8 + endpoint->starts % 8 - choice / 128 * 5000;
+	entry_publish(world, endpoint);
+}
+
 static void endpoint_start(struct world *world, uint8_t choice)
 {
 	struct endpoint *endpoint;
 	uint32_t address = 0x0a000000 + choice % ADDRESSES;
 
-	if (world->endpoint_count == ENDPOINTS)
+	if (world->endpoint_count == ENDPOINTS || address_taken(world, address))
 		return;
-	for (int i = 0; i < world->endpoint_count; i++) {
-		struct endpoint *other = &world->endpoints[i];
-
-		if (other->entry.address.ip != address)
-			continue;
-		if (lives(other))
-			return;
-	}
 	endpoint = &world->endpoints[world->endpoint_count];
 	endpoint->life = ALIVE;
 	endpoint->entry = (struct jt_endpoint_entry){
@@ -204,6 +274,9 @@
 		.zone_id = jt_name_id(zone_names[choice % ZONES]),
 		.address = {address, 80},
 		.capacity = 2,
+		.born_ms = world->births && world->endpoint_count % 2
+				   ? world->now_ms * 8
+				   : 0,
 	};
 	world->endpoint_count++;
 	entry_publish(world, endpoint);
@@ -222,6 +295,14 @@
 
 	if (endpoint == NULL)
 		return;
+	if (world->births && what >= 11) {
+		endpoint_restart(world, endpoint, choice);
+		return;
+	}
+	if (world->births && what == 10) {
+		entry_spoil(world, endpoint);
+		return;
+	}
 	switch (what % 6) {
 	case 0: /* says that it leaves */
 		if (endpoint->life != ALIVE)
@@ -241,7 +322,8 @@
 		entry_remove(world, endpoint);
 		break;
 	case 4: /* and comes again with the next beat */
-		if (lives(endpoint) && !endpoint->listed)
+		if (lives(endpoint) &&
+		    (!endpoint->listed || endpoint->unreadable))
 			entry_publish(world, endpoint);
 		break;
 	case 5:
@@ -252,13 +334,13 @@
 
 /* Routing */
 
-static struct jt_routing *routing_create(TALLOC_CTX *mem_ctx, uint64_t version)
+static struct jt_routing *routing_create(struct world *world, uint64_t version)
 {
-	struct jt_routing *routing = talloc_zero(mem_ctx, struct jt_routing);
+	struct jt_routing *routing = talloc_zero(world, struct jt_routing);
 
 	routing->version = version;
 	routing->revision = version;
-	routing->flow_idle_ms = 60000;
+	routing->flow_idle_ms = world->flow_idle_ms;
 	routing->routes = talloc_zero_array(routing, struct jt_route, 2);
 	for (uint16_t i = 0; i < 2; i++) {
 		struct jt_route *route = &routing->routes[routing->route_count];
@@ -276,7 +358,7 @@
 		talloc_zero_array(routing, struct jt_routed_service, SERVICES);
 	for (uint32_t i = 0; i < SERVICES; i++) {
 		routing->services[i].id = 1 + i;
-		routing->services[i].connection_limit = FULL_AT;
+		routing->services[i].connection_limit = world->full_at;
 	}
 	routing->service_count = SERVICES;
 	jt_routing_sort(routing);
@@ -384,11 +466,43 @@
 	zones_note_all(world, node, world->revision);
 }
 
+/* The node is told of an entry that went, or can't be read. */
+static void gone_note(struct world *world, int node, uint64_t id,
+		      uint64_t revision, bool unreadable)
+{
+	struct told_entry *told =
+		&world->endpoints[endpoint_of(world, id)].told[node];
+
+	/* A node that knows no such endpoint takes no note. */
+	if (told->revision == 0 || revision <= told->revision ||
+	    revision <= told->gone_revision)
+		return;
+	told->gone_revision = revision;
+	told->unreadable = unreadable;
+}
+
+/* The node is told an entry. */
+static void entry_note(struct world *world, int node,
+		       const struct jt_endpoint_entry *entry)
+{
+	struct told_entry *told =
+		&world->endpoints[endpoint_of(world, entry->id)].told[node];
+
+	if (entry->revision > told->revision) {
+		told->revision = entry->revision;
+		told->ip = entry->address.ip;
+		told->leaving_born_ms =
+			entry->draining ? entry->born_ms : LEAVING_NONE;
+	}
+	if (entry->gone_revision > 0)
+		gone_note(world, node, entry->id, entry->gone_revision,
+			  entry->unreadable);
+}
+
 static void news_tell(struct world *world, int node, size_t index)
 {
 	struct news *news = &world->news[index];
 	struct jt_director_event event = news->event;
-	int endpoint;
 
 	if (news->routing_version != 0) {
 		routing_tell(world, node,
@@ -399,10 +513,11 @@
 		zones_tell(world, node, &news->zone, 1, false, 0);
 		return;
 	}
-	if (event.kind == JT_DIRECTOR_ENDPOINT && event.u.endpoint.draining) {
-		endpoint = endpoint_of(world, event.u.endpoint.id);
-		world->endpoints[endpoint].told_draining[node] = true;
-	}
+	if (event.kind == JT_DIRECTOR_ENDPOINT)
+		entry_note(world, node, &event.u.endpoint);
+	else
+		gone_note(world, node, event.u.gone.id, event.u.gone.revision,
+			  event.kind == JT_DIRECTOR_UNREADABLE);
 	tell(world, node, &event);
 }
 
@@ -427,12 +542,22 @@
 	for (int i = 0; i < world->endpoint_count; i++) {
 		struct endpoint *endpoint = &world->endpoints[i];
 
-		if (!endpoint->listed)
+		if (!endpoint->listed) {
+			gone_note(world, node, endpoint->entry.id,
+				  world->revision, false);
 			continue;
-		event.kind = JT_DIRECTOR_ENDPOINT;
-		event.u.endpoint = endpoint->entry;
-		if (endpoint->entry.draining)
-			endpoint->told_draining[node] = true;
+		}
+		if (endpoint->unreadable) {
+			event.kind = JT_DIRECTOR_UNREADABLE;
+			event.u.gone.id = endpoint->entry.id;
+			event.u.gone.revision = endpoint->spoiled_revision;
+			gone_note(world, node, event.u.gone.id,
+				  event.u.gone.revision, true);
+		} else {
+			event.kind = JT_DIRECTOR_ENDPOINT;
+			event.u.endpoint = endpoint->entry;
+			entry_note(world, node, &endpoint->entry);
+		}
 		tell(world, node, &event);
 	}
 	for (size_t i = 0; i < world->news_count; i++) {
@@ -464,7 +589,7 @@
 	world->versions[node] = 0;
 	world->heard[node] = 0;
 	for (int i = 0; i < ENDPOINTS; i++)
-		world->endpoints[i].told_draining[node] = false;
+		world->endpoints[i].told[node] = (struct told_entry){0};
 	memset(world->told_zones[node], 0, sizeof(world->told_zones[node]));
 }
 
@@ -485,13 +610,11 @@
 	if (routing != NULL)
 		routing_tell(world, node, routing);
 	for (u_int i = 0; i < knowledge.entries.entries_len; i++) {
-		jt_wire_entry *entry = &knowledge.entries.entries_val[i];
-		int index = endpoint_of(world, entry->id);
-
-		if (entry->draining && index >= 0)
-			world->endpoints[index].told_draining[node] = true;
-		if (jt_knowledge_entry(entry, &event))
-			tell(world, node, &event);
+		if (!jt_knowledge_entry(&knowledge.entries.entries_val[i],
+					&event))
+			continue;
+		entry_note(world, node, &event.u.endpoint);
+		tell(world, node, &event);
 	}
 	zones_tell(world, node,
 		   jt_knowledge_zones(frame, knowledge.zones.zones_val,
@@ -554,24 +677,42 @@
 	return false;
 }
 
+/* Whether a packet to that address meets the endpoint. */
+static bool reached(const struct endpoint *endpoint,
+		    const struct jt_director_action *a)
+{
+	return lives(endpoint) && a->address.ip == endpoint->entry.address.ip;
+}
+
 static void on_first_packet(struct world *world, struct flow *flow, int node,
-			    int index)
+			    int index, const struct jt_director_action *a)
 {
 	struct endpoint *endpoint = &world->endpoints[index];
+	const struct told_entry *told = &endpoint->told[node];
 	uint32_t service = endpoint->entry.service_id;
 
 	if (!(world->services_ever >> (service - 1) & 1) ||
 	    service != (uint32_t)(flow->key.destination_port - 443) + 1)
 		broken(world, "a first packet reached another service");
-	if (endpoint->told_draining[node] && flow->copies == 0)
+	if (a->address.ip != told->ip)
+		broken(world, "a first packet went to an outdated address");
+	if (told->unreadable && told->gone_revision > told->revision &&
+	    flow->copies == 0)
+		broken(world, "a first packet followed an unreadable entry");
+	if (told->leaving_born_ms != LEAVING_NONE &&
+	    a->label == jt_incarnation_label(a->endpoint_id,
+					     told->leaving_born_ms) &&
+	    flow->copies == 0)
 		broken(world, "a leaving endpoint got a first packet");
 	if (told_drained(world, node, endpoint->entry.zone_id) &&
 	    flow->copies == 0)
 		broken(world, "a drained zone got a first packet");
-	if (!lives(endpoint) || endpoint->flows >= FULL_AT)
+	if (!reached(endpoint, a) || endpoint->flows >= world->full_at)
 		return;
+	flow->home = index;
 	flow->half_open = index;
-	flow->label = jt_flow_label(endpoint->entry.id);
+	flow->start = endpoint->starts;
+	flow->label = a->label;
 	flow->open = true;
 	flow->sequence++;
 	flow->acknowledged = OPEN_ACKNOWLEDGED;
@@ -586,8 +727,12 @@
 	if (flow->half_open < 0)
 		return true;
 	endpoint = &world->endpoints[flow->half_open];
-	if (!lives(endpoint) || endpoint->flows >= FULL_AT)
+	if (!lives(endpoint) || endpoint->flows >= world->full_at)
 		return false;
+	if (flow->start != endpoint->starts) {
+		flow->over = true; /* it knows of none, and resets it */
+		return false;
+	}
 	flow->endpoint = flow->half_open;
 	flow->half_open = -1;
 	endpoint->flows++;
@@ -602,16 +747,25 @@
 
 	if (flow == NULL || index < 0)
 		return;
+	if (node == flow->node) {
+		flow->sent_ms = world->now_ms;
+		flow->packet = world->node_packets[node];
+	}
 	if (!flow->open) {
-		on_first_packet(world, flow, node, index);
+		on_first_packet(world, flow, node, index, a);
 		return;
 	}
-	if (a->label != flow->label)
+	if (index != flow->home)
 		broken(world, "a flow's packet went to another endpoint");
 	if (world->late_copy)
 		return;
+	if (lives(&world->endpoints[index]) &&
+	    !reached(&world->endpoints[index], a))
+		return;
 	if (!flow_opens(world, flow))
 		return;
+	if (flow->endpoint >= 0)
+		flow->label = a->label; /* the endpoint returns it */
 	if (flow->endpoint >= 0 && world->endpoints[index].slow &&
 	    !flow->queued) {
 		/* It waits there, and is not acknowledged until it comes
@@ -621,58 +775,74 @@
 		flow->queued = false;
 		flow->sequence += 10;
 		flow->acknowledged += 50;
-	} else if (world->endpoints[index].life == ENDED) {
-		flow->over = true; /* the endpoint's host resets it */
+	} else if (world->endpoints[index].life == ENDED ||
+		   lives(&world->endpoints[index])) {
+		/* The endpoint's host resets it, or its next incarnation. */
+		flow->over = true;
 	}
 }
 
-/* What a connection to the endpoint's address gets. */
+struct pending {
+	int node;
+	uint64_t id;
+	uint64_t born_ms;
+	uint32_t ip;
+	bool identify;
+};
+
+/* What a connection to the endpoint's address, as the node knows it, gets. */
 static enum jt_probe_outcome probe_outcome(const struct world *world,
-					   uint64_t id, uint64_t *found)
+					   const struct pending *pending,
+					   uint64_t *found)
 {
-	int index = endpoint_of(world, id);
 	bool silent = false;
 
 	*found = 0;
 	for (int i = 0; i < world->endpoint_count; i++) {
 		const struct endpoint *endpoint = &world->endpoints[i];
 
-		if (endpoint->entry.address.ip !=
-		    world->endpoints[index].entry.address.ip)
+		if (endpoint->entry.address.ip != pending->ip)
 			continue;
 		silent = endpoint->life == SILENT_END;
 		if (!lives(endpoint))
 			continue;
-		if (endpoint->flows >= FULL_AT)
-			return id % 2 ? JT_PROBE_REFUSED : JT_PROBE_SILENT;
+		if (endpoint->flows >= world->full_at)
+			return pending->id % 2 ? JT_PROBE_REFUSED
+					       : JT_PROBE_SILENT;
 		*found = endpoint->entry.id;
 		return JT_PROBE_CONNECTED;
 	}
 	return silent ? JT_PROBE_SILENT : JT_PROBE_REFUSED;
 }
 
-struct pending {
-	int node;
-	uint64_t id;
-	bool identify;
-};
-
 static struct pending pendings[64];
 static size_t pending_count;
 
+struct incarnation_name {
+	uint64_t id;
+	uint64_t born_ms;
+};
+
 /* What nodes found dead, for them to tell each other. */
-static uint64_t verdicts[VERDICTS];
+static struct incarnation_name verdicts[VERDICTS];
 static size_t verdict_count;
 /* Endpoints that a node finds failing; all nodes hear of it at the next step.
  */
-static uint64_t failing[VERDICTS];
+static struct incarnation_name failing[VERDICTS];
 static size_t failing_count;
 
-static void probe_note(int node, uint64_t id, bool identify)
+static void probe_note(int node, const struct jt_director_action *a,
+		       bool identify)
 {
 	if (pending_count < sizeof(pendings) / sizeof(pendings[0]))
 		pendings[pending_count++] =
-			(struct pending){node, id, identify};
+			(struct pending){node, a->endpoint_id, a->born_ms,
+					 a->address.ip, identify};
+}
+
+static struct incarnation_name name_of(const struct jt_director_action *a)
+{
+	return (struct incarnation_name){a->endpoint_id, a->born_ms};
 }
 
 static void act(struct world *world, int node)
@@ -699,17 +869,17 @@
 			on_reset(world, a);
 			break;
 		case JT_DIRECTOR_PROBE:
-			probe_note(node, a->endpoint_id, false);
+			probe_note(node, a, false);
 			break;
 		case JT_DIRECTOR_FAILING:
 			if (failing_count < VERDICTS)
-				failing[failing_count++] = a->endpoint_id;
+				failing[failing_count++] = name_of(a);
 			break;
 		case JT_DIRECTOR_VERDICT:
-			verdicts[verdict_count++ % VERDICTS] = a->endpoint_id;
+			verdicts[verdict_count++ % VERDICTS] = name_of(a);
 			break;
 		case JT_DIRECTOR_IDENTIFY:
-			probe_note(node, a->endpoint_id, true);
+			probe_note(node, a, true);
 			break;
 		default:
 			break;
@@ -731,13 +901,15 @@
 	pending = pendings[at];
 	pending_count--;
 	pendings[at] = pendings[pending_count];
-	outcome = probe_outcome(world, pending.id, &found);
+	outcome = probe_outcome(world, &pending, &found);
 	if (pending.identify) {
 		event.kind = JT_DIRECTOR_IDENTIFIED;
 		event.u.identified.id = pending.id;
+		event.u.identified.born_ms = pending.born_ms;
 		event.u.identified.found = found;
 	} else {
 		event.u.probed.id = pending.id;
+		event.u.probed.born_ms = pending.born_ms;
 		event.u.probed.outcome =
 			choice & 0x80 ? JT_PROBE_VOID : outcome;
 	}
@@ -760,10 +932,6 @@
 		.length = length,
 	};
 	world->node_packets[node]++;
-	if (node == flow->node) {
-		flow->sent_ms = world->now_ms;
-		flow->packet = world->node_packets[node];
-	}
 	tell(world, node, &event);
 }
 
@@ -784,7 +952,8 @@
 	struct flow first = *flow;
 
 	/* Where its endpoint has ended, so has the flow. */
-	if (index < 0 || !lives(&world->endpoints[index]))
+	if (index < 0 || !lives(&world->endpoints[index]) ||
+	    flow->start != world->endpoints[index].starts)
 		return;
 	if (flow->copies > 0 || !node_remembers(world, flow) ||
 	    world->now_ms - flow->sent_ms > LATE_MS)
@@ -862,7 +1031,9 @@
 	struct jt_director_event event = {.kind = JT_DIRECTOR_OVERDUE};
 
 	while (failing_count > 0) {
-		event.u.suspicion.id = failing[--failing_count];
+		failing_count--;
+		event.u.suspicion.id = failing[failing_count].id;
+		event.u.suspicion.born_ms = failing[failing_count].born_ms;
 		for (int node = 0; node < NODES; node++)
 			tell(world, node, &event);
 	}
@@ -922,8 +1093,11 @@
 		if (choice % 8 == 0)
 			node_start(world, node);
 		else if (verdict_count > 0) {
-			event.u.suspicion.id =
-				verdicts[choice % verdict_count % VERDICTS];
+			const struct incarnation_name *dead =
+				&verdicts[choice % verdict_count % VERDICTS];
+
+			event.u.suspicion.id = dead->id;
+			event.u.suspicion.born_ms = dead->born_ms;
 			tell(world, node, &event);
 		}
 		break;
@@ -939,6 +1113,10 @@
 	failing_count = 0;
 	world->data = data;
 	world->size = size;
+	world->births = size > 0 && data[0] >= BIRTHS_FROM;
+	/* Few flows, and known for long enough: a refusal proves death. */
+	world->full_at = world->births ? FULL_NEVER : FULL_AT;
+	world->flow_idle_ms = world->births ? FLOW_IDLE_SHORT_MS : FLOW_IDLE_MS;
 	world->now_ms = 1000000;
 	world->next_port = 1024;
 	world->actions = jt_director_actions_create(world);
--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -59,7 +59,11 @@
 
 /* What discovery tells of one incarnation of an endpoint. */
 struct jt_endpoint_entry {
-	uint64_t id; /* of this start of the endpoint; never 0 */
+	uint64_t id; /* never 0; an endpoint may start again under its id */
+	/* The endpoint's own time of its start, Unix milliseconds: tells its
+	 * incarnations apart, and says nothing of which is newer. 0: the
+	 * deployment gives each start an id of its own. */
+	uint64_t born_ms;
 	uint32_t service_id;
 	uint32_t zone_id;
 	struct jt_address address;
@@ -69,6 +73,8 @@
 	uint64_t revision;     /* of the entry in discovery */
 	uint64_t created; /* revision at which the entry came; 0: unknown */
 	uint64_t gone_revision; /* when it went; 0: it is there */
+	/* It did not go: its newest form, of gone_revision, can't be read. */
+	bool unreadable;
 };
 
 /* What the store tells of a zone: whether operators drain it. */
@@ -133,10 +139,11 @@
 
 enum jt_director_event_kind {
 	JT_DIRECTOR_PACKET,
-	JT_DIRECTOR_ROUTING,  /* a newer routing configuration */
-	JT_DIRECTOR_ENDPOINT, /* discovery's entry of an endpoint */
-	JT_DIRECTOR_GONE,     /* discovery has no such entry any more */
-	JT_DIRECTOR_LISTING,  /* all that discovery has will be told */
+	JT_DIRECTOR_ROUTING,	/* a newer routing configuration */
+	JT_DIRECTOR_ENDPOINT,	/* discovery's entry of an endpoint */
+	JT_DIRECTOR_GONE,	/* discovery has no such entry any more */
+	JT_DIRECTOR_UNREADABLE, /* discovery's entry of it can't be read */
+	JT_DIRECTOR_LISTING,	/* all that discovery has will be told */
 	/* Some endpoints and all drains of zones were told, more will be. */
 	JT_DIRECTOR_PARTLY_TOLD,
 	JT_DIRECTOR_LISTED, /* all that discovery had at a revision is told */
@@ -163,7 +170,7 @@
 		struct {
 			uint64_t id;
 			uint64_t revision;
-		} gone;
+		} gone; /* and unreadable */
 		struct {
 			uint64_t revision;
 			/* Informed: the peer may lack entries for so long yet,
@@ -177,13 +184,16 @@
 		} news;
 		struct {
 			uint64_t id;
-		} suspicion; /* and overdue */
+			uint64_t born_ms; /* of the incarnation it is about */
+		} suspicion;		  /* and overdue */
 		struct {
 			uint64_t id;
+			uint64_t born_ms; /* of the one that was probed */
 			enum jt_probe_outcome outcome;
 		} probed;
 		struct {
-			uint64_t id;	/* that was asked for */
+			uint64_t id; /* that was asked for */
+			uint64_t born_ms;
 			uint64_t found; /* 0: nobody said */
 		} identified;
 		struct {
@@ -218,7 +228,8 @@
 	JT_DIRECTOR_VERDICT,  /* an endpoint is dead: tell peers */
 	JT_DIRECTOR_FAILING, /* an endpoint's answers are overdue: tell peers */
 	JT_DIRECTOR_REVIVED, /* a dead endpoint lives */
-	JT_DIRECTOR_SEEN,    /* an endpoint's state changed */
+	JT_DIRECTOR_RESTARTED,	   /* an endpoint started again under its id */
+	JT_DIRECTOR_SEEN,	   /* an endpoint's state changed */
 	JT_DIRECTOR_ZONE_DRAINED,  /* a drain of a zone began */
 	JT_DIRECTOR_ZONE_RESTORED, /* and ended */
 };
@@ -239,6 +250,7 @@
 	JT_DIRECTOR_NO_ZONE,	   /* the zones of all endpoints are drained */
 	JT_DIRECTOR_COLD,	   /* what is left is cold and got its share */
 	JT_DIRECTOR_LEARNING,	   /* endpoints are still coming to be known */
+	JT_DIRECTOR_UNPROVEN, /* the dead endpoint may have started again */
 	JT_DIRECTOR_REASONS,
 };
 
@@ -247,6 +259,7 @@
 	enum jt_director_reason reason;
 	struct jt_flow_key key; /* forward, reset, drop */
 	uint64_t endpoint_id;
+	uint64_t born_ms; /* of the endpoint's incarnation */
 	uint32_t label;
 	struct jt_address address; /* of the endpoint */
 	uint32_t reset_sequence;
@@ -279,6 +292,7 @@
 	JT_DIRECTOR_BREAK_STALE_ENTRY = 1 << 6,	 /* older entries are taken */
 	JT_DIRECTOR_BREAK_ZONE_DRAIN = 1 << 7,	 /* drains change nothing */
 	JT_DIRECTOR_BREAK_COLD = 1 << 8,	 /* cold ones get any number */
+	JT_DIRECTOR_BREAK_BIRTH = 1 << 9,	 /* births tell nothing */
 };
 
 /* Limits and times; jt_director_options_init() gives the defaults. */
@@ -310,6 +324,8 @@
 	uint64_t identifications;
 	uint64_t deaths[JT_DEATH_CAUSES];
 	uint64_t revived;
+	uint64_t restarted;  /* endpoints, under the ids that they had */
+	uint64_t unreadable; /* entries that were well before */
 	uint64_t suspicions;
 	uint64_t routing_refused; /* versions not above the one in force */
 	uint64_t entries_refused; /* older than what is known, or no room */
--- a/include/jaspertrack/director.h
+++ b/include/jaspertrack/director.h
@@ -67,6 +67,8 @@
 			 struct jt_endpoint_load loads[JT_LOAD_LIMIT]);
 
 /* The label that names an incarnation in a flow's packets; never 0. */
+uint32_t jt_incarnation_label(uint64_t endpoint_id, uint64_t born_ms);
+/* The same of an endpoint that tells no birth. */
 uint32_t jt_flow_label(uint64_t endpoint_id);
 
 const char *jt_director_reason_name(enum jt_director_reason reason);
--- a/src/director/jt_director_log.c
+++ b/src/director/jt_director_log.c
@@ -58,13 +58,14 @@
 		return;
 	jt_log_line(log, LOG_INFO,
 		    "event=flow flow=%s decision=%s reason=%s version=%llu "
-		    "endpoint=%llx address=%s state=%s revision=%llu "
-		    "age_ms=%llu label=%x request=%s",
+		    "endpoint=%llx born_ms=%llu address=%s state=%s "
+		    "revision=%llu age_ms=%llu label=%x request=%s",
 		    flow_format(&action->key, flow),
 		    decision_name(action->kind),
 		    jt_director_reason_name(action->reason),
 		    (unsigned long long)action->version,
 		    (unsigned long long)action->endpoint_id,
+		    (unsigned long long)action->born_ms,
 		    jt_address_format(action->address, address),
 		    jt_incarnation_state_name(action->state),
 		    (unsigned long long)action->revision,
@@ -81,10 +82,11 @@
 	if (!allowed(log, JT_LOG_ORDINARY, now_ms))
 		return;
 	jt_log_line(log, LOG_INFO,
-		    "event=request request=%s flow=%s endpoint=%llx state=%s "
-		    "revision=%llu age_ms=%llu",
+		    "event=request request=%s flow=%s endpoint=%llx "
+		    "born_ms=%llu state=%s revision=%llu age_ms=%llu",
 		    request, flow_format(&action->key, flow),
 		    (unsigned long long)action->endpoint_id,
+		    (unsigned long long)action->born_ms,
 		    jt_incarnation_state_name(action->state),
 		    (unsigned long long)action->revision,
 		    (unsigned long long)action->age_ms);
@@ -97,9 +99,10 @@
 	char address[JT_ADDRESS_TEXT];
 
 	jt_log_line(log, LOG_NOTICE,
-		    "event=%s endpoint=%llx address=%s state=%s cause=%s "
-		    "revision=%llu age_ms=%llu",
+		    "event=%s endpoint=%llx born_ms=%llu address=%s "
+		    "state=%s cause=%s revision=%llu age_ms=%llu",
 		    event, (unsigned long long)action->endpoint_id,
+		    (unsigned long long)action->born_ms,
 		    jt_address_format(action->address, address),
 		    jt_incarnation_state_name(action->state),
 		    jt_death_cause_name(action->cause),
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -162,22 +162,24 @@
 
 /* Probes */
 
-static void on_probed(uint64_t endpoint_id, enum jt_probe_outcome outcome,
-		      void *private_data)
+static void on_probed(uint64_t endpoint_id, uint64_t born_ms,
+		      enum jt_probe_outcome outcome, void *private_data)
 {
 	struct jt_director_event event = {.kind = JT_DIRECTOR_PROBED};
 
 	event.u.probed.id = endpoint_id;
+	event.u.probed.born_ms = born_ms;
 	event.u.probed.outcome = outcome;
 	jt_director_node_event(private_data, &event);
 }
 
-static void on_identified(uint64_t endpoint_id, uint64_t found,
-			  void *private_data)
+static void on_identified(uint64_t endpoint_id, uint64_t born_ms,
+			  uint64_t found, void *private_data)
 {
 	struct jt_director_event event = {.kind = JT_DIRECTOR_IDENTIFIED};
 
 	event.u.identified.id = endpoint_id;
+	event.u.identified.born_ms = born_ms;
 	event.u.identified.found = found;
 	jt_director_node_event(private_data, &event);
 }
--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -30,16 +30,30 @@
 	jt_director_node_event(node, &event);
 }
 
-static void gone_take(struct jt_director_node *node, uint64_t id,
-		      uint64_t revision)
+/* An entry went (JT_DIRECTOR_GONE), or can't be read. */
+static void gone_take(struct jt_director_node *node,
+		      enum jt_director_event_kind kind,
+		      const struct jt_change *change)
 {
-	struct jt_director_event event = {.kind = JT_DIRECTOR_GONE};
+	struct jt_director_event event = {.kind = kind};
 
-	event.u.gone.id = id;
-	event.u.gone.revision = revision;
+	event.u.gone.id = change->endpoint.id;
+	event.u.gone.revision = change->endpoint.revision;
 	jt_director_node_event(node, &event);
 }
 
+/* The store's item makes no sense: one line for each key and reason. */
+static void invalid_take(struct jt_director_node *node,
+			 const struct jt_change *change)
+{
+	if (change->endpoint.id != 0)
+		gone_take(node, JT_DIRECTOR_UNREADABLE, change);
+	if (jt_refusals_first(&node->refusals, change->key, change->reason))
+		jt_log_line(node->log, LOG_ERR,
+			    "event=entry_refused key=%s field=%s reason=\"%s\"",
+			    change->key, change->field, change->reason);
+}
+
 /* Drains of zones that began or ended. @complete: all there are as of
  * @revision. */
 static void zones_take(struct jt_director_node *node,
@@ -67,15 +81,13 @@
 		endpoint_take(node, &change->endpoint);
 		break;
 	case JT_CHANGE_GONE:
-		gone_take(node, change->endpoint.id, change->endpoint.revision);
+		gone_take(node, JT_DIRECTOR_GONE, change);
 		break;
 	case JT_CHANGE_ZONE:
 		zones_take(node, &change->zone, 1, false, change->revision);
 		break;
 	case JT_CHANGE_INVALID:
-		jt_log_line(node->log, LOG_ERR,
-			    "event=entry_refused key=%s field=%s reason=\"%s\"",
-			    change->key, change->field, change->reason);
+		invalid_take(node, change);
 		break;
 	}
 }
@@ -348,20 +360,21 @@
 	jt_director_node_event(private_data, &event);
 }
 
-static void on_suspicion(jt_wire_suspicion_kind kind, uint64_t endpoint_id,
-			 void *private_data)
+static void on_suspicion(const jt_wire_suspicion *suspicion, void *private_data)
 {
 	struct jt_director_node *node = private_data;
 	struct jt_director_event event = {.kind = JT_DIRECTOR_SUSPICION};
-	bool overdue = kind == JT_WIRE_ANSWERS_OVERDUE;
+	bool overdue = suspicion->kind == JT_WIRE_ANSWERS_OVERDUE;
 
 	if (overdue)
 		event.kind = JT_DIRECTOR_OVERDUE;
-	event.u.suspicion.id = endpoint_id;
+	event.u.suspicion.id = suspicion->endpoint_id;
+	event.u.suspicion.born_ms = suspicion->born_ms;
 	jt_director_node_event(node, &event);
 	jt_log_line(node->log, LOG_NOTICE,
-		    "event=peer_suspects endpoint=%llx cause=%s",
-		    (unsigned long long)endpoint_id,
+		    "event=peer_suspects endpoint=%llx born_ms=%llu cause=%s",
+		    (unsigned long long)suspicion->endpoint_id,
+		    (unsigned long long)suspicion->born_ms,
 		    overdue ? "overdue" : "dead");
 }
 
--- a/src/director/jt_director_node_packets.c
+++ b/src/director/jt_director_node_packets.c
@@ -81,7 +81,7 @@
 		jt_director_routing(node->director), action->service_id);
 
 	jt_endpoint_probes_identify(node->probes, action->endpoint_id,
-				    action->address,
+				    action->born_ms, action->address,
 				    service ? service->health_path : "/");
 }
 
@@ -148,7 +148,7 @@
 		break;
 	case JT_DIRECTOR_PROBE:
 		jt_endpoint_probes_connect(node->probes, action->endpoint_id,
-					   action->address);
+					   action->born_ms, action->address);
 		break;
 	case JT_DIRECTOR_IDENTIFY:
 		act_identify(node, action);
@@ -156,18 +156,22 @@
 	case JT_DIRECTOR_VERDICT:
 		jt_director_log_endpoint(node->log, action, "endpoint_dead");
 		if (!action->peers_know)
-			jt_peer_exchange_suspect(node->peers,
-						 JT_WIRE_FOUND_DEAD,
-						 action->endpoint_id);
+			jt_peer_exchange_suspect(
+				node->peers, JT_WIRE_FOUND_DEAD,
+				action->endpoint_id, action->born_ms);
 		break;
 	case JT_DIRECTOR_FAILING:
 		jt_director_log_endpoint(node->log, action, "endpoint_failing");
 		jt_peer_exchange_suspect(node->peers, JT_WIRE_ANSWERS_OVERDUE,
-					 action->endpoint_id);
+					 action->endpoint_id, action->born_ms);
 		break;
 	case JT_DIRECTOR_REVIVED:
 		jt_director_log_endpoint(node->log, action, "endpoint_back");
 		break;
+	case JT_DIRECTOR_RESTARTED:
+		jt_director_log_endpoint(node->log, action,
+					 "endpoint_restarted");
+		break;
 	case JT_DIRECTOR_SEEN:
 		/* A whole list is told in one line. */
 		if (jt_director_started(node->director))
--- a/src/director/jt_director_node_private.h
+++ b/src/director/jt_director_node_private.h
@@ -9,6 +9,7 @@
 #include "jt_endpoint_probes.h"
 #include "jt_peer_exchange.h"
 #include "jt_reader.h"
+#include "jt_refusals.h"
 
 #include <sys/queue.h>
 
@@ -35,6 +36,7 @@
 	struct jt_peer_exchange *peers;
 	struct jt_director_pages *pages;
 	struct jt_reader reader;
+	struct jt_refusals refusals;
 	uint64_t store_failures; /* calls that had failed at the last look */
 	struct jt_timer *tick;
 	int data_fd;
--- a/src/director/jt_director_pages.c
+++ b/src/director/jt_director_pages.c
@@ -101,6 +101,10 @@
 				 jt_death_cause_name(i), counters->deaths[i]);
 	text = add_metric(text, "endpoints_revived_total", "counter",
 			  counters->revived);
+	text = add_metric(text, "endpoints_restarted_total", "counter",
+			  counters->restarted);
+	text = add_metric(text, "endpoints_unreadable_total", "counter",
+			  counters->unreadable);
 	text = add_metric(text, "suspicions_total", "counter",
 			  counters->suspicions);
 	text = add_metric(text, "requests_overdue_total", "counter",
--- a/src/director/jt_endpoint_probes.h
+++ b/src/director/jt_endpoint_probes.h
@@ -7,13 +7,13 @@
 
 #include "jt_environment.h"
 
-/* What the owner of the probes is told. */
+/* What the owner of the probes is told, of the incarnation that it named. */
 struct jt_probe_handler {
-	void (*probed)(uint64_t endpoint_id, enum jt_probe_outcome outcome,
-		       void *private_data);
+	void (*probed)(uint64_t endpoint_id, uint64_t born_ms,
+		       enum jt_probe_outcome outcome, void *private_data);
 	/* @found is 0 when nobody said. */
-	void (*identified)(uint64_t endpoint_id, uint64_t found,
-			   void *private_data);
+	void (*identified)(uint64_t endpoint_id, uint64_t born_ms,
+			   uint64_t found, void *private_data);
 	void *private_data;
 };
 
@@ -25,10 +25,10 @@
 			  const struct jt_identity *identity,
 			  const struct jt_probe_handler *handler);
 void jt_endpoint_probes_connect(struct jt_endpoint_probes *probes,
-				uint64_t endpoint_id,
+				uint64_t endpoint_id, uint64_t born_ms,
 				struct jt_address address);
 void jt_endpoint_probes_identify(struct jt_endpoint_probes *probes,
-				 uint64_t endpoint_id,
+				 uint64_t endpoint_id, uint64_t born_ms,
 				 struct jt_address address,
 				 const char *health_path);
 
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -256,7 +256,8 @@
 }
 
 void jt_peer_exchange_suspect(struct jt_peer_exchange *exchange,
-			      jt_wire_suspicion_kind kind, uint64_t endpoint_id)
+			      jt_wire_suspicion_kind kind, uint64_t endpoint_id,
+			      uint64_t born_ms)
 {
 	jt_wire_director_message message = {
 		.from = exchange->membership->id,
@@ -266,6 +267,7 @@
 	message.body.jt_wire_director_body_u.suspicion = (jt_wire_suspicion){
 		.kind = kind,
 		.endpoint_id = endpoint_id,
+		.born_ms = born_ms,
 	};
 	message_send_peers(exchange, &message, false);
 }
@@ -335,9 +337,7 @@
 		break;
 	case JT_WIRE_SUSPICION:
 		exchange->handler.suspicion(
-			message->body.jt_wire_director_body_u.suspicion.kind,
-			message->body.jt_wire_director_body_u.suspicion
-				.endpoint_id,
+			&message->body.jt_wire_director_body_u.suspicion,
 			exchange->handler.private_data);
 		break;
 	default:
--- a/src/director/jt_peer_exchange.h
+++ b/src/director/jt_peer_exchange.h
@@ -38,7 +38,7 @@
 	void (*loads)(uint64_t peer, const struct jt_endpoint_load *loads,
 		      size_t count, void *private_data);
 	/* A peer has found an endpoint dead, or gets no answers from it. */
-	void (*suspicion)(jt_wire_suspicion_kind kind, uint64_t endpoint_id,
+	void (*suspicion)(const jt_wire_suspicion *suspicion,
 			  void *private_data);
 	void *private_data;
 };
@@ -72,8 +72,8 @@
 			const struct jt_peer_handler *handler, char **error);
 /* Tell every peer that is heard. */
 void jt_peer_exchange_suspect(struct jt_peer_exchange *exchange,
-			      jt_wire_suspicion_kind kind,
-			      uint64_t endpoint_id);
+			      jt_wire_suspicion_kind kind, uint64_t endpoint_id,
+			      uint64_t born_ms);
 /* Tell every live peer at once how this node stands. */
 void jt_peer_exchange_tell_all(struct jt_peer_exchange *exchange);
 /* The other nodes, as one that leaves must see them. */
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -206,7 +206,8 @@
 	uint32_t grace_ms = in->away_lapsed ? chooser->returned_grace_ms
 					    : chooser->lapsed_grace_ms;
 
-	if (in->entry.draining || now_ms - in->state_ms >= grace_ms)
+	if (in->entry.draining || in->entry.unreadable ||
+	    now_ms - in->state_ms >= grace_ms)
 		return UNWILLING;
 	if (!jt_incarnation_outlives(in, now_ms))
 		return LAST_RESORT;
--- a/src/label/jt_detector.c
+++ b/src/label/jt_detector.c
@@ -96,8 +96,20 @@
 		return incarnation->probe_owed ||
 		       (incarnation->failed_probes > 0 &&
 			incarnation->failed_probes < PROBES_PROVE);
-	return incarnation->cause != JT_DEATH_REPLACED &&
-	       incarnation->entry.gone_revision == 0;
+	return incarnation->proof_wanted ||
+	       (incarnation->cause != JT_DEATH_REPLACED &&
+		incarnation->entry.gone_revision == 0);
+}
+
+void jt_detector_want_proof(const struct jt_detector *detector,
+			    struct jt_incarnation *incarnation)
+{
+	uint64_t soon_ms =
+		incarnation->probe_sent_ms + detector->probe_pause_ms;
+
+	incarnation->proof_wanted = true;
+	if (incarnation->probe_next_ms > soon_ms)
+		incarnation->probe_next_ms = soon_ms;
 }
 
 bool jt_detector_pending(const struct jt_incarnation *incarnation)
@@ -111,6 +123,7 @@
 {
 	incarnation->probing = true;
 	incarnation->probe_owed = false;
+	incarnation->proof_wanted = false;
 	incarnation->probe_sent_ms = now_ms;
 }
 
@@ -165,6 +178,26 @@
 	return JT_VERDICT_NONE;
 }
 
+/*
+ * A probe of a dead incarnation got no connection. Flows that were seen before
+ * it have ended: the endpoint had not started again by then, unless it is full
+ * or out of this node's reach.
+ */
+static enum jt_detector_verdict still_dead(const struct jt_detector *detector,
+					   struct jt_incarnation *incarnation,
+					   enum jt_probe_outcome outcome,
+					   bool far_from_full)
+{
+	if (incarnation->entry.born_ms == 0)
+		return JT_VERDICT_NONE;
+	if (!far_from_full ||
+	    (outcome != JT_PROBE_REFUSED &&
+	     detector->contact_ms < incarnation->probe_sent_ms))
+		return JT_VERDICT_NONE;
+	incarnation->proven_ms = incarnation->probe_sent_ms;
+	return JT_VERDICT_STILL_DEAD;
+}
+
 enum jt_detector_verdict jt_detector_probed(struct jt_detector *detector,
 					    struct jt_incarnation *incarnation,
 					    enum jt_probe_outcome outcome,
@@ -185,9 +218,11 @@
 		return JT_VERDICT_NONE;
 	}
 	if (dead)
-		return JT_VERDICT_NONE;
+		return still_dead(detector, incarnation, outcome,
+				  far_from_full);
 	incarnation->failed_probes++;
 	if (failure_proves(detector, incarnation, outcome, far_from_full)) {
+		incarnation->proven_ms = incarnation->probe_sent_ms;
 		*cause = outcome == JT_PROBE_REFUSED ? JT_DEATH_REFUSED
 						     : JT_DEATH_SILENT;
 		return JT_VERDICT_DEAD;
@@ -210,8 +245,15 @@
 			       : detector->probe_pause_ms);
 	if (found == 0)
 		return JT_VERDICT_NONE;
-	if (found != incarnation->entry.id)
-		return JT_VERDICT_DEAD;
+	if (found != incarnation->entry.id) {
+		incarnation->proven_ms = incarnation->probe_sent_ms;
+		return dead && incarnation->entry.born_ms != 0
+			       ? JT_VERDICT_STILL_DEAD
+			       : JT_VERDICT_DEAD;
+	}
+	/* Its next incarnation has the address back: its entry will tell. */
+	if (dead && incarnation->cause == JT_DEATH_REPLACED)
+		return JT_VERDICT_NONE;
 	incarnation->vain_connects = 0;
 	incarnation->suspected_ms = 0;
 	incarnation->flow_dead = false;
--- a/src/label/jt_detector.h
+++ b/src/label/jt_detector.h
@@ -61,12 +61,18 @@
 
 enum jt_detector_verdict {
 	JT_VERDICT_NONE,
-	JT_VERDICT_IDENTIFY, /* something answers: ask who */
-	JT_VERDICT_DEAD,     /* with *cause */
+	JT_VERDICT_IDENTIFY,   /* something answers: ask who */
+	JT_VERDICT_DEAD,       /* with *cause */
+	JT_VERDICT_STILL_DEAD, /* also at the time of this probe */
 	JT_VERDICT_ALIVE,
 	JT_VERDICT_AGAIN, /* the probe told nothing: probe again */
 };
 
+/* Flows came to the dead incarnation that may be the next one's: look there
+ * again, soon. */
+void jt_detector_want_proof(const struct jt_detector *detector,
+			    struct jt_incarnation *incarnation);
+
 /* What the outcome of the probe under way means. @far_from_full: the endpoint
  * can not be short of connections. */
 
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -120,6 +120,7 @@
 	return age_ms >= JT_CALLER_ENDS_MS;
 }
 
+/* Reset the incarnation's flows, as far as it is sure that they are gone. */
 static void flows_reset(struct jt_director *director,
 			const struct jt_incarnation *incarnation,
 			uint64_t now_ms, struct jt_director_actions *actions)
@@ -134,7 +135,8 @@
 
 		/* A caller that has closed its flow needs no reset. */
 		if (flow->label == incarnation->label && !flow->closing &&
-		    !opening_moved_on(flow, now_ms))
+		    !opening_moved_on(flow, now_ms) &&
+		    jt_director_flow_ended(flow, incarnation))
 			jt_director_flow_reset(director, flow, incarnation,
 					       now_ms, actions);
 		flow = newer;
@@ -164,6 +166,11 @@
 		action->peers_know =
 			jt_detector_peer_found_dead(incarnation, now_ms);
 	flows_reset(director, incarnation, now_ms, actions);
+	/* Another's entry tells that it has lost its address, not that it has
+	 * not started there again since: ask who answers. */
+	if (cause == JT_DEATH_REPLACED && incarnation->flows > 0 &&
+	    incarnation->entry.born_ms != 0)
+		incarnation->proof_wanted = true;
 }
 
 static void incarnation_revives(struct jt_director *director,
@@ -233,25 +240,68 @@
 				    now_ms, actions);
 }
 
+/*
+ * The newest form of the entry can't be read: it names no endpoint to use. The
+ * endpoint may be well, and its open flows go on until it is known to be dead.
+ */
+static void event_unreadable(struct jt_director *director, uint64_t id,
+			     uint64_t revision, uint64_t now_ms,
+			     struct jt_director_actions *actions)
+{
+	struct jt_incarnation *incarnation =
+		jt_endpoint_table_by_id(director->endpoints, id);
+
+	if (incarnation == NULL)
+		return;
+	incarnation->told = true;
+	if (revision <= jt_incarnation_revision(incarnation))
+		return;
+	jt_endpoint_table_gone(director->endpoints, incarnation, revision,
+			       now_ms);
+	incarnation->entry.unreadable = true;
+	director->counters.unreadable++;
+	if (incarnation->state != JT_INCARNATION_DEAD)
+		state_enter(incarnation, JT_INCARNATION_LAPSED, now_ms,
+			    actions);
+}
+
+/* A new incarnation: of an endpoint that is new itself, or starts again. */
+static void incarnation_begins(struct jt_director *director,
+			       struct jt_incarnation *incarnation,
+			       enum jt_director_action_kind told_as,
+			       uint64_t now_ms,
+			       struct jt_director_actions *actions)
+{
+	incarnation->state = listed_state(incarnation);
+	/* Before the start nobody has got any work. */
+	if (incarnation->pool != NULL && jt_director_started(director))
+		jt_chooser_welcome(director->chooser, incarnation->pool,
+				   incarnation, now_ms);
+	jt_chooser_spread(director->chooser, incarnation, now_ms);
+	jt_director_action_about(actions, told_as, 0, incarnation, now_ms);
+}
+
+/* @earliest_label: of the incarnation before the last one, 0: none. */
 static void entry_taken(struct jt_director *director,
-			struct jt_incarnation *incarnation, bool is_new,
+			struct jt_incarnation *incarnation,
+			enum jt_entry_result result, uint32_t earliest_label,
 			uint64_t now_ms, struct jt_director_actions *actions)
 {
-	if (incarnation->state == JT_INCARNATION_DEAD) {
+	if (result == JT_ENTRY_RESTARTED) {
+		director->counters.restarted++;
+		jt_director_flows_of_earlier(director, incarnation,
+					     earliest_label);
+		incarnation_begins(director, incarnation, JT_DIRECTOR_RESTARTED,
+				   now_ms, actions);
+	} else if (incarnation->state == JT_INCARNATION_DEAD) {
 		/* What it wrote since then shows that it lives. */
 		if (incarnation->cause != JT_DEATH_REPLACED &&
 		    incarnation->entry.gone_revision == 0)
 			incarnation_revives(director, incarnation, now_ms,
 					    actions);
-	} else if (is_new) {
-		incarnation->state = listed_state(incarnation);
-		/* Before the start nobody has got any work. */
-		if (incarnation->pool != NULL && jt_director_started(director))
-			jt_chooser_welcome(director->chooser, incarnation->pool,
-					   incarnation, now_ms);
-		jt_chooser_spread(director->chooser, incarnation, now_ms);
-		jt_director_action_about(actions, JT_DIRECTOR_SEEN, 0,
-					 incarnation, now_ms);
+	} else if (result == JT_ENTRY_NEW) {
+		incarnation_begins(director, incarnation, JT_DIRECTOR_SEEN,
+				   now_ms, actions);
 	} else {
 		state_enter(incarnation, listed_state(incarnation), now_ms,
 			    actions);
@@ -265,17 +315,29 @@
 {
 	bool stale = director->options.break_mechanism &
 		     JT_DIRECTOR_BREAK_STALE_ENTRY;
+	const struct jt_incarnation *known =
+		jt_endpoint_table_by_id(director->endpoints, entry->id);
+	uint32_t earliest_label = known != NULL ? known->earlier_label : 0;
 	struct jt_incarnation *incarnation = NULL;
 	enum jt_entry_result result;
 
+	/* An endpoint that tells its birth always does. */
+	if (known != NULL && known->entry.born_ms != 0 && entry->born_ms == 0) {
+		event_unreadable(director, entry->id, entry->revision, now_ms,
+				 actions);
+		return;
+	}
 	result = jt_endpoint_table_take(director->endpoints, entry, stale,
 					now_ms, &incarnation);
 	if (incarnation != NULL)
-		entry_taken(director, incarnation, result == JT_ENTRY_NEW,
+		entry_taken(director, incarnation, result, earliest_label,
 			    now_ms, actions);
 	else if (result != JT_ENTRY_OLD)
 		director->counters.entries_refused++;
-	if (entry->gone_revision != 0)
+	if (entry->gone_revision != 0 && entry->unreadable)
+		event_unreadable(director, entry->id, entry->gone_revision,
+				 now_ms, actions);
+	else if (entry->gone_revision != 0)
 		event_gone(director, entry->id, entry->gone_revision, now_ms,
 			   actions);
 }
@@ -361,12 +423,25 @@
 	revision_note(director, revision);
 }
 
+/* The incarnation that has this birth, as far as this node knows: what is told
+ * of an earlier or a later one is not about it. */
+static struct jt_incarnation *incarnation_of(const struct jt_director *director,
+					     uint64_t id, uint64_t born_ms)
+{
+	struct jt_incarnation *found =
+		jt_endpoint_table_by_id(director->endpoints, id);
+
+	if (found != NULL && found->entry.born_ms != born_ms)
+		return NULL;
+	return found;
+}
+
 static void event_suspicion(struct jt_director *director, uint64_t id,
-			    uint64_t now_ms,
+			    uint64_t born_ms, uint64_t now_ms,
 			    struct jt_director_actions *actions)
 {
 	struct jt_incarnation *incarnation =
-		jt_endpoint_table_by_id(director->endpoints, id);
+		incarnation_of(director, id, born_ms);
 
 	if (incarnation == NULL || incarnation->state == JT_INCARNATION_DEAD ||
 	    !jt_mechanism_on(director->options.without,
@@ -381,10 +456,10 @@
 }
 
 static void event_overdue(struct jt_director *director, uint64_t id,
-			  uint64_t now_ms)
+			  uint64_t born_ms, uint64_t now_ms)
 {
 	struct jt_incarnation *incarnation =
-		jt_endpoint_table_by_id(director->endpoints, id);
+		incarnation_of(director, id, born_ms);
 
 	if (incarnation != NULL)
 		jt_outlier_told(incarnation, now_ms);
@@ -400,6 +475,11 @@
 	case JT_VERDICT_DEAD:
 		incarnation_dies(director, incarnation, cause, now_ms, actions);
 		break;
+	case JT_VERDICT_STILL_DEAD:
+		if (cause == JT_DEATH_REPLACED)
+			incarnation->cause = cause;
+		flows_reset(director, incarnation, now_ms, actions);
+		break;
 	case JT_VERDICT_ALIVE:
 		incarnation_revives(director, incarnation, now_ms, actions);
 		break;
@@ -440,11 +520,11 @@
 }
 
 static void event_probed(struct jt_director *director, uint64_t id,
-			 enum jt_probe_outcome outcome, uint64_t now_ms,
-			 struct jt_director_actions *actions)
+			 uint64_t born_ms, enum jt_probe_outcome outcome,
+			 uint64_t now_ms, struct jt_director_actions *actions)
 {
 	struct jt_incarnation *incarnation =
-		jt_endpoint_table_by_id(director->endpoints, id);
+		incarnation_of(director, id, born_ms);
 	enum jt_death_cause cause;
 	enum jt_detector_verdict verdict;
 
@@ -459,11 +539,11 @@
 }
 
 static void event_identified(struct jt_director *director, uint64_t id,
-			     uint64_t found, uint64_t now_ms,
+			     uint64_t born_ms, uint64_t found, uint64_t now_ms,
 			     struct jt_director_actions *actions)
 {
 	struct jt_incarnation *incarnation =
-		jt_endpoint_table_by_id(director->endpoints, id);
+		incarnation_of(director, id, born_ms);
 	enum jt_detector_verdict verdict;
 
 	if (incarnation == NULL || !incarnation->probing)
@@ -503,12 +583,18 @@
 		event_routing(director, event->u.routing);
 		break;
 	case JT_DIRECTOR_ENDPOINT:
+		if (director->options.break_mechanism & JT_DIRECTOR_BREAK_BIRTH)
+			event->u.endpoint.born_ms = 0;
 		event_endpoint(director, &event->u.endpoint, now_ms, actions);
 		break;
 	case JT_DIRECTOR_GONE:
 		event_gone(director, event->u.gone.id, event->u.gone.revision,
 			   now_ms, actions);
 		break;
+	case JT_DIRECTOR_UNREADABLE:
+		event_unreadable(director, event->u.gone.id,
+				 event->u.gone.revision, now_ms, actions);
+		break;
 	case JT_DIRECTOR_LISTING:
 		event_listing(director);
 		break;
@@ -532,18 +618,21 @@
 			   event->u.news.routing_version);
 		break;
 	case JT_DIRECTOR_SUSPICION:
-		event_suspicion(director, event->u.suspicion.id, now_ms,
-				actions);
+		event_suspicion(director, event->u.suspicion.id,
+				event->u.suspicion.born_ms, now_ms, actions);
 		break;
 	case JT_DIRECTOR_OVERDUE:
-		event_overdue(director, event->u.suspicion.id, now_ms);
+		event_overdue(director, event->u.suspicion.id,
+			      event->u.suspicion.born_ms, now_ms);
 		break;
 	case JT_DIRECTOR_PROBED:
 		event_probed(director, event->u.probed.id,
-			     event->u.probed.outcome, now_ms, actions);
+			     event->u.probed.born_ms, event->u.probed.outcome,
+			     now_ms, actions);
 		break;
 	case JT_DIRECTOR_IDENTIFIED:
 		event_identified(director, event->u.identified.id,
+				 event->u.identified.born_ms,
 				 event->u.identified.found, now_ms, actions);
 		break;
 	case JT_DIRECTOR_LOADS:
--- a/src/label/jt_director_flow.c
+++ b/src/label/jt_director_flow.c
@@ -17,7 +17,8 @@
 	struct jt_incarnation *incarnation =
 		jt_endpoint_table_by_label(director->endpoints, flow->label);
 
-	if (incarnation != NULL) {
+	if (incarnation != NULL &&
+	    jt_incarnation_placed(incarnation, flow->label)) {
 		if (!flow->closing && incarnation->flows > 0)
 			incarnation->flows--;
 		if (flow->waiting_ms != 0 && incarnation->waiting > 0)
@@ -59,3 +60,28 @@
 			       now_ms, actions);
 	jt_director_flow_forget(director, flow);
 }
+
+bool jt_director_flow_ended(const struct jt_cached_flow *flow,
+			    const struct jt_incarnation *incarnation)
+{
+	return incarnation->entry.born_ms == 0 ||
+	       flow->first_seen_ms < incarnation->proven_ms;
+}
+
+void jt_director_flows_of_earlier(struct jt_director *director,
+				  const struct jt_incarnation *incarnation,
+				  uint32_t earliest_label)
+{
+	struct jt_cached_flow *flow = director->flows->rested;
+
+	for (; flow != NULL; flow = flow->newer) {
+		if (earliest_label != 0 && flow->label == earliest_label)
+			flow->label = incarnation->earlier_label;
+		if (flow->label != incarnation->earlier_label)
+			continue;
+		jt_flow_cache_answered(director->flows, flow);
+		flow->resent = 0;
+		flow->expected = false;
+		flow->doubted = true;
+	}
+}
--- a/src/label/jt_director_flow.h
+++ b/src/label/jt_director_flow.h
@@ -29,4 +29,18 @@
 			    uint64_t now_ms,
 			    struct jt_director_actions *actions);
 
+/* Whether the flow ended with its dead endpoint. Where the endpoint may start
+ * again, one that came here after the last look may be the next one's. */
+bool jt_director_flow_ended(const struct jt_cached_flow *flow,
+			    const struct jt_incarnation *incarnation);
+/*
+ * The incarnation has taken the place of an earlier one: what was seen of the
+ * earlier one's flows says nothing of it. They are still told by their keys, so
+ * that copies of their first packets go to no other endpoint; so are those of
+ * the incarnation before, which had @earliest_label.
+ */
+void jt_director_flows_of_earlier(struct jt_director *director,
+				  const struct jt_incarnation *incarnation,
+				  uint32_t earliest_label);
+
 #endif
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -145,11 +145,12 @@
 	flow->expected = false;
 }
 
-/* A flow of @incarnation that this node has not seen before. */
+/* A flow that this node has not seen before; its @label is that of
+ * @incarnation, or of an earlier one of the same endpoint. */
 static struct jt_cached_flow *flow_add(struct jt_director *director,
 				       const struct jt_label_packet *packet,
 				       struct jt_incarnation *incarnation,
-				       uint64_t now_ms)
+				       uint32_t label, uint64_t now_ms)
 {
 	struct jt_cached_flow *flow;
 
@@ -158,11 +159,12 @@
 	flow = jt_flow_cache_add(director->flows, &packet->key, now_ms);
 	if (flow == NULL)
 		return NULL;
-	flow->label = incarnation->label;
+	flow->label = label;
 	flow->sequence_end = packet->sequence + packet->length;
 	flow->acknowledged = packet->acknowledged;
 	flow->sent_ms = now_ms;
-	incarnation->flows++;
+	if (jt_incarnation_placed(incarnation, label))
+		incarnation->flows++;
 	return flow;
 }
 
@@ -193,7 +195,7 @@
 		add_reset(director, &packet->key, refusal, actions);
 		return;
 	}
-	flow = flow_add(director, packet, chosen, now_ms);
+	flow = flow_add(director, packet, chosen, chosen->label, now_ms);
 	if (flow != NULL) {
 		jt_flow_cache_opening(director->flows, flow, now_ms);
 		flow->expected = true;
@@ -253,6 +255,15 @@
 				  incarnation->entry.zone_id);
 }
 
+/* Whether the caller sent the first packet again: it counts its copies; the
+ * network's own say nothing. */
+static bool first_sent_again(const struct jt_cached_flow *flow,
+			     const struct jt_label_packet *packet)
+{
+	return flow->opening_ms != 0 && packet->acknowledged > flow->copies &&
+	       packet->held_ms == 0;
+}
+
 /* The first packet has come before: stay with its endpoint. */
 static void first_again(struct jt_director *director,
 			const struct jt_label_packet *packet,
@@ -260,15 +271,14 @@
 			struct jt_incarnation *incarnation, uint64_t now_ms,
 			struct jt_director_actions *actions)
 {
-	/* The caller counts its copies; the network's own say nothing. */
-	bool sent_again = flow->opening_ms != 0 &&
-			  packet->acknowledged > flow->copies &&
-			  packet->held_ms == 0;
+	bool sent_again = first_sent_again(flow, packet);
 
 	jt_flow_cache_touch(director->flows, flow, now_ms);
 	if (sent_again) {
 		flow->copies = packet->acknowledged;
 		director->counters.resent++;
+	}
+	if (sent_again && jt_incarnation_placed(incarnation, flow->label)) {
 		jt_director_suspect(director, incarnation, JT_EVIDENCE_OPENING,
 				    now_ms, actions);
 	}
@@ -319,6 +329,13 @@
 				    actions);
 			return;
 		}
+		/* The flow may be open where the endpoint started again. */
+		if (incarnation != NULL && !first_sent_again(flow, packet) &&
+		    !jt_director_flow_ended(flow, incarnation)) {
+			add_drop(director, packet, JT_DIRECTOR_UNPROVEN,
+				 actions);
+			return;
+		}
 		jt_director_flow_forget(director, flow);
 		reason = JT_DIRECTOR_PLACED_AGAIN;
 	}
@@ -401,10 +418,46 @@
 	if (flow->closing || !(packet->flags & JT_PACKET_FIN))
 		return;
 	flow->closing = true;
-	if (incarnation->flows > 0)
+	if (jt_incarnation_placed(incarnation, flow->label) &&
+	    incarnation->flows > 0)
 		incarnation->flows--;
 }
 
+/*
+ * A packet of a flow whose endpoint is dead. Where the endpoint may have
+ * started again, the flow may be open there: it is reset once a probe that was
+ * sent later shows that nobody is.
+ */
+static void packet_to_dead(struct jt_director *director,
+			   const struct jt_label_packet *packet, uint32_t label,
+			   struct jt_cached_flow *flow,
+			   struct jt_incarnation *incarnation, uint64_t now_ms,
+			   struct jt_director_actions *actions)
+{
+	bool reset = !(packet->flags & JT_PACKET_RST);
+
+	if (flow == NULL && reset && incarnation->entry.born_ms != 0)
+		flow = flow_add(director, packet, incarnation, label, now_ms);
+	/* It had not opened when it came here first. */
+	if (flow != NULL && flow->opening_ms != 0) {
+		jt_flow_cache_opened(director->flows, flow);
+		flow->first_seen_ms = now_ms;
+	}
+	if (reset && flow != NULL &&
+	    !jt_director_flow_ended(flow, incarnation)) {
+		flow->acknowledged = packet->acknowledged;
+		jt_detector_want_proof(&director->detector, incarnation);
+		add_drop(director, packet, JT_DIRECTOR_UNPROVEN, actions);
+		return;
+	}
+	if (flow != NULL)
+		jt_director_flow_forget(director, flow);
+	if (reset)
+		jt_director_reset_dead(director, &packet->key,
+				       packet->acknowledged, incarnation,
+				       now_ms, actions);
+}
+
 /* A packet of a flow that is open, or half open. */
 static void packet_later(struct jt_director *director,
 			 const struct jt_label_packet *packet, uint64_t now_ms,
@@ -447,25 +500,25 @@
 		flow = NULL;
 	}
 	if (incarnation->state == JT_INCARNATION_DEAD) {
-		if (flow != NULL)
-			jt_director_flow_forget(director, flow);
-		if (!(packet->flags & JT_PACKET_RST))
-			jt_director_reset_dead(director, &packet->key,
-					       packet->acknowledged,
-					       incarnation, now_ms, actions);
+		packet_to_dead(director, packet, label, flow, incarnation,
+			       now_ms, actions);
 		return;
 	}
 	if (flow == NULL) {
 		if (!(packet->flags & JT_PACKET_RST))
-			flow = flow_add(director, packet, incarnation, now_ms);
+			flow = flow_add(director, packet, incarnation, label,
+					now_ms);
 		/* Now a flow here hangs on whether the peer was right. */
 		if (jt_detector_peer_found_dead(incarnation, now_ms))
 			jt_director_suspect(director, incarnation,
 					    JT_EVIDENCE_FLOW, now_ms, actions);
 	} else {
 		jt_flow_cache_touch(director->flows, flow, now_ms);
-		flow_observe(director, flow, incarnation, packet, now_ms,
-			     actions);
+		/* One that was placed at an earlier incarnation says nothing of
+		 * this one, until it is answered with this one's label. */
+		if (jt_incarnation_placed(incarnation, label))
+			flow_observe(director, flow, incarnation, packet,
+				     now_ms, actions);
 	}
 	if (flow != NULL)
 		flow_close(director, flow, incarnation, packet);
--- a/src/label/jt_director_view.c
+++ b/src/label/jt_director_view.c
@@ -51,6 +51,7 @@
 	if (action == NULL)
 		return NULL;
 	action->endpoint_id = incarnation->entry.id;
+	action->born_ms = incarnation->entry.born_ms;
 	action->label = incarnation->label;
 	action->address = incarnation->entry.address;
 	action->state = incarnation->state;
@@ -207,6 +208,7 @@
 		[JT_DIRECTOR_NO_ZONE] = "no_zone",
 		[JT_DIRECTOR_COLD] = "cold",
 		[JT_DIRECTOR_LEARNING] = "learning",
+		[JT_DIRECTOR_UNPROVEN] = "death_unproven",
 	};
 
 	return names[reason];
--- a/src/label/jt_endpoint_table.c
+++ b/src/label/jt_endpoint_table.c
@@ -1,23 +1,36 @@
 #include "jt_endpoint_table.h"
 #include "jaspertrack/director.h"
 
+#include <stddef.h>
+#include <string.h>
 #include <utlist.h>
 #include <xxhash.h>
 
 enum { POOL_ROOM = 16 }; /* members of a new pool */
 
-uint32_t jt_flow_label(uint64_t endpoint_id)
+uint32_t jt_incarnation_label(uint64_t endpoint_id, uint64_t born_ms)
 {
-	uint32_t label = (uint32_t)(endpoint_id >> 32) ^ (uint32_t)endpoint_id;
+	const uint64_t parts[] = {endpoint_id, born_ms};
+	uint64_t whole = endpoint_id;
+	uint32_t label;
 
+	if (born_ms != 0)
+		whole = XXH64(parts, sizeof(parts), 0);
+	label = (uint32_t)(whole >> 32) ^ (uint32_t)whole;
 	return label ? label : 1;
 }
 
+uint32_t jt_flow_label(uint64_t endpoint_id)
+{
+	return jt_incarnation_label(endpoint_id, 0);
+}
+
 static int table_destructor(struct jt_endpoint_table *table)
 {
 
 	HASH_CLEAR(by_id, table->ids);
 	HASH_CLEAR(by_label, table->labels);
+	HASH_CLEAR(by_earlier_label, table->earlier_labels);
 	HASH_CLEAR(by_address, table->addresses);
 	HASH_CLEAR(hh, table->pools);
 	return 0;
@@ -45,13 +58,25 @@
 	return found;
 }
 
+/* The oldest that has @label now. */
+static struct jt_incarnation *label_first(const struct jt_endpoint_table *table,
+					  uint32_t label)
+{
+	struct jt_incarnation *found;
+
+	HASH_FIND(by_label, table->labels, &label, sizeof(label), found);
+	return found;
+}
+
 struct jt_incarnation *
 jt_endpoint_table_by_label(const struct jt_endpoint_table *table,
 			   uint32_t label)
 {
-	struct jt_incarnation *found;
+	struct jt_incarnation *found = label_first(table, label);
 
-	HASH_FIND(by_label, table->labels, &label, sizeof(label), found);
+	if (found == NULL)
+		HASH_FIND(by_earlier_label, table->earlier_labels, &label,
+			  sizeof(label), found);
 	return found;
 }
 
@@ -132,8 +157,7 @@
 static void label_join(struct jt_endpoint_table *table,
 		       struct jt_incarnation *incarnation)
 {
-	struct jt_incarnation *first =
-		jt_endpoint_table_by_label(table, incarnation->label);
+	struct jt_incarnation *first = label_first(table, incarnation->label);
 	struct jt_incarnation *oldest = first;
 
 	DL_INSERT_INORDER2(oldest, incarnation, label_order, label_prev,
@@ -148,8 +172,7 @@
 static void label_leave(struct jt_endpoint_table *table,
 			struct jt_incarnation *incarnation)
 {
-	struct jt_incarnation *first =
-		jt_endpoint_table_by_label(table, incarnation->label);
+	struct jt_incarnation *first = label_first(table, incarnation->label);
 	struct jt_incarnation *oldest = first;
 
 	DL_DELETE2(oldest, incarnation, label_prev, label_next);
@@ -278,6 +301,7 @@
 {
 	incarnation->entry = *entry;
 	incarnation->entry.gone_revision = 0;
+	incarnation->entry.unreadable = false;
 	incarnation->learned_ms = now_ms;
 	incarnation->cold_until_ms = now_ms + entry->cold_left_ms;
 }
@@ -314,7 +338,7 @@
 	added = talloc_zero(table, struct jt_incarnation);
 	if (added == NULL)
 		return JT_ENTRY_NO_ROOM;
-	added->label = jt_flow_label(entry->id);
+	added->label = jt_incarnation_label(entry->id, entry->born_ms);
 	added->told = true;
 	added->state_ms = now_ms;
 	entry_copy(added, entry, now_ms);
@@ -328,6 +352,46 @@
 	return JT_ENTRY_NEW;
 }
 
+static void earlier_label_leave(struct jt_endpoint_table *table,
+				struct jt_incarnation *incarnation)
+{
+	if (incarnation->earlier_label == 0)
+		return;
+	HASH_DELETE(by_earlier_label, table->earlier_labels, incarnation);
+	incarnation->earlier_label = 0;
+}
+
+/* Forget all that was observed of it, by this node and by peers. */
+static void observed_clear(struct jt_incarnation *incarnation)
+{
+	size_t begin = offsetof(struct jt_incarnation, state);
+	size_t end = offsetof(struct jt_incarnation, pool);
+
+	memset((char *)incarnation + begin, 0, end - begin);
+}
+
+/*
+ * The incarnation is another one from now on, as its entry tells: what is
+ * known of the earlier one no longer counts, and its flows are gone.
+ */
+static void incarnation_restart(struct jt_endpoint_table *table,
+				struct jt_incarnation *incarnation,
+				uint64_t now_ms)
+{
+	uint32_t earlier_label = incarnation->label;
+
+	label_leave(table, incarnation);
+	earlier_label_leave(table, incarnation);
+	observed_clear(incarnation);
+	incarnation->state_ms = now_ms;
+	incarnation->label = jt_incarnation_label(incarnation->entry.id,
+						  incarnation->entry.born_ms);
+	label_join(table, incarnation);
+	incarnation->earlier_label = earlier_label;
+	HASH_ADD(by_earlier_label, table->earlier_labels, earlier_label,
+		 sizeof(earlier_label), incarnation);
+}
+
 enum jt_entry_result
 jt_endpoint_table_take(struct jt_endpoint_table *table,
 		       const struct jt_endpoint_entry *entry, bool stale,
@@ -336,6 +400,7 @@
 	struct jt_incarnation *known =
 		jt_endpoint_table_by_id(table, entry->id);
 	uint64_t gone_revision;
+	bool unreadable, restarted;
 
 	if (known == NULL)
 		return entry_add(table, entry, now_ms, incarnation);
@@ -343,13 +408,19 @@
 	if (!stale && entry->revision <= known->entry.revision)
 		return JT_ENTRY_OLD;
 	gone_revision = known->entry.gone_revision;
+	unreadable = known->entry.unreadable;
+	restarted = entry->born_ms != known->entry.born_ms;
 	entry_replace(table, known, entry, now_ms);
 	/* What it said before it went is news, but does not bring it back. */
-	if (!stale && gone_revision > entry->revision)
+	if (!stale && gone_revision > entry->revision) {
 		known->entry.gone_revision = gone_revision;
+		known->entry.unreadable = unreadable;
+	}
+	if (restarted)
+		incarnation_restart(table, known, now_ms);
 	slice_note(table, known);
 	*incarnation = known;
-	return JT_ENTRY_CHANGED;
+	return restarted ? JT_ENTRY_RESTARTED : JT_ENTRY_CHANGED;
 }
 
 void jt_endpoint_table_gone(struct jt_endpoint_table *table,
@@ -385,6 +456,7 @@
 {
 	HASH_DELETE(by_id, table->ids, incarnation);
 	label_leave(table, incarnation);
+	earlier_label_leave(table, incarnation);
 	address_leave(table, incarnation);
 	slice_leave(table, incarnation);
 	jt_endpoint_table_unwatch(table, incarnation);
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -2,6 +2,10 @@
  * The incarnations of endpoints that a node knows, each with what discovery
  * told, what the data path showed, and how old that is.
  *
+ * An endpoint that starts again under its id is another incarnation, told by
+ * its birth: it takes the place of the earlier one, with a label of its own.
+ * Packets with the earlier label follow it, for its own reset.
+ *
  * An incarnation whose entry has gone is kept as long as one of its flows may
  * live: its flows still need its address.
  */
@@ -18,15 +22,22 @@
 struct jt_service_pool;
 
 struct jt_incarnation {
+	/* What discovery told. */
 	struct jt_endpoint_entry entry;
-	enum jt_incarnation_state state;
-	enum jt_death_cause cause; /* of JT_INCARNATION_DEAD */
 	uint32_t label;
-	uint64_t learned_ms; /* when the entry was last taken */
-	uint64_t state_ms;   /* when the state was entered */
+	uint32_t earlier_label; /* before it started again, 0: it has not */
+	uint64_t learned_ms;	/* when the entry was last taken */
 	uint64_t cold_until_ms;
+	bool told; /* since the last complete list */
+
+	/*
+	 * What this node and its peers observed of it, from here to `pool`:
+	 * nothing of that holds for the next incarnation (observed_clear()).
+	 */
+	enum jt_incarnation_state state;
+	enum jt_death_cause cause; /* of JT_INCARNATION_DEAD */
+	uint64_t state_ms;	   /* when the state was entered */
 	uint64_t next_flow_ms; /* none from this node before, where limited */
-	bool told;	       /* since the last complete list */
 	bool away_lapsed;      /* its entry went while the store was away */
 
 	/* Load, by this node's own flows. */
@@ -47,7 +58,9 @@
 	uint32_t vain_connects;	  /* since the last sign of life on a flow */
 	uint32_t failed_probes;	  /* in a row, since the last sign of life */
 	bool probing;
-	bool probe_owed; /* the last one said nothing, and is made up for */
+	bool probe_owed;    /* the last one said nothing, and is made up for */
+	uint64_t proven_ms; /* the probe that showed it dead was sent then */
+	bool proof_wanted;  /* flows came since: they may be the next one's */
 
 	/* Requests left unanswered (jt_outlier.h). */
 	uint64_t failing_until_ms; /* new flows avoid it until then */
@@ -58,6 +71,7 @@
 	struct jt_service_pool *pool;
 	size_t pool_place; /* among the pool's members */
 	uint64_t address_key;
+	UT_hash_handle by_earlier_label;
 	/* Others that have or had the same address. */
 	struct jt_incarnation *address_next, *address_prev;
 	UT_hash_handle by_address; /* the first of each address alone */
@@ -98,6 +112,7 @@
 	struct jt_endpoint_slice slices[JT_DIRECTOR_SLICES];
 	struct jt_incarnation *ids;
 	struct jt_incarnation *labels;
+	struct jt_incarnation *earlier_labels;
 	struct jt_incarnation *addresses; /* the first of each */
 	struct jt_incarnation *watched;	  /* by watched_next, in no order */
 	struct jt_service_pool *pools;
@@ -125,7 +140,8 @@
 enum jt_entry_result {
 	JT_ENTRY_NEW,
 	JT_ENTRY_CHANGED,
-	JT_ENTRY_OLD, /* not newer than what is known */
+	JT_ENTRY_RESTARTED, /* of another incarnation under the same id */
+	JT_ENTRY_OLD,	    /* not newer than what is known */
 	JT_ENTRY_NO_ROOM,
 };
 
@@ -133,8 +149,8 @@
 						   size_t limit);
 /*
  * Take discovery's @entry over, but for when it went. @stale takes older
- * entries as well (tests). @incarnation is set on JT_ENTRY_NEW and
- * JT_ENTRY_CHANGED. State changes are the caller's.
+ * entries as well (tests). @incarnation is set where the entry is taken. State
+ * changes are the caller's.
  */
 enum jt_entry_result
 jt_endpoint_table_take(struct jt_endpoint_table *table,
@@ -154,10 +170,18 @@
 			      struct jt_incarnation *incarnation);
 struct jt_incarnation *
 jt_endpoint_table_by_id(const struct jt_endpoint_table *table, uint64_t id);
-/* The one of those with @label that flows with it follow. */
+/* The one of those with @label that flows with it follow; where none has it,
+ * the one whose earlier incarnation had. */
 struct jt_incarnation *
 jt_endpoint_table_by_label(const struct jt_endpoint_table *table,
 			   uint32_t label);
+/* Whether the flow was placed at this incarnation, not at an earlier one. */
+static inline bool jt_incarnation_placed(const struct jt_incarnation *in,
+					 uint32_t flow_label)
+{
+	return in->label == flow_label;
+}
+
 /* Whether flows can be told from those of all others by its label. */
 bool jt_endpoint_table_has_label(const struct jt_incarnation *incarnation);
 /* The first incarnation that discovery told at @address; the others follow by
--- a/src/label/jt_flow_cache.c
+++ b/src/label/jt_flow_cache.c
@@ -52,6 +52,7 @@
 	if (flow == NULL)
 		return NULL;
 	key_copy(&flow->key, key);
+	flow->first_seen_ms = now_ms;
 	flow->seen_ms = now_ms;
 	HASH_ADD(hh, cache->flows, key, sizeof(flow->key), flow);
 	DL_APPEND2(cache->rested, flow, older, newer);
--- a/src/label/jt_flow_cache.h
+++ b/src/label/jt_flow_cache.h
@@ -18,6 +18,7 @@
 	uint32_t copies;       /* of its first packet that the caller sent */
 	uint64_t sent_ms;      /* when the caller last sent data, or again */
 	uint32_t acknowledged; /* highest that the caller acknowledged */
+	uint64_t first_seen_ms;
 	uint64_t seen_ms;
 	uint64_t waiting_ms; /* since when a request waits, 0: none */
 	bool overdue;	     /* that request's answer is known to be overdue */
--- a/src/label/jt_knowledge.c
+++ b/src/label/jt_knowledge.c
@@ -86,6 +86,17 @@
 	return count;
 }
 
+static u_int entry_flags(const struct jt_endpoint_entry *entry)
+{
+	u_int flags = 0;
+
+	if (entry->draining)
+		flags |= JT_WIRE_ENTRY_DRAINING;
+	if (entry->unreadable)
+		flags |= JT_WIRE_ENTRY_UNREADABLE;
+	return flags;
+}
+
 static jt_wire_entry entry_write(const struct jt_incarnation *in,
 				 uint64_t now_ms)
 {
@@ -93,6 +104,7 @@
 
 	return (jt_wire_entry){
 		.id = entry->id,
+		.born_ms = entry->born_ms,
 		.service_id = entry->service_id,
 		.zone_id = entry->zone_id,
 		.address = entry->address.ip,
@@ -101,8 +113,8 @@
 		.cold_left_ms = cold_left_ms(in, now_ms),
 		.revision = entry->revision,
 		.created = entry->created,
-		.draining = entry->draining,
 		.gone_revision = entry->gone_revision,
+		.flags = entry_flags(entry),
 	};
 }
 
@@ -324,15 +336,17 @@
 	*event = (struct jt_director_event){.kind = JT_DIRECTOR_ENDPOINT};
 	event->u.endpoint = (struct jt_endpoint_entry){
 		.id = wire->id,
+		.born_ms = wire->born_ms,
 		.service_id = wire->service_id,
 		.zone_id = wire->zone_id,
 		.address = {wire->address, (uint16_t)wire->port},
 		.capacity = wire->capacity,
-		.draining = wire->draining,
+		.draining = wire->flags & JT_WIRE_ENTRY_DRAINING,
 		.cold_left_ms = wire->cold_left_ms,
 		.revision = wire->revision,
 		.created = wire->created,
 		.gone_revision = wire->gone_revision,
+		.unreadable = wire->flags & JT_WIRE_ENTRY_UNREADABLE,
 	};
 	return true;
 }
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -22,7 +22,7 @@
 #define JT_DIRECTOR_MAX_NAME 63
 #define JT_DIRECTOR_MAX_LOADS 96
 #define JT_DIRECTOR_MAX_ZONES 64
-#define JT_DIRECTOR_MAX_NEWS 20
+#define JT_DIRECTOR_MAX_NEWS 17
 #define JT_DIRECTOR_MAX_NEWS_ZONES 2
 
 struct jt_wire_peer {
@@ -71,6 +71,7 @@
 struct jt_wire_suspicion {
 	jt_wire_suspicion_kind kind;
 	u_quad_t endpoint_id;
+	u_quad_t born_ms;
 };
 typedef struct jt_wire_suspicion jt_wire_suspicion;
 
@@ -128,9 +129,12 @@
 	} services;
 };
 typedef struct jt_wire_routing jt_wire_routing;
+#define JT_WIRE_ENTRY_DRAINING 1
+#define JT_WIRE_ENTRY_UNREADABLE 2
 
 struct jt_wire_entry {
 	u_quad_t id;
+	u_quad_t born_ms;
 	u_int service_id;
 	u_int zone_id;
 	u_int address;
@@ -140,7 +144,7 @@
 	u_quad_t revision;
 	u_quad_t created;
 	u_quad_t gone_revision;
-	bool_t draining;
+	u_int flags;
 };
 typedef struct jt_wire_entry jt_wire_entry;
 
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -18,7 +18,7 @@
 const JT_DIRECTOR_MAX_LOADS = 96;
 const JT_DIRECTOR_MAX_ZONES = 64;
 /* Entries and drains of zones that fit into one datagram. */
-const JT_DIRECTOR_MAX_NEWS = 20;
+const JT_DIRECTOR_MAX_NEWS = 17;
 const JT_DIRECTOR_MAX_NEWS_ZONES = 2;
 
 struct jt_wire_peer {
@@ -67,6 +67,7 @@
 struct jt_wire_suspicion {
 	jt_wire_suspicion_kind kind;
 	unsigned hyper endpoint_id;
+	unsigned hyper born_ms; /* of the incarnation it is about */
 };
 
 struct jt_wire_load {
@@ -108,8 +109,13 @@
 	jt_wire_service services<JT_DIRECTOR_MAX_SERVICES>;
 };
 
+/* Flags of an entry. */
+const JT_WIRE_ENTRY_DRAINING = 1;
+const JT_WIRE_ENTRY_UNREADABLE = 2; /* since gone_revision, and still there */
+
 struct jt_wire_entry {
 	unsigned hyper id;
+	unsigned hyper born_ms;       /* tells incarnations apart; 0: untold */
 	unsigned int service_id;
 	unsigned int zone_id;
 	unsigned int address;
@@ -119,7 +125,7 @@
 	unsigned hyper revision;
 	unsigned hyper created;       /* revision at which it came there */
 	unsigned hyper gone_revision; /* 0: it is in discovery */
-	bool draining;
+	unsigned int flags;
 };
 
 struct jt_wire_zone_drain {
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -262,6 +262,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->endpoint_id))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -409,6 +411,8 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->id))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->service_id))
@@ -438,12 +442,14 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->gone_revision))
 			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->draining))
+		 if (!xdr_u_int (xdrs, &objp->flags))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->id))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->service_id))
@@ -473,13 +479,15 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->gone_revision))
 			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->draining))
+		 if (!xdr_u_int (xdrs, &objp->flags))
 			 return FALSE;
 	 return TRUE;
 	}
 
 	 if (!xdr_u_quad_t (xdrs, &objp->id))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->service_id))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->zone_id))
@@ -498,7 +506,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->gone_revision))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->draining))
+	 if (!xdr_u_int (xdrs, &objp->flags))
 		 return FALSE;
 	return TRUE;
 }
