Entries by other writers: every field is read, or named as wrong

Cause: capacity, coldLeftMs, zone, version and callCount of any type were taken as 0, ids like 0x1f, +1f or x/i-7f as ids, two values of a field as the last. A key with & or % as a page's last made the list go on from elsewhere, one with a NUL refused its whole page. `born` is read.

--- /dev/null
+++ b/fuzz/fuzz_document.c
@@ -0,0 +1,191 @@
+/*
+ * Items of the store by any writer: each is taken or explained, alone, and
+ * leaves those beside it in a page as they are.
+ */
+#include "jt_platform.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+enum { TEXT_MOST = 4096, REVISION = 412 };
+
+/* Values of every sort that a field may be given, right and wrong. */
+static const char *const values[] = {
+	"\"counter\"",
+	"\"10.128.0.9:8080\"",
+	"\"10.128.0.9\"",
+	"\"regina\"",
+	"\"ready\"",
+	"\"draining\"",
+	"\"asleep\"",
+	"\"\"",
+	"0",
+	"2",
+	"-1",
+	"4294967296",
+	"1764740000000",
+	"99999999999999999999",
+	"1.5",
+	"1e999",
+	"true",
+	"null",
+	"[[[[]]]]",
+	"{\"born\":1}",
+};
+
+static const char *const fields[] = {
+	"service",  "address",	  "zone",      "version", "capacity",
+	"state",    "coldLeftMs", "callCount", "born",	  "more",
+};
+
+static const char *const keys[] = {
+	"servers/i-7f", "servers/i-",	    "servers/",	 "servers/x/i-7f",
+	"servers/i-7g", "op/evacuate/zone", "op/config", "op/config/more",
+	"op/evacuate/", "",
+};
+
+static const char good_entry[] =
+	"{\"service\":\"counter\",\"address\":\"10.128.0.8:8080\",\"zone\":"
+	"\"regina\",\"version\":\"v1\",\"capacity\":2,\"state\":\"ready\","
+	"\"coldLeftMs\":0,\"callCount\":0,\"born\":1764740000000}";
+
+struct input {
+	const uint8_t *data;
+	size_t left;
+};
+
+static size_t take(struct input *input, size_t below)
+{
+	if (input->left == 0)
+		return 0;
+	input->left--;
+	return *input->data++ % below;
+}
+
+/* An object of some fields, each of them right by half. */
+static void document_make(struct input *input, char *text)
+{
+	size_t count = take(input, 16), used = 0;
+
+	used += (size_t)snprintf(text, TEXT_MOST, "{");
+	for (size_t i = 0; i < count; i++) {
+		size_t field = take(input, sizeof(fields) / sizeof(fields[0]));
+		size_t value = take(input, sizeof(values) / sizeof(values[0]));
+
+		used += (size_t)snprintf(text + used, TEXT_MOST - used,
+					 "%s\"%s\":%s", i ? "," : "",
+					 fields[field], values[value]);
+	}
+	snprintf(text + used, TEXT_MOST - used, "}");
+}
+
+static json_t *item_make(const char *key, const uint8_t *value, size_t length)
+{
+	char text[2 * TEXT_MOST];
+
+	sodium_bin2base64(text, sizeof(text), value, length,
+			  sodium_base64_VARIANT_ORIGINAL);
+	return json_pack("{s:s, s:s, s:i, s:i}", "tlsKey", key, "value", text,
+			 "revision", REVISION, "created", REVISION);
+}
+
+static json_t *good_item(const char *key)
+{
+	return item_make(key, (const uint8_t *)good_entry,
+			 sizeof(good_entry) - 1);
+}
+
+/* What the product is told makes sense, or says what does not. */
+static void check_change(const struct jt_change *change)
+{
+	switch (change->kind) {
+	case JT_CHANGE_INVALID:
+		if (change->key == NULL || change->field == NULL ||
+		    change->reason == NULL)
+			abort();
+		break;
+	case JT_CHANGE_ENDPOINT:
+		if (change->endpoint.id == 0 ||
+		    change->endpoint.address.port == 0 ||
+		    change->endpoint.revision == 0)
+			abort();
+		break;
+	case JT_CHANGE_ROUTING:
+		if (change->routing == NULL || change->routing->version == 0)
+			abort();
+		break;
+	default:
+		break;
+	}
+}
+
+/* A page with @item between two entries that make sense. */
+static void check_page(json_t *item)
+{
+	struct jt_kv_answer *answer = talloc_zero(NULL, struct jt_kv_answer);
+	json_t *page = json_pack("{s:i, s:b, s:[o, O, o]}", "at", REVISION,
+				 "more", 1, "items", good_item("servers/i-a1"),
+				 item, good_item("servers/i-a2"));
+	char *body = json_dumps(page, 0);
+	const struct jt_change *last;
+
+	jt_platform_answer(answer, body);
+	if (answer->status != JT_KV_OK || answer->change_count < 2 ||
+	    strcmp(answer->last_key, "servers/i-a2") != 0)
+		abort();
+	for (size_t i = 0; i < answer->change_count; i++)
+		check_change(&answer->changes[i]);
+	last = &answer->changes[answer->change_count - 1];
+	if (answer->changes[0].kind != JT_CHANGE_ENDPOINT ||
+	    answer->changes[0].endpoint.id != 0xa1 ||
+	    last->kind != JT_CHANGE_ENDPOINT || last->endpoint.id != 0xa2)
+		abort();
+	free(body);
+	json_decref(page);
+	talloc_free(answer);
+}
+
+/* The bytes as the body of a whole answer. */
+static void check_body(const struct input *input)
+{
+	struct jt_kv_answer *answer = talloc_zero(NULL, struct jt_kv_answer);
+	char *body = talloc_strndup(answer, (const char *)input->data,
+				    input->left);
+
+	jt_platform_answer(answer, body);
+	for (size_t i = 0; i < answer->change_count; i++)
+		check_change(&answer->changes[i]);
+	talloc_free(answer);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct input input = {data, size};
+	char text[TEXT_MOST];
+	const char *key;
+	json_t *item;
+
+	if (sodium_init() < 0)
+		abort();
+	if (take(&input, 4) == 0) {
+		check_body(&input);
+		return 0;
+	}
+	key = keys[take(&input, sizeof(keys) / sizeof(keys[0]))];
+	if (take(&input, 4) == 0) {
+		size_t length =
+			input.left < TEXT_MOST ? input.left : TEXT_MOST;
+
+		item = item_make(key, input.data, length);
+	} else {
+		document_make(&input, text);
+		item = item_make(key, (const uint8_t *)text, strlen(text));
+	}
+	check_page(item);
+	json_decref(item);
+	return 0;
+}
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -21,7 +21,7 @@
 }
 part=$((seconds / 10))
 [ $part -gt 0 ] || part=1
-for target in packet message resource settings; do run $target $part 1000; done
+for target in packet message resource settings document; do run $target $part 1000; done
 run director $((3 * part)) 4000
-run cluster $((seconds - 7 * part > 0 ? seconds - 7 * part : 1)) 400
+run cluster $((seconds - 8 * part > 0 ? seconds - 8 * part : 1)) 400
 exit $failed
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -187,6 +187,241 @@
 		       "routes");
 }
 
+/* An entry that makes sense, but for one field: @value is its JSON, or NULL to
+ * leave the field out. */
+static char *entry_with(const char *field, const char *value)
+{
+	static const char *const fields[][2] = {
+		{"service", "\"counter\""}, {"address", "\"10.128.0.9:8080\""},
+		{"zone", "\"regina\""},	    {"version", "\"v1\""},
+		{"capacity", "2"},	    {"state", "\"ready\""},
+		{"coldLeftMs", "0"},	    {"callCount", "4"},
+		{"born", "1764740000000"},
+	};
+	char *text = talloc_strdup(NULL, "{");
+
+	for (size_t i = 0; i < sizeof(fields) / sizeof(fields[0]); i++) {
+		const char *is = fields[i][1];
+
+		if (strcmp(fields[i][0], field) == 0)
+			is = value;
+		if (is != NULL)
+			text = talloc_asprintf_append(text, "%s\"%s\":%s",
+						      text[1] ? "," : "",
+						      fields[i][0], is);
+	}
+	return talloc_asprintf_append(text, "}");
+}
+
+static void test_births(void **state)
+{
+	struct jt_change change;
+	char *text = entry_with("callCount", "0");
+
+	(void)state;
+	assert_int_equal(read_change("servers/i-7f3a91c2", text, &change),
+			 JT_CHANGE_ENDPOINT);
+	assert_int_equal(change.endpoint.born_ms, 1764740000000);
+	talloc_free(text);
+	text = entry_with("born", NULL);
+	assert_int_equal(read_change("servers/i-7f3a91c2", text, &change),
+			 JT_CHANGE_ENDPOINT);
+	assert_int_equal(change.endpoint.born_ms, 0);
+	talloc_free(text);
+}
+
+/* Fewer calls than before, or many: no sign of an older entry. */
+static void test_counts_of_calls_say_nothing(void **state)
+{
+	static const char *const counts[] = {"0", "4", "4000000000"};
+	struct jt_change first, change;
+
+	(void)state;
+	for (size_t i = 0; i < 3; i++) {
+		char *text = entry_with("callCount", counts[i]);
+
+		assert_int_equal(
+			read_change("servers/i-7f3a91c2", text, &change),
+			JT_CHANGE_ENDPOINT);
+		if (i == 0)
+			first = change;
+		assert_memory_equal(&change.endpoint, &first.endpoint,
+				    sizeof(first.endpoint));
+		talloc_free(text);
+	}
+}
+
+/* What another writer may put into a field, NULL to leave it out. */
+static void test_fields_by_another_writer(void **state)
+{
+	static const struct {
+		const char *field;
+		const char *value;
+	} cases[] = {
+		{"service", NULL},
+		{"service", "7"},
+		{"service", "\"\""},
+		{"service", "[\"counter\"]"},
+		{"address", NULL},
+		{"address", "8080"},
+		{"address", "\"10.128.0.9\""},
+		{"address", "\"10.128.0.9:\""},
+		{"address", "\"10.128.0.9:0\""},
+		{"address", "\"10.128.0.9:99999\""},
+		{"address", "\"10.128.0.9:80 \""},
+		{"address", "\"host:8080\""},
+		{"address", "\"[::1]:8080\""},
+		{"zone", NULL},
+		{"zone", "null"},
+		{"zone", "1"},
+		{"version", NULL},
+		{"version", "1"},
+		{"capacity", NULL},
+		{"capacity", "\"2\""},
+		{"capacity", "-2"},
+		{"capacity", "2.0"},
+		{"capacity", "1e3"},
+		{"capacity", "99999999999"},
+		{"state", NULL},
+		{"state", "true"},
+		{"state", "\"asleep\""},
+		{"state", "\"READY\""},
+		{"coldLeftMs", NULL},
+		{"coldLeftMs", "\"70\""},
+		{"coldLeftMs", "-1"},
+		{"coldLeftMs", "70.5"},
+		{"callCount", NULL},
+		{"callCount", "\"4\""},
+		{"callCount", "{}"},
+		{"born", "\"1764740000000\""},
+		{"born", "1764740000000.5"},
+		{"born", "1.7e12"},
+		{"born", "-5"},
+		{"born", "0"},
+		{"born", "null"},
+		{"born", "true"},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		char *text = entry_with(cases[i].field, cases[i].value);
+
+		expect_invalid("servers/i-1", text, cases[i].field);
+		talloc_free(text);
+	}
+}
+
+/* Bytes that are no document at all. */
+static void test_bytes_by_another_writer(void **state)
+{
+	static const char *const values[] = {
+		"",
+		"null",
+		"7",
+		"\"ready\"",
+		"[{}]",
+		"{\"service\":\"a\",\"service\":\"b\"}",
+		"{\"capacity\":123456789012345678901234567890}",
+		"{\"capacity\":1e999}",
+		"{\"service\":\"a\\u0000b\"}",
+		"\xff\xfe{}",
+	};
+	char deep[4096];
+	json_t *item;
+	struct jt_change change;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++)
+		expect_invalid("servers/i-1", values[i], "value");
+	memset(deep, '[', sizeof(deep) - 1);
+	deep[sizeof(deep) - 1] = '\0';
+	expect_invalid("servers/i-1", deep, "value");
+	/* And values that are no base64. */
+	item = json_pack("{s:s, s:s, s:i}", "tlsKey", "servers/i-1", "value",
+			 "*", "revision", 5);
+	assert_true(jt_platform_item(NULL, item, &change));
+	assert_int_equal(change.kind, JT_CHANGE_INVALID);
+	json_object_set_new(item, "value", json_integer(7));
+	assert_true(jt_platform_item(NULL, item, &change));
+	assert_int_equal(change.kind, JT_CHANGE_INVALID);
+	/* It is known whose entry it is, and since when. */
+	assert_int_equal(change.endpoint.id, 1);
+	assert_int_equal(change.endpoint.revision, 5);
+	json_decref(item);
+}
+
+/* Other keys below servers/ name no endpoint. */
+static void test_keys_by_another_writer(void **state)
+{
+	static const char *const keys[] = {
+		"servers/",	     "servers/i-",
+		"servers/i-xyz",     "servers/i-11112222333344445",
+		"servers/i-0x1f",    "servers/i- 1f",
+		"servers/i-+1f",     "servers/i-1f/more",
+		"servers/more/i-1f", "servers/i-1f ",
+	};
+	char *text = entry_with("", NULL);
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
+		struct jt_change change;
+
+		assert_int_equal(read_change(keys[i], text, &change),
+				 JT_CHANGE_INVALID);
+		assert_string_equal(change.field, "id");
+		assert_int_equal(change.endpoint.id, 0);
+		/* No key can forge a line of the log. */
+		assert_null(strpbrk(change.key, " \n\""));
+	}
+	talloc_free(text);
+}
+
+/* A list goes on after any key. */
+static void test_keys_in_queries(void **state)
+{
+	char *text = jt_platform_escape(NULL, "servers/i-7f");
+
+	(void)state;
+	assert_string_equal(text, "servers/i-7f");
+	talloc_free(text);
+	text = jt_platform_escape(NULL, "servers/a&after=%\n\xc3");
+	assert_string_equal(text, "servers/a%26after%3D%25%0A%C3");
+	talloc_free(text);
+}
+
+/* A page with one bad item of each kind: the others hold, and it goes on. */
+static void test_bad_items_touch_no_others(void **state)
+{
+	struct jt_kv_answer *answer = talloc_zero(NULL, struct jt_kv_answer);
+	char *text = entry_with("", NULL), *body;
+	json_t *good = item_of("servers/i-2", text);
+	json_t *page = json_pack(
+		"{s:i, s:b, s:[o, {s:s, s:s, s:i}, {s:i}, s, {s:s%, s:s}, o]}",
+		"at", 500, "more", true, "items", good, "tlsKey", "servers/i-1",
+		"value", "e30", "revision", 413, "tlsKey", 7, "no item",
+		"tlsKey", "servers/i-3\0x", (size_t)13, "value",
+		"e30=", item_of("servers/i-4", text));
+
+	(void)state;
+	assert_non_null(page);
+	body = json_dumps(page, 0);
+	jt_platform_answer(answer, body);
+	assert_int_equal(answer->status, JT_KV_OK);
+	assert_int_equal(answer->revision, 500);
+	assert_true(answer->more);
+	assert_int_equal(answer->change_count, 3);
+	assert_int_equal(answer->changes[0].kind, JT_CHANGE_ENDPOINT);
+	assert_int_equal(answer->changes[1].kind, JT_CHANGE_INVALID);
+	assert_int_equal(answer->changes[1].revision, 413);
+	assert_int_equal(answer->changes[2].kind, JT_CHANGE_ENDPOINT);
+	assert_int_equal(answer->changes[2].endpoint.id, 4);
+	assert_string_equal(answer->last_key, "servers/i-4");
+	free(body);
+	json_decref(page);
+	talloc_free(text);
+	talloc_free(answer);
+}
+
 static void test_config(void **state)
 {
 	struct jt_change change;
@@ -253,6 +488,13 @@
 		cmocka_unit_test(test_endpoint),
 		cmocka_unit_test(test_zone),
 		cmocka_unit_test(test_bad_documents_are_named),
+		cmocka_unit_test(test_births),
+		cmocka_unit_test(test_counts_of_calls_say_nothing),
+		cmocka_unit_test(test_fields_by_another_writer),
+		cmocka_unit_test(test_bytes_by_another_writer),
+		cmocka_unit_test(test_keys_by_another_writer),
+		cmocka_unit_test(test_keys_in_queries),
+		cmocka_unit_test(test_bad_items_touch_no_others),
 		cmocka_unit_test(test_config),
 		cmocka_unit_test(test_keys_of_others_are_passed_over),
 		cmocka_unit_test(test_endpoint_ids),
