jaspertrackd: the node no longer calls the parts that stand on it

jt_node.c started and called the resource API, the store's dealings, the probes and the store's vote, all of which call the node: one circle of six files. Now jt_balancer.c starts the node and its parts, and the node tells of ticks, changes, a wanted vote and its leave by callbacks. API, status and witness are given the store's dealings instead of finding them in the node.

--- a/src/daemon/jt_api.c
+++ b/src/daemon/jt_api.c
@@ -1,5 +1,4 @@
 #include "jt_api.h"
-#include "jt_config_sync.h"
 #include "jt_http_server.h"
 #include "jt_net.h"
 #include "jt_status.h"
@@ -29,6 +28,7 @@
 
 struct jt_api {
 	struct jt_node *node;
+	struct jt_config_sync *sync;
 	struct jt_http_server *server;
 	struct waiting_watch *watches;
 	uint64_t tokens_milli;
@@ -201,7 +201,7 @@
 {
 	struct api_write *write = private_data;
 
-	jt_config_write_forget(write->api->node->sync, write);
+	jt_config_write_forget(write->api->sync, write);
 	talloc_free(write);
 }
 
@@ -347,7 +347,7 @@
 	write = write_make(api, request, id);
 	if (write == NULL)
 		goto refused;
-	jt_config_write(api->node->sync, write->id, changes, count, posted,
+	jt_config_write(api->sync, write->id, changes, count, posted,
 			on_written, write);
 	return;
 refused:
@@ -503,8 +503,6 @@
 	struct waiting_watch *watch, *next;
 	uint64_t revision;
 
-	if (api == NULL)
-		return;
 	revision = revision_in_force(api->node);
 	for (watch = api->watches; watch != NULL; watch = next) {
 		next = watch->next;
@@ -580,7 +578,7 @@
 	struct api_write *write = write_make(api, request, id);
 
 	if (write != NULL)
-		jt_config_write_outcome(api->node->sync, write->id, on_written,
+		jt_config_write_outcome(api->sync, write->id, on_written,
 					write);
 }
 
@@ -620,7 +618,7 @@
 	if (get && strcmp(path, "/v1/resources") == 0)
 		handle_resources(api, request);
 	else if (get && strcmp(path, "/v1/status") == 0)
-		reply_json(request, 200, jt_status_json(api->node));
+		reply_json(request, 200, jt_status_json(api->node, api->sync));
 	else if (get && strcmp(path, "/v1/watch") == 0)
 		handle_watch(api, request);
 	else if (get && strcmp(path, "/v1/explain") == 0)
@@ -654,7 +652,7 @@
 		jt_http_reply(request, ready ? 200 : 503, "text/plain",
 			      ready ? "ready\n" : "not ready\n");
 	} else if (strcmp(path, "/metrics") == 0) {
-		text = jt_status_metrics(api, api->node);
+		text = jt_status_metrics(api, api->node, api->sync);
 		jt_http_reply(request, 200, "text/plain; version=0.0.4", text);
 		talloc_free(text);
 	} else {
@@ -689,7 +687,8 @@
 	handle_v1(api, request, token);
 }
 
-struct jt_api *jt_api_create(TALLOC_CTX *mem_ctx, struct jt_node *node)
+struct jt_api *jt_api_create(TALLOC_CTX *mem_ctx, struct jt_node *node,
+			     struct jt_config_sync *sync)
 {
 	const struct jt_settings *settings = node->settings;
 	const struct jt_http_options options = {
@@ -703,6 +702,7 @@
 	if (api == NULL)
 		return NULL;
 	api->node = node;
+	api->sync = sync;
 	api->refilled_ms = jt_clock_ms();
 	api->tokens_milli = (uint64_t)RATE_BURST * 1000;
 	api->server = jt_http_server_create(api, node->loop, &options,
--- a/src/daemon/jt_api.h
+++ b/src/daemon/jt_api.h
@@ -16,11 +16,14 @@
 #ifndef JT_API_H
 #define JT_API_H
 
-#include "jt_node.h"
+#include "jt_config_sync.h"
 
 struct jt_api;
 
-struct jt_api *jt_api_create(TALLOC_CTX *mem_ctx, struct jt_node *node);
+/* Serve @node, whose changes go to the store by @sync. NULL with errno where
+ * the address can't be used. */
+struct jt_api *jt_api_create(TALLOC_CTX *mem_ctx, struct jt_node *node,
+			     struct jt_config_sync *sync);
 /* Something that watchers wait for may have changed. */
 void jt_api_changed(struct jt_api *api);
 void jt_api_tick(struct jt_api *api);
--- a/src/daemon/jt_node.c
+++ b/src/daemon/jt_node.c
@@ -1,11 +1,6 @@
 #include "jt_node.h"
-#include "jt_api.h"
-#include "jt_config_sync.h"
-#include "jt_health_probe.h"
-#include "jt_witness.h"
 #include "jt_net.h"
 #include "jt_timer.h"
-#include "jt_resource.h"
 
 #include <errno.h>
 #include <sodium.h>
@@ -17,20 +12,13 @@
 
 enum {
 	TICK_MS = 25,
-	LEAVE_LIMIT_S = 15,    /* a leave that nobody confirms */
-	HELD_LIMIT = 8192,     /* first packets that wait for a replica */
-	PEER_BATCH = 64,       /* datagrams before other events get a turn */
-	CONTROL_BATCH = 256,   /* queued packets, likewise */
-	REPLAY_SENDERS = 1024, /* nodes whose sequence numbers are kept */
+	LEAVE_LIMIT_S = 15,  /* a leave that nobody confirms */
+	HELD_LIMIT = 8192,   /* first packets that wait for a replica */
+	PEER_BATCH = 64,     /* datagrams before other events get a turn */
+	CONTROL_BATCH = 256, /* queued packets, likewise */
 	PEER_FRAME_MIN = 28,
 };
 
-struct jt_replay_entry {
-	uint64_t sender;
-	uint64_t used_ms;
-	struct jt_replay window;
-};
-
 struct jt_held_packet {
 	struct jt_held_packet *next;
 	uint64_t token;
@@ -44,40 +32,12 @@
 const struct jt_document *jt_node_document(const struct jt_node *node,
 					   uint64_t revision)
 {
-	for (int i = 0; i < JT_DOCUMENT_MEMORY; i++) {
-		if (node->documents[i] != NULL &&
-		    node->documents[i]->revision == revision)
-			return node->documents[i];
-	}
-	return NULL;
+	return jt_document_find(&node->documents, revision);
 }
 
 const struct jt_document *jt_node_newest(const struct jt_node *node)
 {
-	const struct jt_document *newest = NULL;
-
-	for (int i = 0; i < JT_DOCUMENT_MEMORY; i++) {
-		const struct jt_document *document = node->documents[i];
-
-		if (document != NULL &&
-		    (newest == NULL || document->revision > newest->revision))
-			newest = document;
-	}
-	return newest;
-}
-
-static int oldest_document(const struct jt_node *node)
-{
-	int oldest = 0;
-
-	for (int i = 0; i < JT_DOCUMENT_MEMORY; i++) {
-		if (node->documents[i] == NULL)
-			return i;
-		if (node->documents[i]->revision <
-		    node->documents[oldest]->revision)
-			oldest = i;
-	}
-	return oldest;
+	return jt_document_newest(&node->documents);
 }
 
 bool jt_node_take_document(struct jt_node *node, uint64_t revision,
@@ -86,19 +46,12 @@
 	struct jt_event event = {.kind = JT_EVENT_CONFIG};
 	struct jt_resource_error error;
 	struct jt_document *document;
-	json_t *root;
-	int slot;
 
 	if (jt_node_document(node, revision) != NULL)
 		return true;
-	document = talloc_zero(node, struct jt_document);
+	document = jt_document_create(node, revision, text, &error);
 	if (document == NULL)
 		return false;
-	root = json_loads(text, 0, NULL);
-	document->revision = revision;
-	document->text = talloc_strdup(document, text);
-	document->config = jt_resource_build(document, root, revision, &error);
-	json_decref(root);
 	if (document->config == NULL) {
 		jt_log_line(node->log, LOG_ERR,
 			    "event=config_rejected revision=%llu resource=%s "
@@ -110,15 +63,10 @@
 	}
 	event.u.config = document->config;
 	jt_node_event(node, &event);
-	slot = oldest_document(node);
-	if (node->documents[slot] != NULL) {
-		/* The core may still refer to the configuration. */
-		talloc_unlink(node, node->documents[slot]);
-	}
-	node->documents[slot] = document;
+	jt_document_keep(&node->documents, document);
 	jt_log_line(node->log, LOG_INFO, "event=config_known revision=%llu",
 		    (unsigned long long)revision);
-	jt_api_changed(node->api);
+	node->handler.changed(node->handler.private_data);
 	return true;
 }
 
@@ -301,7 +249,8 @@
 		node->left = true;
 		break;
 	case JT_ACTION_WITNESS:
-		jt_witness_ask(node->witness, &action->witness);
+		node->handler.witness(&action->witness,
+				      node->handler.private_data);
 		break;
 	}
 }
@@ -325,7 +274,15 @@
 	node->publish = false;
 	jt_traffic_publish(node->traffic, node->core);
 	log_state(node);
-	jt_api_changed(node->api);
+	node->handler.changed(node->handler.private_data);
+}
+
+static void left_tell(struct jt_node *node)
+{
+	if (node->left_told)
+		return;
+	node->left_told = true;
+	node->handler.left(node->handler.private_data);
 }
 
 static void watch_ready(struct jt_node *node)
@@ -349,12 +306,8 @@
 	if (node->publish)
 		node_published(node);
 	jt_traffic_set_lease(node->traffic, jt_core_lease_until(node->core));
-	if (node->left && node->on_left != NULL) {
-		void (*callback)(struct jt_node *) = node->on_left;
-
-		node->on_left = NULL;
-		callback(node);
-	}
+	if (node->left)
+		left_tell(node);
 }
 
 /* Input */
@@ -402,28 +355,6 @@
 		(void)!write(node->wake_fd, &value, sizeof(value));
 }
 
-static bool replay_ok(struct jt_node *node, uint64_t sender, uint64_t sequence)
-{
-	struct jt_replay_entry *entry = NULL;
-	size_t oldest = 0;
-
-	for (size_t i = 0; i < node->replay_count; i++) {
-		if (node->replays[i].sender == sender)
-			entry = &node->replays[i];
-		if (node->replays[i].used_ms < node->replays[oldest].used_ms)
-			oldest = i;
-	}
-	if (entry == NULL) {
-		entry = &node->replays[node->replay_count < REPLAY_SENDERS
-					       ? node->replay_count++
-					       : oldest];
-		memset(entry, 0, sizeof(*entry));
-		entry->sender = sender;
-	}
-	entry->used_ms = jt_clock_ms();
-	return jt_replay_check(&entry->window, sequence);
-}
-
 static void peer_message(struct jt_node *node, struct jt_address from,
 			 const jt_wire_message *message)
 {
@@ -472,7 +403,8 @@
 		node->counters.peer_rejected[error]++;
 		return;
 	}
-	if (replay_ok(node, message.from, sequence))
+	if (jt_replay_table_take(node->replays, message.from, sequence,
+				 jt_clock_ms()))
 		peer_message(node, from, &message);
 	else
 		node->counters.peer_rejected[JT_CODEC_REPLAY]++;
@@ -509,9 +441,7 @@
 
 	jt_node_event(node, &event);
 	watch_ready(node);
-	jt_config_sync_tick(node->sync);
-	jt_health_probe_tick(node->probe);
-	jt_api_tick(node->api);
+	node->handler.tick(node->handler.private_data);
 	jt_timer_set(node->tick, TICK_MS);
 }
 
@@ -524,13 +454,11 @@
 static void on_leave_limit(void *private_data)
 {
 	struct jt_node *node = private_data;
-	void (*callback)(struct jt_node *) = node->on_left;
 
-	if (callback == NULL)
+	if (node->left_told)
 		return;
 	jt_log_line(node->log, LOG_WARNING, "event=leave_unconfirmed");
-	node->on_left = NULL;
-	callback(node);
+	left_tell(node);
 }
 
 static void on_leave(void *private_data)
@@ -583,19 +511,21 @@
 
 struct jt_node *jt_node_create(TALLOC_CTX *mem_ctx, struct tevent_context *loop,
 			       const struct jt_log *log,
-			       struct jt_settings *settings, char **error)
+			       struct jt_settings *settings,
+			       const struct jt_node_handler *handler,
+			       char **error)
 {
 	struct jt_node *node = talloc_zero(mem_ctx, struct jt_node);
 	char text[JT_ADDRESS_TEXT];
 
 	node->loop = loop;
+	node->handler = *handler;
 	node->log = log;
 	node->settings = talloc_steal(node, settings);
 	node->peer_fd = -1;
 	node->started_ms = jt_clock_ms();
 	talloc_set_destructor(node, node_destructor);
-	node->replays =
-		talloc_zero_array(node, struct jt_replay_entry, REPLAY_SENDERS);
+	node->replays = jt_replay_table_create(node);
 	node->core = node_core(node);
 	node->actions = jt_actions_create(node);
 	node->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
@@ -616,21 +546,6 @@
 					strerror(errno));
 		goto fail;
 	}
-	node->api = jt_api_create(node, node);
-	if (node->api == NULL) {
-		*error = talloc_asprintf(mem_ctx, "listen.api %s: %s",
-					 jt_address_format(settings->api, text),
-					 strerror(errno));
-		goto fail;
-	}
-	node->sync = jt_config_sync_create(node, node);
-	node->probe = jt_health_probe_create(node, node);
-	node->witness = jt_witness_create(node, node);
-	if (node->sync == NULL || node->probe == NULL ||
-	    node->witness == NULL) {
-		*error = talloc_strdup(mem_ctx, "out of memory");
-		goto fail;
-	}
 	node->tick = jt_timer_create(node, loop, on_tick, node);
 	node->leave = jt_timer_create(node, loop, on_leave, node);
 	node->leave_limit = jt_timer_create(node, loop, on_leave_limit, node);
--- a/src/daemon/jt_node.h
+++ b/src/daemon/jt_node.h
@@ -8,27 +8,17 @@
 
 #include "jaspertrack/core.h"
 #include "jt_codec.h"
+#include "jt_document.h"
 #include "jt_log.h"
+#include "jt_replay_table.h"
 #include "jt_settings.h"
 #include "jt_traffic.h"
 
 #include <jansson.h>
 #include <tevent.h>
 
-struct jt_config_sync;
-struct jt_health_probe;
-struct jt_witness;
-struct jt_api;
 struct jt_timer;
-
-/* A configuration as text, as it goes to peers and the store. */
-struct jt_document {
-	uint64_t revision;
-	char *text;
-	const struct jt_config *config;
-};
-
-enum { JT_DOCUMENT_MEMORY = 8 };
+struct jt_witness_request;
 
 struct jt_node_counters {
 	uint64_t peer_bytes_sent;
@@ -41,6 +31,20 @@
 	uint64_t relay_bytes_sent;
 };
 
+/* What the parts that stand on a node are told. */
+struct jt_node_handler {
+	/* Time has passed, or a good deal has happened. */
+	void (*tick)(void *private_data);
+	/* A document has become known, or another one may be in force. */
+	void (*changed)(void *private_data);
+	/* The store's vote is wanted; @request is valid during the call. */
+	void (*witness)(const struct jt_witness_request *request,
+			void *private_data);
+	/* The node has left its cell. Said once. */
+	void (*left)(void *private_data);
+	void *private_data;
+};
+
 struct jt_node {
 	struct tevent_context *loop;
 	const struct jt_log *log;
@@ -54,9 +58,8 @@
 	int wake_fd;
 	int peer_fd;
 	uint64_t sequence;
-	struct jt_replay_entry *replays;
-	size_t replay_count;
-	struct jt_document *documents[JT_DOCUMENT_MEMORY];
+	struct jt_replay_table *replays;
+	struct jt_document_memory documents;
 	struct jt_held_packet *held;
 	size_t held_count;
 	uint64_t next_token;
@@ -71,17 +74,17 @@
 	bool was_ready;
 	uint64_t started_ms;
 	struct jt_node_counters counters;
-	struct jt_config_sync *sync;
-	struct jt_health_probe *probe;
-	struct jt_witness *witness;
-	struct jt_api *api;
-	void (*on_left)(struct jt_node *node);
+	struct jt_node_handler handler;
+	bool left_told;
 };
 
-/* NULL with a line in @error (below @mem_ctx) when something can't start. */
+/* NULL with a line in @error (below @mem_ctx) when something can't start. Of
+ * the callbacks only changed may come from within this call. */
 struct jt_node *jt_node_create(TALLOC_CTX *mem_ctx, struct tevent_context *loop,
 			       const struct jt_log *log,
-			       struct jt_settings *settings, char **error);
+			       struct jt_settings *settings,
+			       const struct jt_node_handler *handler,
+			       char **error);
 /* Give @event to the decision library and do what it says. */
 void jt_node_event(struct jt_node *node, struct jt_event *event);
 /* Take a configuration document; false when it is invalid. A revision that
--- a/src/daemon/jt_status.c
+++ b/src/daemon/jt_status.c
@@ -1,5 +1,4 @@
 #include "jt_status.h"
-#include "jt_config_sync.h"
 #include "jt_net.h"
 
 #include <inttypes.h>
@@ -101,7 +100,8 @@
 	return list;
 }
 
-json_t *jt_status_json(const struct jt_node *node)
+json_t *jt_status_json(const struct jt_node *node,
+		       const struct jt_config_sync *sync)
 {
 	const struct jt_cell_state *state = jt_core_state(node->core);
 	const struct jt_document *newest = jt_node_newest(node);
@@ -110,7 +110,7 @@
 		"{s:s,s:s,s:b,s:b,s:b,s:I,s:I,s:I}", "node",
 		node->settings->name, "zone", node->settings->zone, "ready",
 		(int)jt_node_ready(node), "leaving", (int)node->draining,
-		"store_up", (int)jt_config_sync_store_up(node->sync),
+		"store_up", (int)jt_config_sync_store_up(sync),
 		"revision_known", (json_int_t)(newest ? newest->revision : 0),
 		"revision_in_force_everywhere", (json_int_t)everywhere,
 		"flow_records", (json_int_t)jt_core_flow_count(node->core));
@@ -179,7 +179,8 @@
 	}
 }
 
-static void metrics_peers(char **text, const struct jt_node *node)
+static void metrics_peers(char **text, const struct jt_node *node,
+			  const struct jt_config_sync *sync)
 {
 	char label[64];
 
@@ -199,15 +200,16 @@
 		       node->counters.peer_rejected[i]);
 	}
 	counter(text, "store_bytes_total", "Bytes to and from the store.",
-		jt_config_sync_store_bytes(node->sync));
+		jt_config_sync_store_bytes(sync));
 	counter(text, "store_operations_total", "Requests to the store.",
-		jt_config_sync_store_operations(node->sync));
+		jt_config_sync_store_operations(sync));
 	counter(text, "probe_bytes_total",
 		"Bytes of health pages and machine list.",
 		node->counters.probe_bytes);
 }
 
-char *jt_status_metrics(TALLOC_CTX *mem_ctx, const struct jt_node *node)
+char *jt_status_metrics(TALLOC_CTX *mem_ctx, const struct jt_node *node,
+			const struct jt_config_sync *sync)
 {
 	const struct jt_core_counters *core = jt_core_counters(node->core);
 	const struct jt_cell_state *state = jt_core_state(node->core);
@@ -255,7 +257,7 @@
 	counter(&text, "resets_sent_total", "TCP resets sent as refusals.",
 		node->counters.resets_sent);
 	metrics_drops(&text, core, &traffic);
-	metrics_peers(&text, node);
+	metrics_peers(&text, node, sync);
 	return text;
 }
 
--- a/src/daemon/jt_witness.c
+++ b/src/daemon/jt_witness.c
@@ -1,5 +1,4 @@
 #include "jt_witness.h"
-#include "jt_config_sync.h"
 #include "jt_store.h"
 
 #include <inttypes.h>
@@ -11,6 +10,7 @@
 
 struct jt_witness {
 	struct jt_node *node;
+	struct jt_config_sync *sync;
 	char *key;
 	struct witness_call *call; /* one at a time */
 };
@@ -20,13 +20,15 @@
 	struct jt_witness_reply reply;
 };
 
-struct jt_witness *jt_witness_create(TALLOC_CTX *mem_ctx, struct jt_node *node)
+struct jt_witness *jt_witness_create(TALLOC_CTX *mem_ctx, struct jt_node *node,
+				     struct jt_config_sync *sync)
 {
 	struct jt_witness *witness = talloc_zero(mem_ctx, struct jt_witness);
 
 	if (witness == NULL)
 		return NULL;
 	witness->node = node;
+	witness->sync = sync;
 	witness->key = talloc_asprintf(witness, "/jaspertrack/%s/witness",
 				       node->settings->cell);
 	if (witness->key == NULL)
@@ -150,7 +152,7 @@
 		call_end(call, !reply->granted);
 		return;
 	}
-	req = jt_store_put_send(call, jt_config_sync_store(witness->node->sync),
+	req = jt_store_put_send(call, jt_config_sync_store(witness->sync),
 				witness->key, text, value.mod_revision);
 	if (req == NULL)
 		call_end(call, false);
@@ -161,7 +163,7 @@
 void jt_witness_ask(struct jt_witness *witness,
 		    const struct jt_witness_request *request)
 {
-	struct jt_config_sync *sync = witness->node->sync;
+	struct jt_config_sync *sync = witness->sync;
 	struct witness_call *call;
 	struct tevent_req *req;
 
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -1,7 +1,7 @@
 /* jaspertrackd: one balancer node. */
+#include "jt_balancer.h"
 #include "jt_director_settings.h"
 #include "jt_net.h"
-#include "jt_node.h"
 #include "jt_version.h"
 
 #include <argtable2.h>
@@ -26,7 +26,7 @@
 };
 
 struct daemon {
-	struct jt_node *node;
+	struct jt_balancer *balancer;
 	struct tevent_context *loop;
 	struct jt_log log;
 	struct options options;
@@ -113,10 +113,9 @@
 	return settings;
 }
 
-static void on_left(struct jt_node *node)
+static void on_left(void *private_data)
 {
-	struct daemon *daemon =
-		talloc_get_type_abort(talloc_parent(node), struct daemon);
+	struct daemon *daemon = private_data;
 
 	jt_log_line(&daemon->log, LOG_NOTICE, "event=left");
 	daemon->finished = true;
@@ -133,13 +132,14 @@
 	(void)signum;
 	(void)count;
 	(void)siginfo;
-	jt_node_leave(daemon->node);
+	jt_node_leave(jt_balancer_node(daemon->balancer));
 }
 
 static void on_reload(struct tevent_context *loop, struct tevent_signal *se,
 		      int signum, int count, void *siginfo, void *private_data)
 {
 	struct daemon *daemon = private_data;
+	struct jt_node *node = jt_balancer_node(daemon->balancer);
 	TALLOC_CTX *frame = talloc_new(daemon);
 	struct jt_settings *settings;
 	const char *fixed;
@@ -157,7 +157,7 @@
 		talloc_free(frame);
 		return;
 	}
-	fixed = jt_settings_fixed_difference(daemon->node->settings, settings);
+	fixed = jt_settings_fixed_difference(node->settings, settings);
 	if (fixed != NULL) {
 		jt_log_line(&daemon->log, LOG_ERR,
 			    "event=reload_rejected reason=\"%s can't change "
@@ -165,7 +165,7 @@
 			    fixed);
 	} else {
 		daemon->log.threshold = settings->log_threshold;
-		jt_node_reload(daemon->node, settings);
+		jt_node_reload(node, settings);
 		jt_log_line(&daemon->log, LOG_NOTICE, "event=reloaded");
 	}
 	talloc_free(frame);
@@ -173,19 +173,24 @@
 
 static int run_node(struct daemon *daemon, struct jt_settings *settings)
 {
+	struct jt_balancer_options options = {
+		.log = &daemon->log,
+		.settings = settings,
+		.left = on_left,
+		.private_data = daemon,
+	};
 	char *error = NULL;
 
 	daemon->loop = tevent_context_init(daemon);
 	daemon->log.program = "jaspertrackd";
 	daemon->log.threshold = settings->log_threshold;
 	signal(SIGPIPE, SIG_IGN);
-	daemon->node = jt_node_create(daemon, daemon->loop, &daemon->log,
-				      settings, &error);
-	if (daemon->node == NULL) {
+	options.loop = daemon->loop;
+	daemon->balancer = jt_balancer_create(daemon, &options, &error);
+	if (daemon->balancer == NULL) {
 		fprintf(stderr, "jaspertrackd: %s\n", error);
 		return EXIT_FAILED;
 	}
-	daemon->node->on_left = on_left;
 	tevent_add_signal(daemon->loop, daemon, SIGTERM, 0, on_terminate,
 			  daemon);
 	tevent_add_signal(daemon->loop, daemon, SIGINT, 0, on_terminate,
@@ -195,7 +200,7 @@
 		    settings->name, settings->zone);
 	while (!daemon->finished)
 		tevent_loop_once(daemon->loop);
-	TALLOC_FREE(daemon->node);
+	TALLOC_FREE(daemon->balancer);
 	return EXIT_DONE;
 }
 
