jaspertrack why: failures that no node decided, from id to cause

What was wrong or missing:

- an endpoint_failing of 11 s later, about other requests, was told as the cause: now from 10 s before the request to 6 s after it, and how long;
- where nobody found the endpoint silent, it says that what the caller got is the endpoint's own answer, which no node can see;
- what the endpoint and its service were asked in the second before the request and in one 5 s earlier, for each endpoint: tells one bad endpoint from a full service (why_load.c);
- an id that no line names: how many lines nodes left out.

Refusals for overload by the nodes themselves come with their reasons, not here.

--- a/src/cli/log_lines.c
+++ b/src/cli/log_lines.c
@@ -1,6 +1,5 @@
 #include "log_lines.h"
 
-#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
@@ -33,6 +32,16 @@
 	return NULL;
 }
 
+bool log_line_is(const struct log_line *line, const char *event)
+{
+	size_t length = strlen(event);
+
+	return strncmp(line->text, "event=", 6) == 0 &&
+	       strncmp(line->text + 6, event, length) == 0 &&
+	       (line->text[6 + length] == ' ' ||
+		line->text[6 + length] == '\0');
+}
+
 const char *log_line_node(const struct log_line *line)
 {
 	const struct log_process *process = line->process;
--- a/src/cli/log_lines.h
+++ b/src/cli/log_lines.h
@@ -8,6 +8,7 @@
 #ifndef LOG_LINES_H
 #define LOG_LINES_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -43,6 +44,8 @@
 /* The value of @field, NULL if the line has none; below @mem_ctx. */
 char *log_line_field(TALLOC_CTX *mem_ctx, const struct log_line *line,
 		     const char *field);
+/* Whether the line is of that event. */
+bool log_line_is(const struct log_line *line, const char *event);
 const char *log_line_node(const struct log_line *line);
 
 #endif
--- a/src/cli/why.c
+++ b/src/cli/why.c
@@ -1,5 +1,6 @@
 #include "why.h"
 #include "log_lines.h"
+#include "why_load.h"
 
 #include <dirent.h>
 #include <stdbool.h>
@@ -16,6 +17,12 @@
 	/* What else happened is told from so long before to so long after. */
 	AROUND_BEFORE_MS = 3000,
 	AROUND_AFTER_MS = 3000,
+	/* An endpoint's troubles bear on a request from so long before it to so
+	 * long after: callers wait a few seconds. */
+	TROUBLE_BEFORE_MS = 10000,
+	TROUBLE_AFTER_MS = 6000,
+	/* What was usual is looked up so long before the request. */
+	USUAL_BEFORE_MS = 5000,
 };
 
 /* Names that the story is about. */
@@ -30,8 +37,11 @@
 	struct names flows;
 	struct names endpoints;
 	struct names nodes;
+	struct names suspicions; /* that were printed, as "ENDPOINT CAUSE" */
+	unsigned suspicions_left_out;
 	int64_t first_ms;
 	int64_t last_ms;
+	const struct log_line *request;	 /* the one meant; NULL: a flow is */
 	const struct log_line *decision; /* the last about one of the flows */
 	const struct log_line *death;	 /* of their endpoint, after that */
 	const struct log_line *failing;	 /* it left requests unanswered */
@@ -88,16 +98,6 @@
 	return true;
 }
 
-static bool event_is(const struct log_line *line, const char *event)
-{
-	size_t length = strlen(event);
-
-	return strncmp(line->text, "event=", 6) == 0 &&
-	       strncmp(line->text + 6, event, length) == 0 &&
-	       (line->text[6 + length] == ' ' ||
-		line->text[6 + length] == '\0');
-}
-
 /* Whether the flow is the one meant, or one of the caller (IP, IP:PORT). */
 static bool flow_is(const char *flow, const char *id)
 {
@@ -117,9 +117,12 @@
 		char *flow = log_line_field(story->lines, line, "flow");
 		char *request = log_line_field(story->lines, line, "request");
 
-		if ((request != NULL && strcmp(request, story->id) == 0) ||
-		    flow_is(flow, story->id))
+		if (request != NULL && strcmp(request, story->id) == 0) {
+			names_add(&story->flows, flow);
+			story->request = line;
+		} else if (flow_is(flow, story->id)) {
 			names_add(&story->flows, flow);
+		}
 	}
 }
 
@@ -138,9 +141,12 @@
 		if (story->first_ms == 0)
 			story->first_ms = line->time_ms;
 		story->last_ms = line->time_ms;
-		if (event_is(line, "flow"))
+		if (log_line_is(line, "flow"))
 			story->decision = line;
 	}
+	/* A flow may carry other requests long before and after. */
+	if (story->request != NULL)
+		story->first_ms = story->last_ms = story->request->time_ms;
 }
 
 /* Events that tell of a node, not of an endpoint or flow. */
@@ -166,7 +172,7 @@
 	};
 
 	for (size_t i = 0; i < sizeof(events) / sizeof(events[0]); i++) {
-		if (event_is(line, events[i]))
+		if (log_line_is(line, events[i]))
 			return true;
 	}
 	return false;
@@ -178,9 +184,9 @@
 	char *endpoint = log_line_field(story->lines, line, "endpoint");
 	char *flow = log_line_field(story->lines, line, "flow");
 
-	if (names_have(&story->flows, flow))
+	if (names_have(&story->flows, flow) && !log_line_is(line, "request"))
 		return true;
-	if (flow != NULL)
+	if (flow != NULL && !names_have(&story->flows, flow))
 		return false;
 	if (line->time_ms < story->first_ms - AROUND_BEFORE_MS ||
 	    line->time_ms > story->last_ms + AROUND_AFTER_MS)
@@ -191,6 +197,24 @@
 	       names_have(&story->nodes, log_line_node(line));
 }
 
+/* Every node that hears of a suspicion says so: the first is enough. */
+static bool suspicion_again(struct story *story, const struct log_line *line)
+{
+	char *name;
+
+	if (!log_line_is(line, "peer_suspects"))
+		return false;
+	name = talloc_asprintf(story->lines, "%s %s",
+			       log_line_field(story->lines, line, "endpoint"),
+			       log_line_field(story->lines, line, "cause"));
+	if (!names_have(&story->suspicions, name)) {
+		names_add(&story->suspicions, name);
+		return false;
+	}
+	story->suspicions_left_out++;
+	return true;
+}
+
 static void print_line(const struct log_line *line)
 {
 	time_t seconds = line->time_ms / 1000;
@@ -242,7 +266,17 @@
 			"packet waited for that"},
 };
 
-/* The first @event of the last decision's endpoint from then on, or NULL. */
+/* Whether an endpoint's trouble then can bear on what is asked for. */
+static bool trouble_bears(const struct story *story, int64_t at_ms)
+{
+	if (story->request == NULL)
+		return at_ms >= story->decision->time_ms;
+	return at_ms >= story->request->time_ms - TROUBLE_BEFORE_MS &&
+	       at_ms <= story->request->time_ms + TROUBLE_AFTER_MS;
+}
+
+/* The first @event of the last decision's endpoint that bears on it, or NULL.
+ */
 static const struct log_line *endpoint_event(const struct story *story,
 					     const char *event)
 {
@@ -255,14 +289,67 @@
 		const struct log_line *line = &story->lines->items[i];
 		char *of = log_line_field(story->lines, line, "endpoint");
 
-		if (event_is(line, event) && of != NULL &&
+		if (log_line_is(line, event) && of != NULL &&
 		    strcmp(of, endpoint) == 0 &&
-		    line->time_ms >= story->decision->time_ms)
+		    trouble_bears(story, line->time_ms))
 			return line;
 	}
 	return NULL;
 }
 
+/* How long before or after the request that was, as far as one is meant. */
+static const char *when_text(const struct story *story,
+			     const struct log_line *line)
+{
+	int64_t after_ms;
+
+	if (story->request == NULL)
+		return "";
+	after_ms = line->time_ms - story->request->time_ms;
+	return talloc_asprintf(story->lines, " %lld ms %s the request came",
+			       (long long)llabs(after_ms),
+			       after_ms < 0 ? "before" : "after");
+}
+
+static void print_load_of(struct why_load load)
+{
+	printf("%u at its endpoint, %u at the service (%.1f for each of %u "
+	       "endpoints)",
+	       load.of_endpoint, load.of_service,
+	       load.endpoints > 0 ? (double)load.of_service / load.endpoints
+				  : 0.0,
+	       load.endpoints);
+}
+
+/* What the endpoint and its service were asked, against what was usual. */
+static void print_load(const struct story *story)
+{
+	int64_t at_ms = story->request->time_ms;
+	struct why_load now =
+		why_load_before(story->lines, story->request, at_ms);
+	struct why_load usual = why_load_before(story->lines, story->request,
+						at_ms - USUAL_BEFORE_MS);
+
+	printf("load: requests of the second before it: ");
+	print_load_of(now);
+	printf("; of the second %d s earlier: ", USUAL_BEFORE_MS / 1000);
+	print_load_of(usual);
+	printf(".\n");
+	if (now.shortened)
+		printf("load: nodes left lines out in that second "
+		       "(event=log_shortened): there were more.\n");
+}
+
+/* No node can see answers, which go past it: what is known of the request. */
+static void print_request(const struct story *story)
+{
+	if (story->death == NULL && story->failing == NULL)
+		printf("then: no node found its endpoint dead or silent: an "
+		       "error, a 503 or a reset that the caller got is the "
+		       "endpoint's own (answers go past the nodes).\n");
+	print_load(story);
+}
+
 static void print_conclusion(const struct story *story)
 {
 	char *reason;
@@ -281,14 +368,19 @@
 			       explanations[i].text);
 	}
 	if (story->death != NULL)
-		printf("then: its endpoint was found dead by %s (cause=%s); a "
-		       "request that was running there ended with it.\n",
+		printf("then: its endpoint was found dead by %s (cause=%s)%s; "
+		       "a request that was running there ended with it.\n",
 		       log_line_node(story->death),
-		       log_line_field(story->lines, story->death, "cause"));
+		       log_line_field(story->lines, story->death, "cause"),
+		       when_text(story, story->death));
 	if (story->failing != NULL)
 		printf("then: %s found that its endpoint leaves requests "
-		       "unanswered: it hangs, or resets its connections.\n",
-		       log_line_node(story->failing));
+		       "unanswered%s: it hangs, is full, or resets its "
+		       "connections.\n",
+		       log_line_node(story->failing),
+		       when_text(story, story->failing));
+	if (story->request != NULL && log_line_is(story->request, "request"))
+		print_request(story);
 }
 
 /* Processes of the story that say nothing more soon after it. */
@@ -311,16 +403,60 @@
 	}
 }
 
-static void print_story(const struct story *story)
+static void print_story(struct story *story)
 {
 	for (size_t i = 0; i < story->lines->count; i++) {
-		if (line_matters(story, &story->lines->items[i]))
-			print_line(&story->lines->items[i]);
+		const struct log_line *line = &story->lines->items[i];
+
+		if (line_matters(story, line) && !suspicion_again(story, line))
+			print_line(line);
 	}
+	if (story->suspicions_left_out > 0)
+		printf("(%u more lines of event=peer_suspects say the same)\n",
+		       story->suspicions_left_out);
 	print_ends(story);
 	print_conclusion(story);
 }
 
+/* The lines that all nodes left out, by each process's last count. */
+static unsigned long long lines_left_out(struct log_lines *lines)
+{
+	static const char *const fields[] = {"ordinary", "unusual", "lost"};
+	unsigned long long sum = 0;
+
+	for (size_t p = 0; p < lines->process_count; p++) {
+		const struct log_line *last = NULL;
+
+		for (size_t i = 0; i < lines->count; i++) {
+			if (lines->items[i].process == lines->processes[p] &&
+			    log_line_is(&lines->items[i], "log_shortened"))
+				last = &lines->items[i];
+		}
+		for (size_t f = 0; last != NULL && f < 3; f++) {
+			char *text = log_line_field(lines, last, fields[f]);
+
+			sum += text != NULL ? strtoull(text, NULL, 10) : 0;
+		}
+	}
+	return sum;
+}
+
+static void print_nothing(const struct story *story)
+{
+	unsigned long long left_out = lines_left_out(story->lines);
+
+	fprintf(stderr,
+		"jaspertrack: no line names '%s': left out "
+		"(event=log_shortened tells), lost with its node, or "
+		"it never reached one\n",
+		story->id);
+	if (left_out > 0)
+		fprintf(stderr,
+			"jaspertrack: nodes left %llu lines out: ask by the "
+			"caller's address (IP or IP:PORT)\n",
+			left_out);
+}
+
 int why_run(const char *id, const char *path)
 {
 	struct story story = {.id = id, .lines = log_lines_create(NULL)};
@@ -334,11 +470,7 @@
 	log_lines_order(story.lines);
 	find_flows(&story);
 	if (story.flows.count == 0) {
-		fprintf(stderr,
-			"jaspertrack: no line names '%s': left out "
-			"(event=log_shortened tells), lost with its node, or "
-			"it never reached one\n",
-			id);
+		print_nothing(&story);
 		result = EXIT_NOTHING;
 		goto out;
 	}
