A former owner's late entry takes no address back

Cause: the newest entry had the address. A crashed endpoint's last entry may be written again seconds later, of the same birth, when its successor has the address already (7cea87e5a0 at revision 220, created anew, after 1492fc003e at 184 on 10.1.64.44; it went 2.3 s later). Every node took the live successor for replaced, for good.

Ruled out: births as an order (clocks step), `created` (the late entry's is the newer).

An incarnation that has lost its address takes it back by no entry of the same birth; whoever answers there has it; it comes back when the other's entry goes. The three tests of it fail before. A probe of a dead endpoint that may be full proves at the second failure, in place of never.

--- a/fuzz/fuzz_document.c
+++ b/fuzz/fuzz_document.c
@@ -38,13 +38,15 @@
 };
 
 static const char *const fields[] = {
-	"service",  "address",	  "zone",      "version", "capacity",
-	"state",    "coldLeftMs", "callCount", "born",	  "more",
+	"service", "address",	 "zone",      "version", "capacity",
+	"state",   "coldLeftMs", "callCount", "born",	 "more",
 };
 
 static const char *const keys[] = {
-	"servers/i-7f", "servers/i-",	    "servers/",	 "servers/x/i-7f",
-	"servers/i-7g", "op/evacuate/zone", "op/config", "op/config/more",
+	"servers/i-7f", "servers/i-",
+	"servers/",	"servers/x/i-7f",
+	"servers/i-7g", "op/evacuate/zone",
+	"op/config",	"op/config/more",
 	"op/evacuate/", "",
 };
 
@@ -153,8 +155,8 @@
 static void check_body(const struct input *input)
 {
 	struct jt_kv_answer *answer = talloc_zero(NULL, struct jt_kv_answer);
-	char *body = talloc_strndup(answer, (const char *)input->data,
-				    input->left);
+	char *body =
+		talloc_strndup(answer, (const char *)input->data, input->left);
 
 	jt_platform_answer(answer, body);
 	for (size_t i = 0; i < answer->change_count; i++)
@@ -177,8 +179,7 @@
 	}
 	key = keys[take(&input, sizeof(keys) / sizeof(keys[0]))];
 	if (take(&input, 4) == 0) {
-		size_t length =
-			input.left < TEXT_MOST ? input.left : TEXT_MOST;
+		size_t length = input.left < TEXT_MOST ? input.left : TEXT_MOST;
 
 		item = item_make(key, input.data, length);
 	} else {
--- a/src/label/jt_detector.c
+++ b/src/label/jt_detector.c
@@ -180,8 +180,8 @@
 
 /*
  * A probe of a dead incarnation got no connection. Flows that were seen before
- * it have ended: the endpoint had not started again by then, unless it is full
- * or out of this node's reach.
+ * it have ended: the endpoint had not started again by then. One that has, and
+ * may be full already, is asked twice.
  */
 static enum jt_detector_verdict still_dead(const struct jt_detector *detector,
 					   struct jt_incarnation *incarnation,
@@ -190,9 +190,11 @@
 {
 	if (incarnation->entry.born_ms == 0)
 		return JT_VERDICT_NONE;
-	if (!far_from_full ||
-	    (outcome != JT_PROBE_REFUSED &&
-	     detector->contact_ms < incarnation->probe_sent_ms))
+	if (outcome != JT_PROBE_REFUSED &&
+	    detector->contact_ms < incarnation->probe_sent_ms)
+		return JT_VERDICT_NONE;
+	incarnation->failed_probes++;
+	if (!far_from_full && incarnation->failed_probes < PROBES_PROVE)
 		return JT_VERDICT_NONE;
 	incarnation->proven_ms = incarnation->probe_sent_ms;
 	return JT_VERDICT_STILL_DEAD;
@@ -251,7 +253,7 @@
 			       ? JT_VERDICT_STILL_DEAD
 			       : JT_VERDICT_DEAD;
 	}
-	/* Its next incarnation has the address back: its entry will tell. */
+	/* Who has the address is not the detector's to settle. */
 	if (dead && incarnation->cause == JT_DEATH_REPLACED)
 		return JT_VERDICT_NONE;
 	incarnation->vain_connects = 0;
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -136,7 +136,8 @@
 		/* A caller that has closed its flow needs no reset. */
 		if (flow->label == incarnation->label && !flow->closing &&
 		    !opening_moved_on(flow, now_ms) &&
-		    jt_director_flow_ended(flow, incarnation))
+		    (flow->opening_ms != 0 ||
+		     jt_director_flow_ended(flow, incarnation)))
 			jt_director_flow_reset(director, flow, incarnation,
 					       now_ms, actions);
 		flow = newer;
@@ -186,6 +187,15 @@
 				 now_ms);
 }
 
+/* Whether another has got the incarnation's address for good: an entry of the
+ * same birth that comes later is no sign of life, but was written late. */
+static bool address_lost(const struct jt_incarnation *incarnation)
+{
+	return incarnation->entry.born_ms != 0 &&
+	       incarnation->state == JT_INCARNATION_DEAD &&
+	       incarnation->cause == JT_DEATH_REPLACED;
+}
+
 /*
  * An address belongs to the incarnation whose entry is the newest; whoever
  * had it before is gone.
@@ -198,8 +208,11 @@
 		jt_endpoint_table_at(director->endpoints, taken->entry.address);
 	struct jt_incarnation *newest = taken, *other;
 
+	if (address_lost(taken))
+		return;
 	for (other = first; other != NULL; other = other->address_next) {
-		if (other->entry.revision > newest->entry.revision)
+		if (!address_lost(other) &&
+		    other->entry.revision > newest->entry.revision)
 			newest = other;
 	}
 	for (other = first; other != NULL; other = other->address_next) {
@@ -209,6 +222,51 @@
 	}
 }
 
+/*
+ * The incarnation answers at its address: it has the address, whatever entries
+ * there are of others.
+ */
+static void address_found(struct jt_director *director,
+			  struct jt_incarnation *found, uint64_t now_ms,
+			  struct jt_director_actions *actions)
+{
+	struct jt_incarnation *other =
+		jt_endpoint_table_at(director->endpoints, found->entry.address);
+
+	if (!address_lost(found) || found->entry.gone_revision != 0)
+		return;
+	incarnation_revives(director, found, now_ms, actions);
+	for (; other != NULL; other = other->address_next) {
+		if (other != found)
+			incarnation_dies(director, other, JT_DEATH_REPLACED,
+					 now_ms, actions);
+	}
+}
+
+/*
+ * The entry went of the one that seemed to have the address. Another one whose
+ * entry is still there was replaced by mistake: the other's was written late.
+ */
+static void address_given_back(struct jt_director *director,
+			       const struct jt_incarnation *gone,
+			       uint64_t now_ms,
+			       struct jt_director_actions *actions)
+{
+	struct jt_incarnation *newest = NULL, *other;
+
+	if (gone->entry.born_ms == 0 || address_lost(gone))
+		return;
+	other = jt_endpoint_table_at(director->endpoints, gone->entry.address);
+	for (; other != NULL; other = other->address_next) {
+		if (address_lost(other) && other->entry.gone_revision == 0 &&
+		    (newest == NULL ||
+		     other->entry.revision > newest->entry.revision))
+			newest = other;
+	}
+	if (newest != NULL)
+		incarnation_revives(director, newest, now_ms, actions);
+}
+
 static void event_gone(struct jt_director *director, uint64_t id,
 		       uint64_t revision, uint64_t now_ms,
 		       struct jt_director_actions *actions)
@@ -225,6 +283,7 @@
 		jt_endpoint_table_remove(director->endpoints, incarnation);
 		return;
 	}
+	address_given_back(director, incarnation, now_ms, actions);
 	if (incarnation->state == JT_INCARNATION_DEAD)
 		return;
 	incarnation->away_lapsed =
@@ -544,6 +603,7 @@
 {
 	struct jt_incarnation *incarnation =
 		incarnation_of(director, id, born_ms);
+	struct jt_incarnation *occupant;
 	enum jt_detector_verdict verdict;
 
 	if (incarnation == NULL || !incarnation->probing)
@@ -552,6 +612,10 @@
 					 found, now_ms);
 	verdict_act(director, incarnation, verdict, JT_DEATH_REPLACED, now_ms,
 		    actions);
+	occupant = jt_endpoint_table_by_id(director->endpoints, found);
+	if (occupant != NULL && jt_address_same(occupant->entry.address,
+						incarnation->entry.address))
+		address_found(director, occupant, now_ms, actions);
 }
 
 static void event_routing(struct jt_director *director,
--- a/tests/test_incarnations.c
+++ b/tests/test_incarnations.c
@@ -308,6 +308,96 @@
 	talloc_free(bench);
 }
 
+/* The earlier owner of the address of @id, with an entry that is written late.
+ */
+static struct jt_endpoint_entry former_owner(uint64_t id, uint64_t revision)
+{
+	struct jt_endpoint_entry entry =
+		entry_born(0x301, BORN_FIRST - 9000, revision);
+
+	entry.address = entry_of(id, SERVICE_BOARD, ZONE_A, 1).address;
+	return entry;
+}
+
+/* The entry of one that has lost its address comes again, of the same birth: a
+ * write that was done late. It takes nothing back. */
+static void test_a_late_entry_takes_no_address(void **state)
+{
+	struct bench *bench = bench_create(0);
+	struct caller_flow flow;
+
+	(void)state;
+	bench_routing(bench, 1, 50, 50);
+	bench_entry(bench, former_owner(RESTARTED, 2));
+	bench_entry(bench, entry_born(OTHER, BORN_FIRST, 3));
+	bench_listed(bench, 3);
+	bench_tick(bench, 20000);
+	bench_gone(bench, 0x301, 4);
+	bench_entry(bench, entry_born(RESTARTED, BORN_FIRST, 5));
+	assert_int_equal(state_of(bench, 0x301), JT_INCARNATION_DEAD);
+	flow = flow_there(bench);
+	bench_entry(bench, former_owner(RESTARTED, 10));
+	assert_null(bench_find(bench, JT_DIRECTOR_RESET));
+	assert_int_equal(state_of(bench, RESTARTED), JT_INCARNATION_READY);
+	assert_int_equal(state_of(bench, 0x301), JT_INCARNATION_DEAD);
+	assert_non_null(flow_send(bench, &flow, JT_PACKET_ACK, 100));
+	talloc_free(bench);
+}
+
+/* A node that has not known the former owner takes its late entry for the
+ * newest, until it has asked who answers at the address. */
+static void test_who_answers_has_the_address(void **state)
+{
+	struct bench *bench = two_born();
+	struct caller_flow flow = flow_there(bench);
+
+	(void)state;
+	bench_entry(bench, former_owner(RESTARTED, 10));
+	assert_int_equal(state_of(bench, RESTARTED), JT_INCARNATION_DEAD);
+	assert_null(bench_find(bench, JT_DIRECTOR_RESET));
+	bench_tick(bench, 10);
+	assert_non_null(bench_find(bench, JT_DIRECTOR_PROBE));
+	probed(bench, RESTARTED, BORN_FIRST, JT_PROBE_CONNECTED);
+	assert_non_null(bench_find(bench, JT_DIRECTOR_IDENTIFY));
+	identified(bench, RESTARTED, BORN_FIRST, RESTARTED);
+	assert_int_equal(state_of(bench, RESTARTED), JT_INCARNATION_READY);
+	assert_int_equal(state_of(bench, 0x301), JT_INCARNATION_DEAD);
+	assert_non_null(flow_send(bench, &flow, JT_PACKET_ACK, 100));
+	talloc_free(bench);
+}
+
+/* Where another answers, the flows are reset. */
+static void test_flows_of_a_replaced_one_are_reset_once_proven(void **state)
+{
+	struct bench *bench = two_born();
+	struct caller_flow flow = flow_there(bench);
+	const struct jt_director_action *reset;
+
+	(void)state;
+	bench_entry(bench, former_owner(RESTARTED, 10));
+	bench_tick(bench, 10);
+	probed(bench, RESTARTED, BORN_FIRST, JT_PROBE_CONNECTED);
+	identified(bench, RESTARTED, BORN_FIRST, 0x301);
+	reset = bench_find(bench, JT_DIRECTOR_RESET);
+	assert_non_null(reset);
+	assert_int_equal(reset->key.source_port, flow.key.source_port);
+	assert_int_equal(state_of(bench, RESTARTED), JT_INCARNATION_DEAD);
+	talloc_free(bench);
+}
+
+static void test_an_entry_that_went_gives_the_address_back(void **state)
+{
+	struct bench *bench = two_born();
+
+	(void)state;
+	bench_entry(bench, former_owner(RESTARTED, 10));
+	assert_int_equal(state_of(bench, RESTARTED), JT_INCARNATION_DEAD);
+	bench_gone(bench, 0x301, 11);
+	assert_int_equal(state_of(bench, RESTARTED), JT_INCARNATION_READY);
+	assert_true(flows_at(bench, 10, RESTARTED) > 0);
+	talloc_free(bench);
+}
+
 static void test_verdicts_on_other_births_are_not_about_it(void **state)
 {
 	struct bench *bench = two_born();
@@ -517,6 +607,12 @@
 		cmocka_unit_test(test_what_earlier_flows_show_is_no_evidence),
 		cmocka_unit_test(test_copies_of_first_packets_stay),
 		cmocka_unit_test(test_a_dead_one_lives_again),
+		cmocka_unit_test(test_a_late_entry_takes_no_address),
+		cmocka_unit_test(test_who_answers_has_the_address),
+		cmocka_unit_test(
+			test_flows_of_a_replaced_one_are_reset_once_proven),
+		cmocka_unit_test(
+			test_an_entry_that_went_gives_the_address_back),
 		cmocka_unit_test(
 			test_verdicts_on_other_births_are_not_about_it),
 		cmocka_unit_test(test_probes_under_way_are_not_about_it),
