--- a/src/label/jt_answer_profile.h
+++ b/src/label/jt_answer_profile.h
@@ -47,7 +47,7 @@
 /* How surely a short answer is a failure, up to 1; 0 before enough is known.
  * JT_FAILURE_UNSURE where short ones are common: that still shows an endpoint
  * which has nothing else, and says little of others. */
-#define JT_FAILURE_UNSURE 0.25
+#define JT_FAILURE_UNSURE 0.2
 double jt_answer_failure(const struct jt_answer_profile *profile);
 /* Learn from a whole answer. */
 void jt_answer_learn(struct jt_answer_profile *profile, uint32_t bytes,
--- a/src/label/jt_director_answers.c
+++ b/src/label/jt_director_answers.c
@@ -78,6 +78,9 @@
 		flow->answer_took_ms = (uint32_t)(now_ms - flow->waiting_ms);
 		flow->answer_counted = false;
 		jt_latency_add(director->latency, flow->answer_took_ms);
+		jt_admission_answered(
+			director->admission, incarnation->entry.service_id,
+			flow->waiting_ms, answer_bytes(flow), now_ms);
 		jt_flow_cache_answered(director->flows, flow);
 		if (incarnation->waiting > 0)
 			incarnation->waiting--;
--- a/src/label/jt_outlier.c
+++ b/src/label/jt_outlier.c
@@ -33,7 +33,7 @@
 	HALF_LIFE_OVERDUE_MS = 1000,
 	/* Twice as long where it still fails after that, or fails again when
 	 * its share is back, up to the other. */
-	STILL_FAILING_MS = 1000,
+	STILL_FAILING_MS = 500,
 	HALF_LIFE_MOST_MS = 2000,
 	/* Without any sign for so long, it starts anew. */
 	FORGET_MS = 15000,
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -23,7 +23,7 @@
 #define JT_DIRECTOR_MAX_LOADS 96
 #define JT_DIRECTOR_MAX_FAILURES 12
 #define JT_DIRECTOR_MAX_ZONES 64
-#define JT_DIRECTOR_MAX_NEWS 20
+#define JT_DIRECTOR_MAX_NEWS 17
 #define JT_DIRECTOR_MAX_NEWS_ZONES 2
 
 struct jt_wire_peer {
@@ -72,6 +72,7 @@
 struct jt_wire_suspicion {
 	jt_wire_suspicion_kind kind;
 	u_quad_t endpoint_id;
+	u_quad_t born_ms;
 };
 typedef struct jt_wire_suspicion jt_wire_suspicion;
 
@@ -117,6 +118,7 @@
 	u_int address;
 	u_int port;
 	u_int priority;
+	u_int target_ms;
 	struct {
 		u_int parts_len;
 		jt_wire_part *parts_val;
@@ -145,9 +147,12 @@
 	} services;
 };
 typedef struct jt_wire_routing jt_wire_routing;
+#define JT_WIRE_ENTRY_DRAINING 1
+#define JT_WIRE_ENTRY_UNREADABLE 2
 
 struct jt_wire_entry {
 	u_quad_t id;
+	u_quad_t born_ms;
 	u_int service_id;
 	u_int zone_id;
 	u_int address;
@@ -157,7 +162,7 @@
 	u_quad_t revision;
 	u_quad_t created;
 	u_quad_t gone_revision;
-	bool_t draining;
+	u_int flags;
 };
 typedef struct jt_wire_entry jt_wire_entry;
 
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -262,6 +262,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->endpoint_id))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -377,7 +379,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_string (xdrs, &objp->name, JT_DIRECTOR_MAX_NAME))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->address))
 				 return FALSE;
@@ -385,11 +387,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->priority))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_ms))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->address);
 		IXDR_PUT_U_LONG(buf, objp->port);
 		IXDR_PUT_U_LONG(buf, objp->priority);
+		IXDR_PUT_U_LONG(buf, objp->target_ms);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, JT_DIRECTOR_MAX_PARTS,
 			sizeof (jt_wire_part), (xdrproc_t) xdr_jt_wire_part))
@@ -398,7 +403,7 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->name, JT_DIRECTOR_MAX_NAME))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->address))
 				 return FALSE;
@@ -406,11 +411,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->priority))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_ms))
+				 return FALSE;
 
 		} else {
 		objp->address = IXDR_GET_U_LONG(buf);
 		objp->port = IXDR_GET_U_LONG(buf);
 		objp->priority = IXDR_GET_U_LONG(buf);
+		objp->target_ms = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, JT_DIRECTOR_MAX_PARTS,
 			sizeof (jt_wire_part), (xdrproc_t) xdr_jt_wire_part))
@@ -426,6 +434,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->priority))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->target_ms))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, JT_DIRECTOR_MAX_PARTS,
 		sizeof (jt_wire_part), (xdrproc_t) xdr_jt_wire_part))
 		 return FALSE;
@@ -475,6 +485,8 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->id))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->service_id))
@@ -504,12 +516,14 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->gone_revision))
 			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->draining))
+		 if (!xdr_u_int (xdrs, &objp->flags))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->id))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->service_id))
@@ -539,13 +553,15 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->gone_revision))
 			 return FALSE;
-		 if (!xdr_bool (xdrs, &objp->draining))
+		 if (!xdr_u_int (xdrs, &objp->flags))
 			 return FALSE;
 	 return TRUE;
 	}
 
 	 if (!xdr_u_quad_t (xdrs, &objp->id))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->service_id))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->zone_id))
@@ -564,7 +580,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->gone_revision))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->draining))
+	 if (!xdr_u_int (xdrs, &objp->flags))
 		 return FALSE;
 	return TRUE;
 }
