--- a/tests/test_endpoint_health.c
+++ b/tests/test_endpoint_health.c
@@ -267,7 +267,7 @@
 		all += fleet->placed[i];
 		first += i < count ? fleet->placed[i] : 0;
 	}
-	return first * 1000 / all;
+	return all > 0 ? first * 1000 / all : 0;
 }
 
 static size_t reduced_at(const struct fleet *fleet, int node)
@@ -356,6 +356,8 @@
 		all += fleet->placed[i];
 		most = fleet->placed[i] > most ? fleet->placed[i] : most;
 	}
+	if (all == 0)
+		return 0;
 	return most * 100 * (unsigned)fleet->endpoint_count / all;
 }
 
