Failures count whole where there is room, and short answers while few are known

Cause: at the onset of failures signs counted for .5 to .7: the part of short answers was learned from the first 32 answers of a route, and each refusal among them raised it; the weight for a full service began to fall with the first busy slot.

Change: the part changes slowly from the 48th answer on and has to reach a quarter; a failure counts whole where half of the slots are free.

Ruled out: learning from the first 24 only (37 pairs of node and endpoint wrongly reduced in the test of a healthy route with three in ten short, 6 are allowed).

--- a/src/label/jt_answer_profile.c
+++ b/src/label/jt_answer_profile.c
@@ -6,7 +6,7 @@
 
 /* Where more than this part of a route's answers is short, that may be the
  * route's way; below, a short one counts the more the less usual it is. */
-#define SHORT_PART_MOST 0.15
+#define SHORT_PART_MOST 0.25
 /* The usual length is one that this part of the answers does not exceed: also
  * where most of the first answers are failures, it is that of good ones. It
  * moves by such steps of its logarithm. */
@@ -18,10 +18,10 @@
 	 * fewer answers than the other tell nothing of failures. */
 	FIRST = 8,
 	LEARN_LEAST = 24,
-	/* So many answers times are smoothed over. */
-	USUAL_ANSWERS = 32,
-	/* And short ones over so long, so that trouble at some endpoints does
-	 * not become usual before somebody has looked after it. */
+	/* The part of short ones changes slowly after so many, so that trouble
+	 * at some endpoints does not become usual before somebody has looked
+	 * after it. */
+	USUAL_ANSWERS = 48,
 	SHORT_MS = 60 * 1000,
 	/* Shorter than the usual by this factor is short, and by so many
 	 * thousandths where it also came so many times sooner. */
--- a/src/label/jt_outlier.c
+++ b/src/label/jt_outlier.c
@@ -16,7 +16,8 @@
 /* The share falls with this power of the part of requests that is served: what
  * others serve better is left to them. */
 #define SHARE_POWER 4.0
-/* A failure counts for that where the service is full. */
+/* With so much room or more, a failure counts whole; without any, for that. */
+#define ROOM_PLENTY 0.5
 #define ROOM_WEIGHT_LEAST 0.3
 /* Signs that count for less than this are forgotten. */
 #define FAILED_LEAST 0.02
@@ -180,7 +181,8 @@
  */
 static double room_weight(const struct jt_service_pool *pool)
 {
-	return fmax(pool->outliers.room, ROOM_WEIGHT_LEAST);
+	return fmin(fmax(pool->outliers.room / ROOM_PLENTY, ROOM_WEIGHT_LEAST),
+		    1);
 }
 
 static void failure_note(struct jt_incarnation *in, double weight,
