test_traffic: loopback addresses of its own in each process

Cause: its threads share a fixed data port by SO_REUSEPORT, so that runs of the test in two checkouts at once formed one group, and the kernel dealt packets to either (ss showed three processes on 127.60.0.1:6080; two runs at once failed 3 of 3 times). No check or bound changed.

--- a/tests/test_traffic.c
+++ b/tests/test_traffic.c
@@ -16,10 +16,26 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-enum { PACKETS = 200, PATIENCE_MS = 20000 };
+enum {
+	PACKETS = 200,
+	PATIENCE_MS = 20000,
+	LOOPBACK = 0x7f000000,
+	PROCESSES = 1 << 16, /* that have loopback addresses of their own */
+};
+
+/* Of this process alone: threads share the data port by SO_REUSEPORT, and so
+ * would another run of this test, in another checkout, that has the same. */
+static struct jt_address data = {.port = 6080};
+static struct jt_address endpoint = {.port = 6080};
+
+static void addresses_choose(void)
+{
+	uint32_t base =
+		LOOPBACK | 1u << 23 | ((uint32_t)getpid() % PROCESSES) << 2;
 
-static const struct jt_address data = {0x7f3c0001, 6080};
-static const struct jt_address endpoint = {0x7f3c0002, 6080};
+	data.ip = base | 1;
+	endpoint.ip = base | 2;
+}
 
 /* A node alone in its cell, with one service and one endpoint. */
 static struct jt_core *make_core(TALLOC_CTX *mem_ctx)
@@ -123,5 +139,6 @@
 		cmocka_unit_test(test_table_and_queue),
 	};
 
+	addresses_choose();
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
