--- a/src/daemon/jt_api.c
+++ b/src/daemon/jt_api.c
@@ -1,4 +1,6 @@
 #include "jt_api.h"
+#include "jt_api_access.h"
+#include "jt_api_reply.h"
 #include "jt_http_server.h"
 #include "jt_net.h"
 #include "jt_status.h"
@@ -16,8 +18,6 @@
 	RATE_BURST = 400,
 };
 
-static const char json_content[] = "application/json";
-
 struct waiting_watch {
 	struct waiting_watch *next;
 	struct jt_api *api;
@@ -42,72 +42,6 @@
 	char *id;
 };
 
-static void reply_json(struct jt_http_request *request, unsigned status,
-		       json_t *body)
-{
-	char *text = json_dumps(body, JSON_INDENT(2));
-
-	jt_http_reply(request, status, json_content, text ? text : "{}");
-	free(text);
-	json_decref(body);
-}
-
-static void reply_error(struct jt_http_request *request, unsigned status,
-			const char *reason)
-{
-	reply_json(request, status, json_pack("{s:s}", "error", reason));
-}
-
-static void reply_wrong(struct jt_http_request *request, unsigned status,
-			const struct jt_resource_error *error)
-{
-	reply_json(request, status,
-		   json_pack("{s:s,s:s,s:s}", "error", error->reason,
-			     "resource", error->resource, "field",
-			     error->field));
-}
-
-/* Tokens */
-
-static const struct jt_token *find_token(const struct jt_api *api,
-					 const struct jt_http_request *request)
-{
-	static const char scheme[] = "Bearer ";
-	const char *header = jt_http_header(request, "Authorization");
-	const struct jt_settings *settings = api->node->settings;
-
-	if (header == NULL || strncmp(header, scheme, strlen(scheme)) != 0)
-		return NULL;
-	header += strlen(scheme);
-	for (size_t i = 0; i < settings->token_count; i++) {
-		const struct jt_token *token = &settings->tokens[i];
-		size_t length = strlen(token->token);
-
-		if (strlen(header) == length &&
-		    sodium_memcmp(header, token->token, length) == 0)
-			return token;
-	}
-	return NULL;
-}
-
-static bool change_allowed(const struct jt_token *token,
-			   const struct jt_change *change)
-{
-	const json_t *group;
-
-	if (token->role == JT_ROLE_ADMIN)
-		return true;
-	if (token->role != JT_ROLE_OPERATE)
-		return false;
-	/* An operator of one group may change its addresses only; shares are
-	 * the administrator's, or a group could help itself. */
-	if (change->kind != JT_RESOURCE_ADDRESS || change->resource == NULL)
-		return false;
-	group = json_object_get(change->resource, "group");
-	return json_is_string(group) &&
-	       strcmp(json_string_value(group), token->group) == 0;
-}
-
 static bool rate_allows(struct jt_api *api)
 {
 	uint64_t now = jt_clock_ms();
@@ -149,51 +83,7 @@
 	struct jt_http_request *request = write->request;
 
 	jt_http_on_close(request, NULL, NULL);
-	switch (outcome) {
-	case JT_WRITE_ACCEPTED:
-		reply_json(request, 200,
-			   json_pack("{s:s,s:I,s:s}", "outcome", "accepted",
-				     "revision", (json_int_t)revision, "id",
-				     write->id));
-		break;
-	case JT_WRITE_STORED:
-		reply_json(request, 202,
-			   json_pack("{s:s,s:I,s:s,s:s}", "outcome", "stored",
-				     "revision", (json_int_t)revision, "error",
-				     "stored for good; the cell has yet to "
-				     "agree, ask /v1/writes/ID",
-				     "id", write->id));
-		break;
-	case JT_WRITE_CONFLICT:
-		reply_wrong(request, 409, error);
-		break;
-	case JT_WRITE_ABSENT:
-		reply_wrong(request, 404, error);
-		break;
-	case JT_WRITE_INVALID:
-		reply_wrong(request, 422, error);
-		break;
-	case JT_WRITE_FORBIDDEN:
-		reply_wrong(request, 403, error);
-		break;
-	case JT_WRITE_NOT_RUN:
-		reply_json(request, 503,
-			   json_pack("{s:s,s:s,s:s}", "outcome", "not run",
-				     "error", "the store can't be reached",
-				     "id", write->id));
-		break;
-	case JT_WRITE_UNKNOWN:
-		reply_json(request, 202,
-			   json_pack("{s:s,s:s,s:s}", "outcome", "unknown",
-				     "error",
-				     "no answer from the store; ask "
-				     "/v1/writes/ID",
-				     "id", write->id));
-		break;
-	case JT_WRITE_BUSY:
-		reply_error(request, 429, "too many changes, try later");
-		break;
-	}
+	jt_api_reply_outcome(request, write->id, outcome, revision, error);
 	talloc_free(write);
 }
 
@@ -251,66 +141,16 @@
 
 	json_decref(before);
 	if (result != JT_CHANGE_OK) {
-		reply_wrong(request, change_status(result), &error);
+		jt_api_reply_wrong(request, change_status(result), &error);
 		return;
 	}
-	reply_json(request, 200,
-		   json_pack("{s:s,s:I,s:o}", "outcome", "valid", "revision",
-			     (json_int_t)revision, "plan",
-			     jt_status_plan(api->node, after)));
+	jt_api_reply_json(request, 200,
+			  json_pack("{s:s,s:I,s:o}", "outcome", "valid",
+				    "revision", (json_int_t)revision, "plan",
+				    jt_status_plan(api->node, after)));
 	json_decref(after);
 }
 
-/* Deleting what has open flows would cut them off. */
-static bool deletion_cuts(struct jt_api *api, const struct jt_change *change,
-			  struct jt_resource_error *error)
-{
-	const struct jt_cell_state *state = jt_core_state(api->node->core);
-	const struct jt_config *config = state ? state->config : NULL;
-	uint32_t open = 0;
-
-	if (change->resource != NULL || config == NULL ||
-	    change->kind == JT_RESOURCE_ENDPOINT ||
-	    change->kind == JT_RESOURCE_GROUP)
-		return false;
-	for (size_t i = 0; i < config->share_count; i++) {
-		const struct jt_service_config *service =
-			&config->services[config->shares[i].service];
-		const struct jt_group_config *group =
-			&config->groups[config->shares[i].group];
-		char share[2 * JT_NAME_SIZE];
-		bool hit = false;
-
-		snprintf(share, sizeof(share), "%s/%s", service->name,
-			 group->name);
-		if (change->kind == JT_RESOURCE_SHARE)
-			hit = strcmp(share, change->name) == 0;
-		if (change->kind == JT_RESOURCE_SERVICE)
-			hit = strcmp(service->name, change->name) == 0;
-		for (size_t a = 0; change->kind == JT_RESOURCE_ADDRESS &&
-				   a < config->address_count;
-		     a++) {
-			const struct jt_address_config *address =
-				&config->addresses[a];
-
-			hit |= strcmp(address->name, change->name) == 0 &&
-			       address->service == config->shares[i].service &&
-			       address->group == config->shares[i].group;
-		}
-		if (hit)
-			open += jt_core_share_open(api->node->core, service->id,
-						   group->id);
-	}
-	if (open == 0)
-		return false;
-	snprintf(error->resource, sizeof(error->resource), "%s/%.127s",
-		 jt_resource_kind_name(change->kind), change->name);
-	error->field[0] = '\0';
-	snprintf(error->reason, sizeof(error->reason),
-		 "%u flows are open through it", open);
-	return true;
-}
-
 /* Takes over @posted. */
 static void submit(struct jt_api *api, struct jt_http_request *request,
 		   const struct jt_token *token, struct jt_change *changes,
@@ -325,13 +165,15 @@
 		if (token->role == JT_ROLE_OPERATE)
 			changes[i].only_group =
 				talloc_strdup(changes, token->group);
-		if (!change_allowed(token, &changes[i])) {
-			reply_error(request, 403,
-				    "the token does not allow this change");
+		if (!jt_api_change_allowed(token, &changes[i])) {
+			jt_api_reply_error(
+				request, 403,
+				"the token does not allow this change");
 			goto refused;
 		}
-		if (deletion_cuts(api, &changes[i], &error)) {
-			reply_wrong(request, 409, &error);
+		if (jt_api_deletion_cuts(api->node->core, &changes[i],
+					 &error)) {
+			jt_api_reply_wrong(request, 409, &error);
 			goto refused;
 		}
 	}
@@ -340,8 +182,9 @@
 		goto refused;
 	}
 	if (id != NULL && (strlen(id) == 0 || strlen(id) > JT_WRITE_ID_BYTES)) {
-		reply_error(request, 400,
-			    "X-Request-Id must have 1 to 128 characters");
+		jt_api_reply_error(
+			request, 400,
+			"X-Request-Id must have 1 to 128 characters");
 		goto refused;
 	}
 	write = write_make(api, request, id);
@@ -366,7 +209,7 @@
 		return posted;
 	snprintf(reason, sizeof(reason), "body: line %d: %s", error.line,
 		 error.text);
-	reply_error(request, 400, reason);
+	jt_api_reply_error(request, 400, reason);
 	return NULL;
 }
 
@@ -382,7 +225,7 @@
 		return;
 	if (jt_change_from_document(api, posted, &changes, &count, &error) !=
 	    0) {
-		reply_wrong(request, 422, &error);
+		jt_api_reply_wrong(request, 422, &error);
 		json_decref(posted);
 		return;
 	}
@@ -402,10 +245,10 @@
 	change = talloc_zero(api, struct jt_change);
 	own = jt_resource_name(change, kind, posted);
 	if (own == NULL || strcmp(own, name) != 0) {
-		reply_json(request, 422,
-			   json_pack("{s:s,s:s}", "error",
-				     "differs from the name in the path",
-				     "field", "name"));
+		jt_api_reply_json(request, 422,
+				  json_pack("{s:s,s:s}", "error",
+					    "differs from the name in the path",
+					    "field", "name"));
 		talloc_free(change);
 		json_decref(posted);
 		return;
@@ -445,17 +288,19 @@
 	size_t at;
 
 	if (name == NULL) {
-		reply_json(request, 200,
-			   json_pack("{s:I,s:O}", "revision",
-				     (json_int_t)revision, "items",
-				     list ? list : json_array()));
+		jt_api_reply_json(request, 200,
+				  json_pack("{s:I,s:O}", "revision",
+					    (json_int_t)revision, "items",
+					    list ? list : json_array()));
 	} else {
 		at = jt_resource_find(root, kind, name);
 		if (at == SIZE_MAX)
-			reply_error(request, 404, "there is no such resource");
+			jt_api_reply_error(request, 404,
+					   "there is no such resource");
 		else
-			reply_json(request, 200,
-				   json_incref(json_array_get(list, at)));
+			jt_api_reply_json(
+				request, 200,
+				json_incref(json_array_get(list, at)));
 	}
 	json_decref(root);
 }
@@ -486,9 +331,9 @@
 
 	jt_http_on_close(request, NULL, NULL);
 	watch_remove(watch);
-	reply_json(request, 200,
-		   json_pack("{s:I,s:o}", "revision", (json_int_t)revision,
-			     "resources", root));
+	jt_api_reply_json(request, 200,
+			  json_pack("{s:I,s:o}", "revision",
+				    (json_int_t)revision, "resources", root));
 }
 
 static uint64_t revision_in_force(const struct jt_node *node)
@@ -547,18 +392,19 @@
 	struct jt_flow_key key = {.protocol = JT_PROTOCOL_TCP};
 
 	if (source == NULL || jt_address_parse(source, &from) != 0) {
-		reply_error(request, 400, "source: must be IPV4:PORT");
+		jt_api_reply_error(request, 400, "source: must be IPV4:PORT");
 		return;
 	}
 	if (destination == NULL || jt_address_parse(destination, &to) != 0) {
-		reply_error(request, 400, "destination: must be IPV4:PORT");
+		jt_api_reply_error(request, 400,
+				   "destination: must be IPV4:PORT");
 		return;
 	}
 	key.source = from.ip;
 	key.source_port = from.port;
 	key.destination = to.ip;
 	key.destination_port = to.port;
-	reply_json(request, 200, jt_status_explain(api->node, &key));
+	jt_api_reply_json(request, 200, jt_status_explain(api->node, &key));
 }
 
 static void handle_resources(struct jt_api *api,
@@ -567,9 +413,9 @@
 	uint64_t revision;
 	json_t *root = document_in_force(api->node, &revision);
 
-	reply_json(request, 200,
-		   json_pack("{s:I,s:o}", "revision", (json_int_t)revision,
-			     "resources", root));
+	jt_api_reply_json(request, 200,
+			  json_pack("{s:I,s:o}", "revision",
+				    (json_int_t)revision, "resources", root));
 }
 
 static void handle_outcome(struct jt_api *api, struct jt_http_request *request,
@@ -618,7 +464,8 @@
 	if (get && strcmp(path, "/v1/resources") == 0)
 		handle_resources(api, request);
 	else if (get && strcmp(path, "/v1/status") == 0)
-		reply_json(request, 200, jt_status_json(api->node, api->sync));
+		jt_api_reply_json(request, 200,
+				  jt_status_json(api->node, api->sync));
 	else if (get && strcmp(path, "/v1/watch") == 0)
 		handle_watch(api, request);
 	else if (get && strcmp(path, "/v1/explain") == 0)
@@ -628,7 +475,7 @@
 	else if (strcmp(method, "POST") == 0 && strcmp(path, "/v1/apply") == 0)
 		handle_apply(api, request, token);
 	else if (!parse_resource_path(path, &kind, &name))
-		reply_error(request, 404, "there is no such page");
+		jt_api_reply_error(request, 404, "there is no such page");
 	else if (get)
 		handle_get(api, request, kind, name);
 	else if (name != NULL && strcmp(method, "PUT") == 0)
@@ -636,7 +483,7 @@
 	else if (name != NULL && strcmp(method, "DELETE") == 0)
 		handle_delete(api, request, token, kind, name);
 	else
-		reply_error(request, 405, "method not allowed here");
+		jt_api_reply_error(request, 405, "method not allowed here");
 }
 
 static void handle_open(struct jt_api *api, struct jt_http_request *request)
@@ -656,7 +503,7 @@
 		jt_http_reply(request, 200, "text/plain; version=0.0.4", text);
 		talloc_free(text);
 	} else {
-		reply_error(request, 404, "there is no such page");
+		jt_api_reply_error(request, 404, "there is no such page");
 	}
 }
 
@@ -671,17 +518,19 @@
 		return;
 	}
 	if (!rate_allows(api)) {
-		reply_error(request, 429, "too many requests, try later");
+		jt_api_reply_error(request, 429,
+				   "too many requests, try later");
 		return;
 	}
-	token = find_token(api, request);
+	token = jt_api_find_token(api->node->settings, request);
 	if (token == NULL) {
-		reply_error(request, 401, "a bearer token is needed");
+		jt_api_reply_error(request, 401, "a bearer token is needed");
 		return;
 	}
 	if (token->role < JT_ROLE_OPERATE &&
 	    strcmp(jt_http_method(request), "GET") != 0) {
-		reply_error(request, 403, "the token only allows reading");
+		jt_api_reply_error(request, 403,
+				   "the token only allows reading");
 		return;
 	}
 	handle_v1(api, request, token);
--- a/src/daemon/jt_config_sync.c
+++ b/src/daemon/jt_config_sync.c
@@ -1,23 +1,17 @@
 #include "jt_config_sync.h"
+#include "jt_founding.h"
 #include "jt_net.h"
 #include "jt_store.h"
+#include "jt_store_budget.h"
 
-#include <inttypes.h>
-#include <sodium.h>
-#include <stdlib.h>
 #include <string.h>
 
 enum {
 	RETRY_MIN_MS = 300,
 	RETRY_MAX_MS = 8000,
-	FOUND_AFTER_MS = 3000, /* peers get this long to answer */
-	FOUNDER_INTERVAL_MS = 10000,
-	FOUNDER_POLL_MS = 3000,	   /* while this node has no cell */
-	FOUNDER_SILENT_MS = 60000, /* a mark unrenewed so long is dead */
-	WRITE_PATIENCE_MS = 4000,  /* then "not run" or "outcome unknown" */
-	WRITE_EFFORT_MS = 60000,   /* an unknown write is followed this long */
+	WRITE_PATIENCE_MS = 4000, /* then "not run" or "outcome unknown" */
+	WRITE_EFFORT_MS = 60000,  /* an unknown write is followed this long */
 	WRITE_RETRY_MS = 300,
-	BURST_OPERATIONS = 8,
 };
 
 enum write_step { STEP_GET, STEP_PUT, STEP_WAIT, STEP_AGREE };
@@ -44,58 +38,20 @@
 	struct jt_node *node;
 	struct jt_store *store;
 	char *key;
-	char *founder_key;
-	uint64_t tokens_milli;
-	uint64_t refilled_ms;
+	struct jt_store_budget budget;
+	struct jt_founding *founding;
 	uint64_t read_due_ms;
 	uint32_t backoff_ms;
 	struct tevent_req *reading;
 	struct tevent_req *watching;
 	bool watch_stale; /* a change may have been missed */
 	bool store_up;
-	/* Founding and the founder's mark. */
-	uint64_t founder_due_ms;
-	bool founder_busy;
-	uint64_t mark_revision;	   /* of the founder's mark, as last seen */
-	uint64_t mark_observed_ms; /* since when it has stood still; 0: no */
-	uint64_t cell;
 	struct pending_write *writes;
 };
 
-/* Budget: this node's part of what the store allows all of them. */
-
-static void budget_refill(struct jt_config_sync *sync)
-{
-	const struct jt_cell_state *state = jt_core_state(sync->node->core);
-	uint64_t members = state ? state->member_count : 4;
-	uint64_t rate = sync->node->settings->store_operations_per_s;
-	uint64_t now = jt_clock_ms();
-
-	/* Half of the rate is divided evenly; the rest is for readers. */
-	sync->tokens_milli += (now - sync->refilled_ms) * rate /
-			      (2 * (members ? members : 1));
-	sync->refilled_ms = now;
-	if (sync->tokens_milli > BURST_OPERATIONS * 1000)
-		sync->tokens_milli = BURST_OPERATIONS * 1000;
-}
-
-static bool budget_take(struct jt_config_sync *sync)
-{
-	budget_refill(sync);
-	if (sync->tokens_milli < 1000)
-		return false;
-	sync->tokens_milli -= 1000;
-	return true;
-}
-
-static uint32_t jitter(uint32_t ms)
-{
-	return ms / 2 + randombytes_uniform(ms / 2 + 1);
-}
-
 static void back_off(struct jt_config_sync *sync)
 {
-	sync->read_due_ms = jt_clock_ms() + jitter(sync->backoff_ms);
+	sync->read_due_ms = jt_clock_ms() + jt_store_jitter(sync->backoff_ms);
 	sync->backoff_ms *= 2;
 	if (sync->backoff_ms > RETRY_MAX_MS)
 		sync->backoff_ms = RETRY_MAX_MS;
@@ -123,14 +79,13 @@
 		jt_store_create(sync, node->loop, node->settings->store_url);
 	sync->key = talloc_asprintf(sync, "/jaspertrack/%s/resources",
 				    node->settings->cell);
-	sync->founder_key = talloc_asprintf(sync, "/jaspertrack/%s/founder",
-					    node->settings->cell);
 	sync->backoff_ms = RETRY_MIN_MS;
-	sync->refilled_ms = jt_clock_ms();
-	sync->tokens_milli = BURST_OPERATIONS * 1000;
-	sync->read_due_ms = sync->refilled_ms + jitter(RETRY_MIN_MS);
-	if (sync->store == NULL || sync->key == NULL ||
-	    sync->founder_key == NULL)
+	jt_store_budget_init(&sync->budget, node);
+	sync->read_due_ms = jt_clock_ms() + jt_store_jitter(RETRY_MIN_MS);
+	if (sync->store != NULL)
+		sync->founding = jt_founding_create(sync, node, sync->store,
+						    &sync->budget);
+	if (sync->store == NULL || sync->key == NULL || sync->founding == NULL)
 		TALLOC_FREE(sync);
 	return sync;
 }
@@ -198,148 +153,13 @@
 		return;
 	}
 	if (sync->watching != NULL || sync->reading != NULL ||
-	    now < sync->read_due_ms || !budget_take(sync))
+	    now < sync->read_due_ms || !jt_store_budget_take(&sync->budget))
 		return;
 	sync->reading = jt_store_get_send(sync, sync->store, sync->key);
 	if (sync->reading != NULL)
 		tevent_req_set_callback(sync->reading, on_read, sync);
 }
 
-/*
- * Founding: the store's compare-and-swap lets one node alone begin.
- *
- * The mark has no lease, because an outage of the store would let a lease
- * lapse under a living cell. The coordinator renews the mark; a node without
- * a cell takes it over only after it has watched it stand still for long,
- * with the store answering all the time and no peer taking the node in.
- */
-
-static void founder_done(struct jt_config_sync *sync, bool founded)
-{
-	struct jt_event event = {.kind = JT_EVENT_FOUND};
-	bool member = jt_core_state(sync->node->core) != NULL;
-
-	sync->founder_busy = false;
-	sync->founder_due_ms =
-		jt_clock_ms() +
-		jitter(member ? FOUNDER_INTERVAL_MS : FOUNDER_POLL_MS);
-	if (!founded || member)
-		return;
-	event.u.cell = sync->cell;
-	jt_log_line(sync->node->log, LOG_NOTICE,
-		    "event=cell_founded cell=%016" PRIx64, sync->cell);
-	jt_node_event(sync->node, &event);
-}
-
-static void on_founder_put(struct tevent_req *req)
-{
-	struct jt_config_sync *sync =
-		tevent_req_callback_data(req, struct jt_config_sync);
-	uint64_t revision = 0;
-	enum jt_store_result result = jt_store_put_recv(req, &revision);
-
-	talloc_free(req);
-	founder_done(sync, result == JT_STORE_OK);
-}
-
-/* Write the mark if it is still at @revision: found, take over or renew. */
-static void founder_mark(struct jt_config_sync *sync, uint64_t revision)
-{
-	const struct jt_cell_state *state = jt_core_state(sync->node->core);
-	struct tevent_req *req;
-	char text[32];
-
-	if (state != NULL)
-		sync->cell = state->cell;
-	else
-		randombytes_buf(&sync->cell, sizeof(sync->cell));
-	snprintf(text, sizeof(text), "%016" PRIx64, sync->cell);
-	req = jt_store_put_send(sync, sync->store, sync->founder_key, text,
-				revision);
-	if (req == NULL)
-		founder_done(sync, false);
-	else
-		tevent_req_set_callback(req, on_founder_put, sync);
-}
-
-static bool mark_is_dead(struct jt_config_sync *sync, uint64_t revision)
-{
-	uint64_t now = jt_clock_ms();
-
-	if (sync->mark_observed_ms == 0 || sync->mark_revision != revision) {
-		sync->mark_observed_ms = now;
-		sync->mark_revision = revision;
-	}
-	return now >= sync->mark_observed_ms + FOUNDER_SILENT_MS;
-}
-
-static void founder_read(struct jt_config_sync *sync,
-			 const struct jt_store_value *value)
-{
-	const struct jt_cell_state *state = jt_core_state(sync->node->core);
-	uint64_t found = value->present ? strtoull(value->value, NULL, 16) : 0;
-
-	if (!value->present) {
-		founder_mark(sync, 0);
-	} else if (state == NULL && found == sync->cell) {
-		founder_done(sync, true); /* the answer to our put was lost */
-	} else if (state == NULL) {
-		if (mark_is_dead(sync, value->mod_revision))
-			founder_mark(sync, value->mod_revision);
-		else
-			founder_done(sync, false);
-	} else if (found == state->cell) {
-		founder_mark(sync, value->mod_revision);
-	} else {
-		jt_log_line(sync->node->log, LOG_ERR,
-			    "event=foreign_cell cell=%016" PRIx64, found);
-		founder_done(sync, false);
-	}
-}
-
-static void on_founder_get(struct tevent_req *req)
-{
-	struct jt_config_sync *sync =
-		tevent_req_callback_data(req, struct jt_config_sync);
-	TALLOC_CTX *frame = talloc_new(sync);
-	struct jt_store_value value;
-	enum jt_store_result result = jt_store_get_recv(req, frame, &value);
-
-	talloc_free(req);
-	if (result == JT_STORE_OK) {
-		founder_read(sync, &value);
-	} else {
-		sync->mark_observed_ms = 0;
-		founder_done(sync, false);
-	}
-	talloc_free(frame);
-}
-
-static void founder_tick(struct jt_config_sync *sync)
-{
-	const struct jt_cell_state *state = jt_core_state(sync->node->core);
-	uint64_t now = jt_clock_ms();
-	struct tevent_req *req;
-
-	if (state != NULL)
-		sync->mark_observed_ms = 0;
-	if (sync->founder_busy || now < sync->founder_due_ms ||
-	    sync->node->draining)
-		return;
-	if (state == NULL && (now < sync->node->started_ms + FOUND_AFTER_MS ||
-			      jt_node_newest(sync->node) == NULL))
-		return;
-	if (state != NULL && !jt_core_coordinator(sync->node->core))
-		return;
-	if (!budget_take(sync))
-		return;
-	req = jt_store_get_send(sync, sync->store, sync->founder_key);
-	if (req == NULL)
-		return;
-	sync->founder_busy = true;
-	tevent_req_set_callback(req, on_founder_get, sync);
-}
-
 /* Writing */
 
 static int write_destructor(struct pending_write *write)
@@ -377,7 +197,7 @@
 static void write_wait(struct pending_write *write)
 {
 	write->step = STEP_WAIT;
-	write->retry_ms = jt_clock_ms() + jitter(2 * WRITE_RETRY_MS);
+	write->retry_ms = jt_clock_ms() + jt_store_jitter(2 * WRITE_RETRY_MS);
 }
 
 /* Accepted means agreed on: until then another part of a divided cell might
@@ -563,7 +383,7 @@
 		write_end(write, JT_WRITE_UNKNOWN, 0, NULL);
 		return;
 	}
-	if (budget_take(write->sync))
+	if (jt_store_budget_take(&write->sync->budget))
 		write_get(write);
 }
 
@@ -630,7 +450,7 @@
 	struct pending_write *write, *next;
 
 	read_tick(sync);
-	founder_tick(sync);
+	jt_founding_tick(sync->founding);
 	for (write = sync->writes; write != NULL; write = next) {
 		next = write->next;
 		write_tick(write);
@@ -644,7 +464,7 @@
 
 bool jt_config_sync_take(struct jt_config_sync *sync)
 {
-	return budget_take(sync);
+	return jt_store_budget_take(&sync->budget);
 }
 
 uint64_t jt_config_sync_store_bytes(const struct jt_config_sync *sync)
