test_traffic has addresses of its own in each run

It failed once in make check (drain_queue() got 0 of 200 packets). Its address was fixed, and the traffic threads share their port with whoever binds it (SO_REUSEPORT): while two worktrees ran the test at once, one's packets went to the other's threads. Two at once, ten times: 19 of 20 runs failed; with addresses made from the process id 0 of 20. What it checks is as before.

--- a/tests/test_traffic.c
+++ b/tests/test_traffic.c
@@ -18,8 +18,10 @@
 
 enum { PACKETS = 200, PATIENCE_MS = 20000 };
 
-static const struct jt_address data = {0x7f3c0001, 6080};
-static const struct jt_address endpoint = {0x7f3c0002, 6080};
+/* Set by main() for this process alone: the threads share their port with
+ * whoever binds it, which would be another run of this test. */
+static struct jt_address data = {0x7f3c0000, 6080};
+static struct jt_address endpoint = {0x7f3d0000, 6080};
 
 /* A node alone in its cell, with one service and one endpoint. */
 static struct jt_core *make_core(TALLOC_CTX *mem_ctx)
@@ -123,5 +125,7 @@
 		cmocka_unit_test(test_table_and_queue),
 	};
 
+	data.ip |= (uint32_t)getpid() & 0xffff;
+	endpoint.ip |= (uint32_t)getpid() & 0xffff;
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
