--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -1,4 +1,5 @@
 #include "jt_director_admission.h"
+#include "jt_director_answers.h"
 #include "jt_director_expiry.h"
 #include "jt_director_flow.h"
 #include "jt_director_packet.h"
@@ -69,9 +70,11 @@
 		director, opts, director->peer_loads, &director->zone_drains);
 	director->admission = jt_admission_create(director, opts);
 	director->latency = jt_latency_create(director);
+	director->answers = jt_answer_profiles_create(director);
 	if (director->endpoints == NULL || director->flows == NULL ||
 	    director->chooser == NULL || director->latency == NULL ||
-	    director->peer_loads == NULL || director->admission == NULL)
+	    director->peer_loads == NULL || director->admission == NULL ||
+	    director->answers == NULL)
 		TALLOC_FREE(director);
 	return director;
 }
@@ -524,8 +527,11 @@
 	struct jt_incarnation *incarnation =
 		incarnation_of(director, id, born_ms);
 
-	if (incarnation != NULL)
-		jt_outlier_told(incarnation, now_ms);
+	if (incarnation == NULL)
+		return;
+	jt_chooser_compare(director->chooser, incarnation->pool, now_ms);
+	jt_outlier_told(incarnation, now_ms);
+	jt_endpoint_table_watch(director->endpoints, incarnation);
 }
 
 static void verdict_act(struct jt_director *director,
@@ -634,6 +640,7 @@
 	}
 	director->routing = talloc_steal(director, routing);
 	jt_splits_prune(director->chooser->splits, routing);
+	jt_answer_profiles_prune(director->answers, routing);
 	jt_admission_routing(director->admission, routing);
 	talloc_free((void *)old);
 }
@@ -694,6 +701,10 @@
 		event_overdue(director, event->u.suspicion.id,
 			      event->u.suspicion.born_ms, now_ms);
 		break;
+	case JT_DIRECTOR_FAILURES_TOLD:
+		jt_director_failures_told(director, event->u.failures.items,
+					  event->u.failures.count, now_ms);
+		break;
 	case JT_DIRECTOR_PROBED:
 		event_probed(director, event->u.probed.id,
 			     event->u.probed.born_ms, event->u.probed.outcome,
@@ -725,6 +736,7 @@
 		jt_director_flows_expire(director, now_ms);
 		jt_director_openings(director, now_ms, actions);
 		jt_director_overdue(director, now_ms, actions);
+		jt_director_answers_look(director, now_ms, actions);
 		jt_director_endpoints_tick(director, now_ms, actions);
 		jt_director_admission_tick(director, now_ms, actions);
 		break;
