Admission: fair shares of routes within a priority; steadier limits

Cause: within a priority one route could take all of a full service. And limits of nodes with few answers in a tenth of a second wandered: a median of six is noise.

Ruled out: a ring of requests in flight for each route (memory for thousands of routes): its part of what was let in lately stands for it.

Change: jt_group_shares asks the rule of src/common/jt_share.c (moved from src/core, one copy for both paths); the limit is steered by a smoothed delay, rises at once to twice what is done where hardly anything waits, and follows the demand a little more (0.03 of the geometric mean). A third of the target is the allowed delay (0.3 before).

In the model (tests/test_admission.c, demand four times the capacity, one of four groups wants 0.9 of it): the others served .25 before, .99 after.

--- a/src/core/jt_share.h
+++ b/src/common/jt_share.h
@@ -1,5 +1,6 @@
 /*
- * Fair shares: weighted max-min with a reserve.
+ * Fair shares: weighted max-min with a reserve. One rule for flows that have
+ * records and for those that follow labels.
  *
  * A group below its own share is always let in. A group above it borrows
  * what others leave idle, less a reserve kept for groups below their share,
--- a/src/label/admission/jt_admission.c
+++ b/src/label/admission/jt_admission.c
@@ -1,5 +1,6 @@
 #include "jt_admission.h"
 #include "jt_concurrency_limit.h"
+#include "jt_group_shares.h"
 #include "jt_in_flight.h"
 #include "jt_mechanism.h"
 
@@ -27,6 +28,7 @@
 	bool routed;   /* a route in force has it */
 	double credit; /* flows that it may open by the floor */
 	uint64_t asked_ms;
+	struct jt_group_shares *shares;
 	uint64_t admitted;
 	uint64_t refused;
 };
@@ -128,9 +130,11 @@
 	return place;
 }
 
-static void priority_need(struct admission_service *service, uint32_t priority)
+static void priority_need(struct jt_admission *admission,
+			  struct admission_service *service, uint32_t priority)
 {
 	size_t place = priority_place(service, priority);
+	struct jt_group_shares *shares;
 
 	if (place < service->priority_count &&
 	    service->priorities[place].priority == priority) {
@@ -139,10 +143,13 @@
 	}
 	if (service->priority_count == PRIORITIES_MOST)
 		return;
+	shares = talloc_zero(admission, struct jt_group_shares);
+	if (shares == NULL)
+		return;
 	for (size_t i = service->priority_count; i > place; i--)
 		service->priorities[i] = service->priorities[i - 1];
 	service->priorities[place] = (struct admission_priority){
-		.priority = priority, .routed = true};
+		.priority = priority, .routed = true, .shares = shares};
 	service->priority_count++;
 }
 
@@ -158,7 +165,7 @@
 		return;
 	if (service->target_ms == 0 || route->target_ms < service->target_ms)
 		service->target_ms = route->target_ms;
-	priority_need(service, route->priority);
+	priority_need(admission, service, route->priority);
 }
 
 /* Priorities stay known with their counts, also when no route has them. */
@@ -170,7 +177,6 @@
 	for (size_t i = 0; i < service->priority_count; i++)
 		routed += service->priorities[i].routed;
 	watched = routed > 1;
-
 	if (watched && !service->watched) {
 		jt_in_flight_init(&service->requests, service->target_ms);
 		service->limit = (struct jt_concurrency_limit){0};
@@ -250,6 +256,30 @@
 	};
 }
 
+/* Whether the limit, and the group's share of it, leave room for one more. */
+static bool has_room(const struct admission_service *service,
+		     const struct jt_admission_verdict *verdict, size_t place,
+		     const struct jt_group *group, uint64_t now_ms)
+{
+	if (service->limit.limit == 0)
+		return true;
+	if (verdict->in_flight >= verdict->limit)
+		return false;
+	return group == NULL ||
+	       jt_group_shares_admit(service->priorities[place].shares, group,
+				     verdict->in_flight, verdict->limit,
+				     now_ms);
+}
+
+/* Use up what the priority may open by its floor; false: nothing is left. */
+static bool floor_use(struct admission_priority *priority)
+{
+	if (priority->credit < 1)
+		return false;
+	priority->credit -= 1;
+	return true;
+}
+
 struct jt_admission_verdict jt_admission_ask(struct jt_admission *admission,
 					     const struct jt_route *route,
 					     uint64_t now_ms)
@@ -258,7 +288,9 @@
 	struct admission_service *service =
 		service_watched(admission, route_service(route));
 	struct admission_priority *priority;
+	struct jt_group *group;
 	size_t place;
+	bool room;
 
 	if (service == NULL || route->target_ms == 0)
 		return verdict;
@@ -267,18 +299,18 @@
 		place--;
 	priority = &service->priorities[place];
 	priority->asked_ms = now_ms;
+	group = jt_group_shares_ask(priority->shares, route->address, now_ms);
 	verdict = verdict_of(service, place, now_ms);
-	if (service->limit.limit == 0 || verdict.in_flight < verdict.limit) {
-		priority->credit = fmax(0, priority->credit - 1);
-	} else if (priority->credit >= 1) {
-		priority->credit -= 1;
-	} else {
+	room = has_room(service, &verdict, place, group, now_ms);
+	if (!floor_use(priority) && !room) {
 		verdict.admitted = false;
 		priority->refused++;
 		jt_concurrency_limit_refused(&service->limit, now_ms);
 		return verdict;
 	}
 	priority->admitted++;
+	if (group != NULL)
+		jt_group_admitted(group, now_ms);
 	return verdict;
 }
 
--- a/src/label/admission/jt_concurrency_limit.c
+++ b/src/label/admission/jt_concurrency_limit.c
@@ -6,7 +6,7 @@
 
 /* Answers may take this part of their target at the median: the slowest of a
  * mixed lot take about three times that, and are still in time. */
-#define DELAY_PART 0.3
+#define DELAY_PART 0.33
 /* A service whose work takes long beside its target is left this part. */
 #define DELAY_PART_MOST 0.4
 /* Work that does not wait: the median is about twice the quickest tenth, and
@@ -38,10 +38,13 @@
 /* A step moves the limit by no more than this. */
 #define FALL_MOST 0.7
 #define RISE_MOST 1.2
+/* But by up to this where hardly anything waits: the demand has fallen. */
+#define RISE_IDLE 1.5
+#define IDLE_PART 0.5
 /* A step raises the limit by this part of its geometric mean with the demand,
  * which keeps nodes' limits in proportion to their demands; and by no more than
  * this part of itself, however often callers come back. */
-#define DEMAND_PART 0.02
+#define DEMAND_PART 0.03
 #define DEMAND_RISE_MOST 0.08
 #define LIMIT_LEAST 1.0
 
@@ -52,6 +55,8 @@
 	SAMPLES_TO_BEGIN = 16,
 	STEP_MS = 80,
 	STEP_MOST_MS = 400,
+	/* The median of so many counts for half of the delay; few are noise. */
+	SMOOTH_SAMPLES = 8,
 	/* Nothing refused for so long: the demand fits. */
 	FITS_MS = 1000,
 	MS_PER_S = 1000,
@@ -133,7 +138,18 @@
 	return samples->took_ms[index];
 }
 
-static void delays_note(struct jt_concurrency_limit *limit, uint32_t target_ms)
+/* A limit is steered by a smoothed delay: that of a few answers is noise. */
+static void delay_note(struct jt_concurrency_limit *limit, double median_ms,
+		       size_t count)
+{
+	double part = 1;
+
+	if (limit->limit != 0)
+		part = (double)count / (double)(count + SMOOTH_SAMPLES);
+	limit->delay_ms += (median_ms - limit->delay_ms) * part;
+}
+
+static void answers_note(struct jt_concurrency_limit *limit, uint32_t target_ms)
 {
 	struct jt_limit_samples *samples = &limit->samples;
 	size_t count = samples->answers < JT_LIMIT_SAMPLES ? samples->answers
@@ -142,7 +158,7 @@
 	if (count > 0) {
 		qsort(samples->took_ms, count, sizeof(samples->took_ms[0]),
 		      compare_delays);
-		limit->delay_ms = sample_at(samples, count / 2);
+		delay_note(limit, sample_at(samples, count / 2), count);
 		quick_note(limit, sample_at(samples, count / 10), target_ms);
 	} else if (samples->rejected >= SAMPLES_LEAST) {
 		/* The service itself may have become so quick. */
@@ -186,21 +202,49 @@
 	return per_s * limit->allowed_ms / MS_PER_S;
 }
 
+/* Whether there are answers enough for a step. */
+static bool samples_suffice(const struct jt_concurrency_limit *limit)
+{
+	const struct jt_limit_samples *samples = &limit->samples;
+
+	if (samples->answers < SAMPLES_LEAST)
+		return false;
+	return limit->limit != 0 ||
+	       samples->answers + samples->rejected >= SAMPLES_TO_BEGIN;
+}
+
 static enum jt_limit_change limit_begin(struct jt_concurrency_limit *limit,
 					double load)
 {
 	if (load < LOAD_LEAST || limit->delay_ms <= limit->allowed_ms ||
-	    limit->samples.answers < SAMPLES_TO_BEGIN)
+	    !samples_suffice(limit))
 		return JT_LIMIT_SAME;
 	limit->limit =
 		fmax(LIMIT_LEAST, in_flight_at(limit, limit->answers_per_s));
 	return JT_LIMIT_BEGAN;
 }
 
+/* What the delay alone makes of the limit. */
+static double limit_by_delay(const struct jt_concurrency_limit *limit)
+{
+	bool idle = limit->delay_ms < limit->allowed_ms * IDLE_PART;
+	double factor = sqrt(limit->allowed_ms / fmax(limit->delay_ms, 1));
+	double most = idle ? RISE_IDLE : RISE_MOST;
+	double moved;
+
+	/* A limit that kept nothing out is no reason for the short delay. */
+	if (factor > 1 && limit->samples.refused == 0)
+		factor = 1;
+	moved = limit->limit * fmin(fmax(factor, FALL_MOST), most);
+	/* What is done now may have twice as much in flight. */
+	if (idle)
+		moved = fmax(moved, in_flight_at(limit, limit->answers_per_s));
+	return moved;
+}
+
 static enum jt_limit_change limit_move(struct jt_concurrency_limit *limit,
 				       double load, uint64_t now_ms)
 {
-	double factor = sqrt(limit->allowed_ms / fmax(limit->delay_ms, 1));
 	double demand;
 
 	if (load < LOAD_FREE || (limit->delay_ms <= limit->allowed_ms &&
@@ -208,10 +252,7 @@
 		limit->limit = 0;
 		return JT_LIMIT_ENDED;
 	}
-	/* A limit that kept nothing out is no reason for the short delay. */
-	if (factor > 1 && limit->samples.refused == 0)
-		factor = 1;
-	limit->limit *= fmin(fmax(factor, FALL_MOST), RISE_MOST);
+	limit->limit = limit_by_delay(limit);
 	demand = in_flight_at(limit, limit->offered_per_s) / limit->limit;
 	if (demand > 1)
 		limit->limit *=
@@ -220,11 +261,6 @@
 	return JT_LIMIT_SAME;
 }
 
-static uint32_t samples_needed(const struct jt_concurrency_limit *limit)
-{
-	return limit->limit == 0 ? SAMPLES_TO_BEGIN : SAMPLES_LEAST;
-}
-
 enum jt_limit_change
 jt_concurrency_limit_step(struct jt_concurrency_limit *limit,
 			  const struct jt_limit_service *service,
@@ -235,10 +271,10 @@
 	enum jt_limit_change change;
 	double load;
 
-	if (elapsed_ms < STEP_MS || (samples->answers < samples_needed(limit) &&
-				     elapsed_ms < STEP_MOST_MS))
+	if (elapsed_ms < STEP_MS ||
+	    (!samples_suffice(limit) && elapsed_ms < STEP_MOST_MS))
 		return JT_LIMIT_SAME;
-	delays_note(limit, service->target_ms);
+	answers_note(limit, service->target_ms);
 	rate_note(&limit->begun_per_s, samples->begun, elapsed_ms);
 	rate_note(&limit->answers_per_s, samples->answers, elapsed_ms);
 	rate_note(&limit->offered_per_s, samples->begun + samples->refused,
--- a/tests/admission_model.h
+++ b/tests/admission_model.h
@@ -25,6 +25,7 @@
 	MODEL_WORK_MOST_MS = 40, /* 24 at the mean */
 	MODEL_WORK_MEAN_MS = 24,
 	MODEL_AIM_MS = 250,
+	MODEL_GROUPS = 4,	  /* routes of those that are not urgent */
 	MODEL_BYTES = 800,	  /* of an answer */
 	MODEL_REJECT_BYTES = 120, /* of an endpoint that is full */
 	MODEL_TRIES = 3,	  /* of a caller, at another node each */
@@ -33,7 +34,8 @@
 
 struct model_request {
 	unsigned node;
-	unsigned kind; /* 0: urgent */
+	unsigned kind;	/* 0: urgent */
+	unsigned group; /* of those that are not */
 	uint64_t since_ms;
 	unsigned left_ms; /* of its work */
 };
@@ -63,15 +65,17 @@
 	struct jt_random random;
 	uint64_t now_ms;
 	double urgent_part;	    /* of the demand */
+	double greedy_part;	    /* of the other demand: the first group */
 	double shares[MODEL_NODES]; /* of the demand at each node */
 	double due;		    /* callers that are still to come */
 	unsigned tries;		    /* of each caller */
 	uint64_t reject_ms;	    /* until a caller has seen a rejection */
 	struct model_tally kinds[2];
 	struct model_tally at[MODEL_NODES]; /* by the first node asked */
-	uint64_t busy_ms;		    /* of all slots */
-	uint64_t slots_ms;		    /* that there were */
-	unsigned began;			    /* limits that began to hold */
+	struct model_tally groups[MODEL_GROUPS];
+	uint64_t busy_ms;  /* of all slots */
+	uint64_t slots_ms; /* that there were */
+	unsigned began;	   /* limits that began to hold */
 };
 
 static inline void model_node_start(struct model *model, unsigned node)
@@ -94,12 +98,15 @@
 	struct jt_routing *routing = talloc_zero(model, struct jt_routing);
 
 	routing->version = 1;
-	routing->routes = talloc_zero_array(routing, struct jt_route, 2);
-	routing->route_count = 2;
+	routing->routes =
+		talloc_zero_array(routing, struct jt_route, 1 + MODEL_GROUPS);
+	routing->route_count = 1 + MODEL_GROUPS;
 	routing->routes[0] = urgent;
-	routing->routes[1] = urgent;
-	routing->routes[1].address.port = MODEL_OTHER_PORT;
-	routing->routes[1].priority = 2;
+	for (uint16_t i = 1; i <= MODEL_GROUPS; i++) {
+		routing->routes[i] = urgent;
+		routing->routes[i].address.port = MODEL_OTHER_PORT + i;
+		routing->routes[i].priority = 2;
+	}
 	assert_null(jt_routing_sort(routing));
 	model->routing = routing;
 }
@@ -112,6 +119,7 @@
 	model->random.seed = 7;
 	model->now_ms = 100000;
 	model->urgent_part = 0.33;
+	model->greedy_part = 1;
 	model->tries = MODEL_TRIES;
 	model_routing(model);
 	model->table = jt_endpoint_table_create(model, 1000);
@@ -172,11 +180,13 @@
 }
 
 /* One try of a caller; true: it needs no other. */
+
 static inline bool model_try(struct model *model, unsigned node, unsigned kind,
-			     struct model_tally *tally)
+			     unsigned group)
 {
 	struct jt_admission *admission = model->nodes[node];
-	const struct jt_route *route = &model->routing->routes[kind];
+	const struct jt_route *route =
+		&model->routing->routes[kind == 0 ? 0 : 1 + group];
 	struct model_endpoint *endpoint;
 
 	if (!jt_admission_ask(admission, route, model->now_ms).admitted)
@@ -187,12 +197,13 @@
 		jt_admission_answered(admission, MODEL_SERVICE,
 				      model->now_ms - model->reject_ms,
 				      MODEL_REJECT_BYTES, model->now_ms);
-		tally->shed++;
+		model->kinds[kind].shed++;
 		return false;
 	}
 	endpoint->held[endpoint->count++] = (struct model_request){
 		.node = node,
 		.kind = kind,
+		.group = group,
 		.since_ms = model->now_ms,
 		.left_ms = model_work_ms(model) * endpoint->slowness,
 	};
@@ -209,17 +220,29 @@
 	return node;
 }
 
+/* The group of a caller that is not urgent. */
+static inline unsigned model_group(struct model *model)
+{
+	uint64_t draw = jt_random_next(&model->random);
+
+	if ((double)(draw % 1000) < model->greedy_part * 1000)
+		return 0;
+	return 1 + (unsigned)(draw / 1000 % (MODEL_GROUPS - 1));
+}
+
 static inline void model_caller(struct model *model)
 {
 	unsigned kind = (double)(jt_random_next(&model->random) % 1000) >=
 			model->urgent_part * 1000;
 	unsigned first = model_node(model), node = first;
+	unsigned group = kind == 0 ? 0 : model_group(model);
 	bool served = false;
 
 	model->kinds[kind].asked++;
 	model->at[first].asked++;
+	model->groups[group].asked += kind != 0;
 	for (unsigned i = 0; i < model->tries && !served; i++) {
-		served = model_try(model, node, kind, &model->kinds[kind]);
+		served = model_try(model, node, kind, group);
 		node = model_node(model);
 	}
 	model->kinds[kind].refused += !served;
@@ -233,10 +256,12 @@
 
 	jt_admission_answered(model->nodes[request->node], MODEL_SERVICE,
 			      request->since_ms, MODEL_BYTES, model->now_ms);
-	if (model->now_ms - request->since_ms <= MODEL_AIM_MS)
-		tally->in_aim++;
-	else
+	if (model->now_ms - request->since_ms > MODEL_AIM_MS) {
 		tally->late++;
+		return;
+	}
+	tally->in_aim++;
+	model->groups[request->group].in_aim += request->kind != 0;
 }
 
 static inline void model_endpoint_work(struct model *model,
@@ -297,6 +322,7 @@
 {
 	memset(model->kinds, 0, sizeof(model->kinds));
 	memset(model->at, 0, sizeof(model->at));
+	memset(model->groups, 0, sizeof(model->groups));
 	model->busy_ms = 0;
 	model->slots_ms = 0;
 	model->began = 0;
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -249,6 +249,51 @@
 	talloc_free(model);
 }
 
+/* Three groups that want little get it, whatever the fourth wants; it gets what
+ * they leave. */
+static void test_greedy_group_takes_nothing_from_others(void **state)
+{
+	struct model *model = model_create();
+
+	(void)state;
+	model->urgent_part = 0;
+	model->greedy_part = 0.9;
+	model_run(model, 4, SETTLED_MS);
+	model_count_anew(model);
+	model_run(model, 4, RUN_MS);
+	/* Each of the three wants 0.13 of all that the service can do. */
+	for (unsigned i = 1; i < MODEL_GROUPS; i++)
+		assert_true(model_part(model->groups[i].in_aim,
+				       model->groups[i].asked) >= 0.9);
+	assert_true(model_part(model->groups[0].in_aim,
+			       model->groups[0].asked) >= 0.9 * 0.6 / 3.6);
+	assert_well_used(model);
+	talloc_free(model);
+}
+
+/* All want more than there is: each gets the same. */
+static void test_groups_share_evenly(void **state)
+{
+	struct model *model = model_create();
+	unsigned least = UINT32_MAX, most = 0;
+
+	(void)state;
+	model->urgent_part = 0;
+	model->greedy_part = 0.55;
+	model_run(model, 4, SETTLED_MS);
+	model_count_anew(model);
+	model_run(model, 4, RUN_MS);
+	for (unsigned i = 0; i < MODEL_GROUPS; i++) {
+		unsigned done = model->groups[i].in_aim;
+
+		least = done < least ? done : least;
+		most = done > most ? done : most;
+	}
+	assert_true(model_part(least, most) >= 0.7);
+	assert_well_used(model);
+	talloc_free(model);
+}
+
 /* What never ends, as far as a node sees, counts for its horizon only. */
 static void test_in_flight_forgets(void **state)
 {
@@ -283,8 +328,11 @@
 		struct model *model = model_create();
 		struct jt_admission_view view;
 
-		model->routing->routes[1].priority = cases[i].priority;
-		model->routing->routes[1].target_ms = cases[i].target_ms;
+		for (int k = 1; k <= MODEL_GROUPS; k++) {
+			model->routing->routes[k].priority = cases[i].priority;
+			model->routing->routes[k].target_ms =
+				cases[i].target_ms;
+		}
 		model_node_start(model, 0);
 		assert_int_equal(
 			jt_admission_view_at(model->nodes[0], 0, &view),
@@ -293,6 +341,29 @@
 	}
 }
 
+/* Peers tell what callers want with the routing. */
+static void test_target_reaches_peers(void **state)
+{
+	struct bench *bench = bench_create(0);
+	struct model *model = model_create();
+	struct jt_director_event event = {.kind = JT_DIRECTOR_ROUTING};
+	struct jt_knowledge_need need = {0};
+	struct jt_routing *routing;
+	jt_wire_knowledge knowledge;
+
+	(void)state;
+	event.u.routing = model->routing;
+	bench_event(bench, &event);
+	bench_listed(bench, 1);
+	assert_true(jt_knowledge_write(bench, bench->director, &need,
+				       bench->now_ms, &knowledge));
+	routing = jt_knowledge_routing(bench, &knowledge.routing);
+	assert_int_equal(routing->routes[0].target_ms, MODEL_AIM_MS);
+	assert_int_equal(routing->routes[0].priority, 1);
+	talloc_free(bench);
+	talloc_free(model);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -308,8 +379,11 @@
 		cmocka_unit_test(test_slow_endpoints_refuse_nobody),
 		cmocka_unit_test(test_end_of_overload),
 		cmocka_unit_test(test_callers_that_return_for_ever),
+		cmocka_unit_test(test_greedy_group_takes_nothing_from_others),
+		cmocka_unit_test(test_groups_share_evenly),
 		cmocka_unit_test(test_in_flight_forgets),
 		cmocka_unit_test(test_what_calls_for_admission),
+		cmocka_unit_test(test_target_reaches_peers),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -197,7 +197,8 @@
 			"op/config",
 			"{\"version\":7,\"routes\":[{\"name\":\"r-a\",\"host\":"
 			"\"198.18.0.1\",\"pathPrefix\":\"/8443/\",\"priority\":"
-			"2,\"backends\":[{\"service\":\"a\",\"weight\":90},"
+			"2,\"targetLatencyMs\":250,\"backends\":[{\"service\":"
+			"\"a\",\"weight\":90},"
 			"{\"service\":\"b\",\"weight\":10}]}],\"services\":[{"
 			"\"name\":\"a\",\"healthPath\":\"/health\",\"maxConns\""
 			":2000,\"coldPerS\":2.5}],\"limits\":{"
@@ -208,6 +209,8 @@
 	assert_int_equal(change.routing->flow_idle_ms, 15000);
 	assert_int_equal(change.routing->routes[0].address.port, 8443);
 	assert_int_equal(change.routing->routes[0].parts[0].weight, 90);
+	assert_int_equal(change.routing->routes[0].priority, 2);
+	assert_int_equal(change.routing->routes[0].target_ms, 250);
 	assert_string_equal(change.routing->services[0].health_path, "/health");
 	assert_int_equal(change.routing->services[0].cold_permille, 2500);
 	talloc_free(change.routing);
