--- a/src/director/jt_peer_exchange.h
+++ b/src/director/jt_peer_exchange.h
@@ -11,6 +11,7 @@
 #include "jt_log.h"
 #include "jaspertrack/director-t.h"
 #include "jt_membership.h"
+#include "jt_peer_frames.h"
 
 /* What the owner of a peer exchange provides and is told. */
 struct jt_peer_handler {
@@ -38,30 +39,11 @@
 	void (*loads)(uint64_t peer, const struct jt_endpoint_load *loads,
 		      size_t count, void *private_data);
 	/* A peer has found an endpoint dead, or gets no answers from it. */
-	void (*suspicion)(jt_wire_suspicion_kind kind, uint64_t endpoint_id,
+	void (*suspicion)(const jt_wire_suspicion *suspicion,
 			  void *private_data);
 	void *private_data;
 };
 
-/* Messages of one kind, and their bytes. */
-struct jt_message_count {
-	uint64_t messages;
-	uint64_t bytes;
-};
-
-/* Kinds of messages: enum jt_wire_director_kind, from 1 on. */
-enum { JT_MESSAGE_KINDS = JT_WIRE_STANDING + 1 };
-
-struct jt_peer_counters {
-	struct jt_message_count sent[JT_MESSAGE_KINDS];
-	struct jt_message_count received[JT_MESSAGE_KINDS];
-	uint64_t rejected[JT_CODEC_SIZE + 1];
-	uint64_t fetches;
-	uint64_t fetches_failed;
-	uint64_t fetches_served;
-	uint64_t fetches_refused; /* this node was asked by too many */
-};
-
 struct jt_peer_exchange;
 
 /* NULL with a line in @error when the peer address can't be used. */
@@ -72,8 +54,8 @@
 			const struct jt_peer_handler *handler, char **error);
 /* Tell every peer that is heard. */
 void jt_peer_exchange_suspect(struct jt_peer_exchange *exchange,
-			      jt_wire_suspicion_kind kind,
-			      uint64_t endpoint_id);
+			      jt_wire_suspicion_kind kind, uint64_t endpoint_id,
+			      uint64_t born_ms);
 /* Tell every live peer at once how this node stands. */
 void jt_peer_exchange_tell_all(struct jt_peer_exchange *exchange);
 /* The other nodes, as one that leaves must see them. */
