--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -33,7 +33,8 @@
 	struct jt_address address;
 	struct jt_route_part parts[JT_ROUTE_PART_LIMIT];
 	size_t part_count;
-	uint32_t priority; /* 0 is the highest */
+	uint32_t priority;  /* 0 is the highest */
+	uint32_t target_ms; /* in which callers want answers, 0: not said */
 };
 
 /* What the routing knows of a service. */
@@ -232,6 +233,8 @@
 	JT_DIRECTOR_SEEN,	   /* an endpoint's state changed */
 	JT_DIRECTOR_ZONE_DRAINED,  /* a drain of a zone began */
 	JT_DIRECTOR_ZONE_RESTORED, /* and ended */
+	JT_DIRECTOR_SERVICE_FULL,  /* new flows of a service are limited */
+	JT_DIRECTOR_SERVICE_FREE,  /* and no more */
 };
 
 enum jt_director_reason {
@@ -250,10 +253,21 @@
 	JT_DIRECTOR_NO_ZONE,	   /* the zones of all endpoints are drained */
 	JT_DIRECTOR_COLD,	   /* what is left is cold and got its share */
 	JT_DIRECTOR_LEARNING,	   /* endpoints are still coming to be known */
-	JT_DIRECTOR_UNPROVEN, /* the dead endpoint may have started again */
+	JT_DIRECTOR_UNPROVEN,	/* the dead endpoint may have started again */
+	JT_DIRECTOR_OVERLOADED, /* its service has no room for it */
 	JT_DIRECTOR_REASONS,
 };
 
+/* What decides whether a service has room for a new flow. */
+struct jt_director_room {
+	const char *route; /* good until the next event; NULL: about none */
+	uint32_t priority; /* of the route */
+	uint32_t limit;	   /* requests in flight that it may have here */
+	uint32_t in_flight;
+	uint32_t delay_ms;   /* median time to an answer */
+	uint32_t allowed_ms; /* that the limit is steered to */
+};
+
 struct jt_director_action {
 	enum jt_director_action_kind kind;
 	enum jt_director_reason reason;
@@ -271,6 +285,7 @@
 	uint32_t service_id; /* of the endpoint */
 	bool peers_know;     /* of the verdict: a peer has told it to all */
 	const char *zone; /* drained or restored; good until the next event */
+	struct jt_director_room room; /* overloaded; service full or free */
 };
 
 /* A growing list of actions; clear it between events. */
@@ -293,6 +308,7 @@
 	JT_DIRECTOR_BREAK_ZONE_DRAIN = 1 << 7,	 /* drains change nothing */
 	JT_DIRECTOR_BREAK_COLD = 1 << 8,	 /* cold ones get any number */
 	JT_DIRECTOR_BREAK_BIRTH = 1 << 9,	 /* births tell nothing */
+	JT_DIRECTOR_BREAK_REFUSE_PLACED = 1 << 10, /* placed flows as well */
 };
 
 /* Limits and times; jt_director_options_init() gives the defaults. */
@@ -312,6 +328,9 @@
 	 * thousandths, and so many new flows a second more. */
 	uint32_t cold_overshoot_permille;
 	uint32_t cold_slack;
+	/* Each priority of a full service gets at least this part of what it
+	 * does, in thousandths. */
+	uint32_t admission_floor_permille;
 	uint64_t seed;		  /* breaks ties between equals */
 	unsigned break_mechanism; /* enum jt_director_break, tests only */
 	uint32_t without;	  /* mechanisms that are off, for experiments */
