--- a/src/director/jt_peer_exchange.h
+++ b/src/director/jt_peer_exchange.h
@@ -41,6 +41,9 @@
 	/* A peer has found an endpoint dead, or gets no answers from it. */
 	void (*suspicion)(const jt_wire_suspicion *suspicion,
 			  void *private_data);
+	/* A peer has seen requests fail. */
+	void (*failures)(const struct jt_endpoint_failure *failures,
+			 size_t count, void *private_data);
 	void *private_data;
 };
 
@@ -56,6 +59,10 @@
 void jt_peer_exchange_suspect(struct jt_peer_exchange *exchange,
 			      jt_wire_suspicion_kind kind, uint64_t endpoint_id,
 			      uint64_t born_ms);
+/* Tell so many peers, by turns, of failed requests. */
+void jt_peer_exchange_failures(struct jt_peer_exchange *exchange,
+			       const struct jt_endpoint_failure *failures,
+			       size_t count, size_t peers);
 /* Tell every live peer at once how this node stands. */
 void jt_peer_exchange_tell_all(struct jt_peer_exchange *exchange);
 /* The other nodes, as one that leaves must see them. */
