New flows go to fast endpoints first, and far only for want of room

Cause: an endpoint's speed was this node's smoothed time of a few answers of all kinds, against the fastest of its service: among 120 some look fast by chance, so others look slow; kinds with longer work and one answer of seven times the usual time did so too. The delay of an acknowledgement of a lone segment (40 ms on answers of 32 to 71) hid most of the true difference.

Change: time over the usual time of its kind, in logarithms, pooled between nodes by gossip averaging in the reports of loads (one word more an entry); shares of work by the same marginal time at each endpoint in use (jt_fill); levels of the own zone and of others apart, a part of new flows goes far when those elsewhere are lower by a third (jt_zone_choice). Switches fast-first and zone-room.

--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -83,6 +83,7 @@
 	uint32_t label;
 	uint32_t flows;
 	uint32_t work_permille; /* requests lately, in thousandths */
+	uint32_t speed;		/* jt_speed_told() */
 };
 
 enum { JT_WORK_UNIT = 1000 }; /* of work_permille in a request */
@@ -315,6 +316,7 @@
 	uint64_t entries_refused; /* older than what is known, or no room */
 	uint64_t resent;	  /* packets that were sent again */
 	uint64_t overdue;	  /* requests whose answers were overdue */
+	uint64_t placed_far;	  /* new flows that went to another zone */
 };
 
 struct jt_director;
--- a/include/jaspertrack/director.h
+++ b/include/jaspertrack/director.h
@@ -50,6 +50,12 @@
 /* How many incarnations are known in @state. */
 size_t jt_director_endpoint_count(const struct jt_director *director,
 				  enum jt_incarnation_state state);
+/* How many ready incarnations are found slower, or faster, than is usual of
+ * their service. */
+size_t jt_director_slow_count(const struct jt_director *director,
+			      uint64_t now_ms);
+size_t jt_director_fast_count(const struct jt_director *director,
+			      uint64_t now_ms);
 /* The @index-th known incarnation, with its state; false past the last. */
 bool jt_director_endpoint_at(const struct jt_director *director, size_t index,
 			     struct jt_endpoint_entry *entry,
--- a/src/common/jt_mechanism.c
+++ b/src/common/jt_mechanism.c
@@ -5,12 +5,19 @@
 
 /* In the order of their bits. */
 static const char *const names[] = {
-	"zone-first",	  "peer-work",	     "slowness",      "cold",
-	"newcomer-share", "doubt-opening",   "doubt-resent",  "peer-suspicion",
-	"refuse-full",	  "parts-give-way",  "outage-lapses", "news",
-	"near-digests",	  "one-watcher",     "few-readers",   "first-start",
-	"peers-first",	  "leave-in-turn",   "early-end",     "outliers",
-	"hold-unknown",	  "spread-learning", "partly-known",  NULL,
+	"zone-first",	  "peer-work",
+	"slowness",	  "cold",
+	"newcomer-share", "doubt-opening",
+	"doubt-resent",	  "peer-suspicion",
+	"refuse-full",	  "parts-give-way",
+	"outage-lapses",  "news",
+	"near-digests",	  "one-watcher",
+	"few-readers",	  "first-start",
+	"peers-first",	  "leave-in-turn",
+	"early-end",	  "outliers",
+	"hold-unknown",	  "spread-learning",
+	"partly-known",	  "fast-first",
+	"zone-room",	  NULL,
 };
 
 uint32_t jt_mechanism_find(const char *name)
--- a/src/common/jt_mechanism.h
+++ b/src/common/jt_mechanism.h
@@ -33,6 +33,8 @@
 	JT_MECHANISM_HOLD_UNKNOWN = 1 << 20, /* packets wait for entries */
 	JT_MECHANISM_SPREAD_LEARNING = 1 << 21, /* so do new flows */
 	JT_MECHANISM_PARTLY_KNOWN = 1 << 22,	/* is enough to place flows */
+	JT_MECHANISM_FAST_FIRST = 1 << 23,	/* slow ones rest till needed */
+	JT_MECHANISM_ZONE_ROOM = 1 << 24, /* flows go far for want of room */
 };
 
 /* The mechanism of that name, 0 when there is none. */
--- a/src/director/jt_director_pages.c
+++ b/src/director/jt_director_pages.c
@@ -110,6 +110,12 @@
 			  counters->probes_void);
 	text = add_metric(text, "identifications_total", "counter",
 			  counters->identifications);
+	text = add_metric(text, "flows_placed_far_total", "counter",
+			  counters->placed_far);
+	text = add_metric(text, "endpoints_slow", "gauge",
+			  jt_director_slow_count(director, jt_clock_ms()));
+	text = add_metric(text, "endpoints_fast", "gauge",
+			  jt_director_fast_count(director, jt_clock_ms()));
 	text = add_metric(text, "packets_resent_total", "counter",
 			  counters->resent);
 	text = add_metric(text, "entries_refused_total", "counter",
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -57,7 +57,7 @@
 
 	for (size_t i = 0; i < own_count; i++)
 		wire[i] = (jt_wire_load){own[i].label, own[i].flows,
-					 own[i].work_permille};
+					 own[i].work_permille, own[i].speed};
 	loads->loads.loads_val = wire;
 	loads->loads.loads_len = (u_int)own_count;
 	for (size_t i = 0; i < count; i++)
@@ -73,6 +73,7 @@
 		loads[i].label = wire->loads.loads_val[i].label;
 		loads[i].flows = wire->loads.loads_val[i].flows;
 		loads[i].work_permille = wire->loads.loads_val[i].work_permille;
+		loads[i].speed = wire->loads.loads_val[i].speed;
 	}
 	exchange->handler.loads(peer, loads, wire->loads.loads_len,
 				exchange->handler.private_data);
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -3,6 +3,8 @@
 #include "jt_mechanism.h"
 #include "jt_outlier.h"
 #include "jt_routing.h"
+#include "jt_target.h"
+#include "jt_zone_choice.h"
 
 #include <string.h>
 
@@ -10,18 +12,10 @@
 	/* Load of an endpoint of another zone must be this much lower, in
 	 * thousandths of the load of one of the own zone. */
 	REMOTE_PERMILLE = 1500,
-	/* A cold endpoint counts as this much slower, in thousandths. */
-	COLD_PERMILLE = 2000,
-	/* Slower than the fastest by less than this counts as equal. */
-	SLOW_PERMILLE = 1700,
-	SLOW_PERMILLE_MOST = 20000,
 	/* A choice looks at no more endpoints: the best of so many at random is
 	 * hardly worse than the best of all, and costs the same in a pool of
 	 * any size. Whoever looks at all finds one where few are willing. */
 	SAMPLE_MOST = 64,
-	/* Answers before an endpoint's speed counts for less than this are
-	 * noise of the callers' own pace. */
-	LATENCY_LEAST_US = 5000,
 };
 
 struct jt_chooser *jt_chooser_create(TALLOC_CTX *mem_ctx,
@@ -284,12 +278,67 @@
 	}
 }
 
+static bool is_near(const struct jt_chooser *chooser,
+		    const struct jt_incarnation *in)
+{
+	return in->entry.zone_id == chooser->zone_id ||
+	       !jt_mechanism_on(chooser->without, JT_MECHANISM_ZONE_FIRST);
+}
+
 /* What a choice must know of the ready ones among some together. */
 struct pool_view {
-	uint32_t fastest_us; /* lowest smoothed latency; 0: none is known */
-	bool avoid_failing;  /* there are enough without those that fail */
+	struct jt_target near, far; /* of the own zone, and of all others */
+	bool avoid_failing; /* there are enough without those that fail */
 };
 
+static struct jt_target target_of(const struct jt_chooser *chooser)
+{
+	return (struct jt_target){
+		.peer_loads = chooser->peer_loads,
+		.nodes = chooser->nodes,
+		.without = chooser->without,
+	};
+}
+
+/* How the work of those of some that may get new flows, and are in the own zone
+ * or not, should be spread over them. */
+static struct jt_target target_aim(const struct jt_chooser *chooser,
+				   struct incarnations some, bool near,
+				   bool avoid_failing, uint64_t now_ms)
+{
+	struct jt_incarnation *aimed_at[JT_TARGET_LOOK_MOST];
+	struct jt_target target = target_of(chooser);
+	size_t count = 0;
+
+	for (size_t i = 0; i < some.count && count < JT_TARGET_LOOK_MOST; i++) {
+		struct jt_incarnation *in = some.items[i];
+
+		if (in->state == JT_INCARNATION_READY &&
+		    is_near(chooser, in) == near &&
+		    !zone_drained(chooser, in) &&
+		    !(avoid_failing && jt_outlier_failing(in, now_ms)))
+			aimed_at[count++] = in;
+	}
+	jt_target_aim(&target, aimed_at, count, now_ms);
+	return target;
+}
+
+void jt_chooser_answered(struct jt_chooser *chooser,
+			 const struct jt_route *route,
+			 struct jt_incarnation *incarnation,
+			 const struct jt_answer *answer, uint64_t now_ms)
+{
+	struct jt_split *split =
+		route != NULL ? jt_splits_find(chooser->splits, route) : NULL;
+	struct jt_target target = target_of(chooser);
+	struct jt_usual *usual = NULL;
+
+	if (split != NULL)
+		usual = jt_split_usual(split, incarnation->entry.service_id);
+	if (usual != NULL)
+		jt_target_answered(&target, usual, incarnation, answer, now_ms);
+}
+
 static struct pool_view pool_look(const struct jt_chooser *chooser,
 				  struct incarnations some, uint64_t now_ms)
 {
@@ -304,54 +353,15 @@
 			continue;
 		ready++;
 		failing += jt_outlier_failing(in, now_ms);
-		if (in->latency_us != 0 &&
-		    (view.fastest_us == 0 || in->latency_us < view.fastest_us))
-			view.fastest_us = in->latency_us;
 	}
 	view.avoid_failing =
 		jt_mechanism_on(chooser->without, JT_MECHANISM_OUTLIERS) &&
 		jt_outlier_few(failing, ready);
+	view.near = target_aim(chooser, some, true, view.avoid_failing, now_ms);
+	view.far = target_aim(chooser, some, false, view.avoid_failing, now_ms);
 	return view;
 }
 
-/* Time that a request takes there, in thousandths of the fastest. */
-static uint64_t slowness_permille(const struct jt_chooser *chooser,
-				  const struct jt_incarnation *in,
-				  uint32_t fastest_us, uint64_t now_ms)
-{
-	uint64_t permille = 1000;
-
-	if (fastest_us < LATENCY_LEAST_US)
-		fastest_us = LATENCY_LEAST_US;
-	if (in->latency_us > fastest_us &&
-	    jt_mechanism_on(chooser->without, JT_MECHANISM_SLOWNESS))
-		permille = (uint64_t)in->latency_us * 1000 / fastest_us;
-	if (permille < SLOW_PERMILLE)
-		permille = 1000;
-	if (permille > SLOW_PERMILLE_MOST)
-		permille = SLOW_PERMILLE_MOST;
-	if (now_ms < in->cold_until_ms && permille < COLD_PERMILLE &&
-	    jt_mechanism_on(chooser->without, JT_MECHANISM_COLD))
-		permille = COLD_PERMILLE;
-	return permille;
-}
-
-/* Load after one more flow, for capacity and speed. */
-static double incarnation_load(const struct jt_chooser *chooser,
-			       const struct jt_incarnation *in,
-			       uint32_t fastest_us, uint64_t now_ms)
-{
-	uint32_t capacity = in->entry.capacity ? in->entry.capacity : 1;
-	double work = jt_work_now(&in->work, now_ms) + (double)in->waiting + 1;
-
-	if (jt_mechanism_on(chooser->without, JT_MECHANISM_PEER_WORK))
-		work += jt_peer_loads_work(chooser->peer_loads, in->label,
-					   now_ms);
-	return work *
-	       (double)slowness_permille(chooser, in, fastest_us, now_ms) /
-	       capacity;
-}
-
 struct candidate {
 	struct jt_incarnation *incarnation;
 	double load;
@@ -372,11 +382,16 @@
 		best->incarnation = in;
 }
 
-static bool is_near(const struct jt_chooser *chooser,
-		    const struct jt_incarnation *in)
+/* Whether a flow goes to the best one of other zones, not of the own. */
+static bool goes_far(struct jt_chooser *chooser, const struct pool_view *view,
+		     const struct candidate *local,
+		     const struct candidate *remote)
 {
-	return in->entry.zone_id == chooser->zone_id ||
-	       !jt_mechanism_on(chooser->without, JT_MECHANISM_ZONE_FIRST);
+	if (!view->near.measured ||
+	    !jt_mechanism_on(chooser->without, JT_MECHANISM_ZONE_ROOM))
+		return remote->load * REMOTE_PERMILLE / 1000 < local->load;
+	return (double)(jt_random_next(&chooser->random) % 1000) <
+	       1000 * jt_zone_spill(&view->near, &view->far);
 }
 
 static struct jt_incarnation *best_of(struct jt_chooser *chooser,
@@ -403,17 +418,19 @@
 			memset(&remote, 0, sizeof(remote));
 			lowest = willing;
 		}
-		candidate_offer(
-			chooser, is_near(chooser, in) ? &local : &remote, in,
-			incarnation_load(chooser, in, view.fastest_us, now_ms));
+		if (is_near(chooser, in))
+			candidate_offer(chooser, &local, in,
+					jt_target_load(&view.near, in, now_ms));
+		else
+			candidate_offer(chooser, &remote, in,
+					jt_target_load(&view.far, in, now_ms));
 	}
 	if (local.incarnation == NULL)
 		return remote.incarnation;
 	if (remote.incarnation == NULL)
 		return local.incarnation;
-	if (remote.load * REMOTE_PERMILLE / 1000 < local.load)
-		return remote.incarnation;
-	return local.incarnation;
+	return goes_far(chooser, &view, &local, &remote) ? remote.incarnation
+							 : local.incarnation;
 }
 
 /* An endpoint that is as willing as @most: of a sample, or of all where that
--- a/src/label/jt_choose.h
+++ b/src/label/jt_choose.h
@@ -43,6 +43,11 @@
 					 const struct jt_route *route,
 					 uint64_t now_ms,
 					 enum jt_director_reason *refusal);
+/* A request of the route was answered there. */
+void jt_chooser_answered(struct jt_chooser *chooser,
+			 const struct jt_route *route,
+			 struct jt_incarnation *incarnation,
+			 const struct jt_answer *answer, uint64_t now_ms);
 /* Flows of all nodes together at the incarnation, as far as is known. */
 double jt_chooser_flows(const struct jt_chooser *chooser,
 			const struct jt_incarnation *incarnation,
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -390,6 +390,24 @@
 		jt_outlier_told(incarnation, now_ms);
 }
 
+/* A peer's share of the endpoints' flows, and how fast it found them. */
+static void event_loads(struct jt_director *director,
+			const struct jt_director_event *event)
+{
+	jt_peer_loads_take(director->peer_loads, event->u.loads.peer,
+			   event->u.loads.loads, event->u.loads.count,
+			   event->now_ms);
+	for (size_t i = 0; i < event->u.loads.count; i++) {
+		const struct jt_endpoint_load *load = &event->u.loads.loads[i];
+		struct jt_incarnation *incarnation = jt_endpoint_table_by_label(
+			director->endpoints, load->label);
+
+		if (incarnation != NULL)
+			jt_speed_take(&incarnation->speed, load->speed,
+				      event->now_ms);
+	}
+}
+
 static void verdict_act(struct jt_director *director,
 			struct jt_incarnation *incarnation,
 			enum jt_detector_verdict verdict,
@@ -547,9 +565,7 @@
 				 event->u.identified.found, now_ms, actions);
 		break;
 	case JT_DIRECTOR_LOADS:
-		jt_peer_loads_take(director->peer_loads, event->u.loads.peer,
-				   event->u.loads.loads, event->u.loads.count,
-				   now_ms);
+		event_loads(director, event);
 		break;
 	case JT_DIRECTOR_ZONE_DRAINS:
 		jt_director_zones(director, event, actions);
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -9,8 +9,8 @@
 #define FLOW_BYTES_MOST (1u << 24)
 
 enum {
-	/* New part of the smoothed latency, in eighths. */
-	LATENCY_EIGHTHS = 2,
+	/* An answer of more bytes takes several segments. */
+	LONE_BYTES = 1200,
 	/* New part of the smoothed time to open: one in so many. */
 	OPEN_PART = 16,
 	/* A caller waits longer than that before it sends the same again: what
@@ -96,30 +96,38 @@
 		action->version = director->routing->version;
 }
 
+/* What the caller's packet says of the time of the answer to its request. */
+static struct jt_answer answer_of(const struct jt_director *director,
+				  const struct jt_cached_flow *flow,
+				  const struct jt_label_packet *packet,
+				  uint64_t now_ms)
+{
+	return (struct jt_answer){
+		.took_ms =
+			(double)(now_ms - flow->waiting_ms) - director->open_ms,
+		.lone = packet->length == 0 &&
+			packet->acknowledged - flow->acknowledged <= LONE_BYTES,
+	};
+}
+
 static void flow_answered(struct jt_director *director,
 			  struct jt_cached_flow *flow,
-			  struct jt_incarnation *incarnation, uint64_t now_ms)
+			  struct jt_incarnation *incarnation,
+			  const struct jt_label_packet *packet, uint64_t now_ms)
 {
-	uint64_t took_us;
+	struct jt_answer answer;
 
 	if (flow->waiting_ms == 0)
 		return;
-	took_us = (now_ms - flow->waiting_ms) * 1000;
+	answer = answer_of(director, flow, packet, now_ms);
 	jt_latency_add(director->latency, now_ms - flow->waiting_ms);
 	jt_outlier_answered(incarnation, now_ms - flow->waiting_ms);
 	jt_flow_cache_answered(director->flows, flow);
 	if (incarnation->waiting > 0)
 		incarnation->waiting--;
-	if (took_us > UINT32_MAX / 8)
-		took_us = UINT32_MAX / 8;
-	if (incarnation->latency_us == 0)
-		incarnation->latency_us = (uint32_t)took_us;
-	else
-		incarnation->latency_us =
-			(uint32_t)((incarnation->latency_us *
-					    (uint64_t)(8 - LATENCY_EIGHTHS) +
-				    took_us * LATENCY_EIGHTHS) /
-				   8);
+	jt_chooser_answered(director->chooser,
+			    jt_routing_route(director->routing, &flow->key),
+			    incarnation, &answer, now_ms);
 }
 
 static void flow_opened(struct jt_director *director,
@@ -193,6 +201,8 @@
 		add_reset(director, &packet->key, refusal, actions);
 		return;
 	}
+	if (chosen->entry.zone_id != director->options.zone_id)
+		director->counters.placed_far++;
 	flow = flow_add(director, packet, chosen, now_ms);
 	if (flow != NULL) {
 		jt_flow_cache_opening(director->flows, flow, now_ms);
@@ -361,7 +371,8 @@
 		if (flow->opening_ms != 0)
 			flow_opened(director, flow, incarnation, now_ms);
 		else
-			flow_answered(director, flow, incarnation, now_ms);
+			flow_answered(director, flow, incarnation, packet,
+				      now_ms);
 		flow->answered = flow->answered || flow->opening_ms == 0;
 		flow->acknowledged = packet->acknowledged;
 		jt_flow_cache_opened(director->flows, flow);
--- a/src/label/jt_director_view.c
+++ b/src/label/jt_director_view.c
@@ -123,6 +123,37 @@
 	return count;
 }
 
+/* Ready incarnations whose slowness is on @side of the usual one: +1 or -1. */
+static size_t unusual_count(const struct jt_director *director, int side,
+			    uint64_t now_ms)
+{
+	const struct jt_incarnation *in =
+		jt_endpoint_table_first(director->endpoints);
+	size_t count = 0;
+
+	for (; in != NULL; in = jt_endpoint_table_next(in)) {
+		double slowness =
+			jt_speed_slowness(&in->speed, director->nodes, now_ms);
+
+		if (in->state == JT_INCARNATION_READY &&
+		    (slowness - 1) * side > 0)
+			count++;
+	}
+	return count;
+}
+
+size_t jt_director_slow_count(const struct jt_director *director,
+			      uint64_t now_ms)
+{
+	return unusual_count(director, 1, now_ms);
+}
+
+size_t jt_director_fast_count(const struct jt_director *director,
+			      uint64_t now_ms)
+{
+	return unusual_count(director, -1, now_ms);
+}
+
 /* False when there is nothing to tell of the incarnation. */
 static bool load_of(const struct jt_incarnation *in, uint64_t now_ms,
 		    struct jt_endpoint_load *load)
@@ -134,6 +165,7 @@
 		.flows = in->flows,
 		.work_permille =
 			work < UINT32_MAX ? (uint32_t)work : UINT32_MAX,
+		.speed = jt_speed_told(&in->speed, now_ms),
 	};
 	return load->flows > 0 || load->work_permille > 0;
 }
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -11,6 +11,7 @@
 #include "jaspertrack/director-t.h"
 
 #include "jt_director_proto.h"
+#include "jt_speed.h"
 #include "jt_work.h"
 
 #include <uthash.h>
@@ -32,8 +33,8 @@
 	/* Load, by this node's own flows. */
 	uint32_t flows;
 	struct jt_work work;
-	uint32_t waiting;    /* flows with a request not yet answered */
-	uint32_t latency_us; /* smoothed time to the answer; 0: unknown */
+	uint32_t waiting; /* flows with a request not yet answered */
+	struct jt_speed speed;
 
 	/* The failure detector's view. */
 	uint64_t progress_ms;	 /* last sign of life on a flow */
@@ -81,6 +82,7 @@
 	size_t count;
 	size_t room;
 	double answer_ms; /* smoothed time to an answer; 0: unknown */
+	double serve_ms;  /* the same without the way, over more answers */
 	UT_hash_handle hh;
 };
 
--- a/src/label/jt_split.c
+++ b/src/label/jt_split.c
@@ -35,6 +35,7 @@
 	if (!jt_route_same_parts(&split->route, route)) {
 		split->route = *route;
 		memset(split->given, 0, sizeof(split->given));
+		memset(split->usual, 0, sizeof(split->usual));
 	}
 	return split;
 }
@@ -68,6 +69,15 @@
 	}
 }
 
+struct jt_usual *jt_split_usual(struct jt_split *split, uint32_t service_id)
+{
+	for (size_t i = 0; i < split->route.part_count; i++) {
+		if (split->route.parts[i].service_id == service_id)
+			return &split->usual[i];
+	}
+	return NULL;
+}
+
 void jt_splits_prune(struct jt_splits *splits, const struct jt_routing *routing)
 {
 	struct jt_split *split, *next;
--- a/src/label/jt_split.h
+++ b/src/label/jt_split.h
@@ -7,6 +7,8 @@
 
 #include "jaspertrack/director-t.h"
 
+#include "jt_speed.h"
+
 #include <uthash.h>
 
 /* Flows and requests that a route's parts got so far. */
@@ -14,6 +16,7 @@
 	struct jt_address address; /* of the route */
 	struct jt_route route;	   /* as it was when counting began */
 	uint64_t given[JT_ROUTE_PART_LIMIT];
+	struct jt_usual usual[JT_ROUTE_PART_LIMIT]; /* time of requests */
 	UT_hash_handle hh;
 };
 
@@ -33,6 +36,8 @@
 /* A request of the route went to @service_id on a flow that is open. */
 void jt_splits_count(struct jt_splits *splits, const struct jt_route *route,
 		     uint32_t service_id);
+/* Time of requests of the route at @service_id, NULL when it is no part. */
+struct jt_usual *jt_split_usual(struct jt_split *split, uint32_t service_id);
 /* Forget the splits of routes that @routing has no more. */
 void jt_splits_prune(struct jt_splits *splits,
 		     const struct jt_routing *routing);
--- a/src/label/jt_work.c
+++ b/src/label/jt_work.c
@@ -13,6 +13,11 @@
 	       exp2(-(double)(now_ms - work->as_of_ms) / HALF_MS);
 }
 
+double jt_work_per_s(double requests)
+{
+	return requests * M_LN2 * 1000 / HALF_MS;
+}
+
 void jt_work_add(struct jt_work *work, double requests, uint64_t now_ms)
 {
 	work->requests = jt_work_now(work, now_ms) + requests;
--- a/src/label/jt_work.h
+++ b/src/label/jt_work.h
@@ -15,6 +15,8 @@
 
 /* Requests lately, at @now_ms. */
 double jt_work_now(const struct jt_work *work, uint64_t now_ms);
+/* Requests a second at a steady rate that has so many of them lately. */
+double jt_work_per_s(double requests);
 /* So many requests more. */
 void jt_work_add(struct jt_work *work, double requests, uint64_t now_ms);
 
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -78,6 +78,7 @@
 	u_int label;
 	u_int flows;
 	u_int work_permille;
+	u_int speed;
 };
 typedef struct jt_wire_load jt_wire_load;
 
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -73,6 +73,8 @@
 	unsigned int label; /* of the endpoint */
 	unsigned int flows; /* open through the sender */
 	unsigned int work_permille; /* its requests lately, in thousandths */
+	unsigned int speed; /* answers in hundredths << 16 | slowness, the
+			     * signed logarithm in thousandths */
 };
 
 /* The sender's share of the endpoints' flows and work; endpoints without any
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -270,12 +270,53 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->label))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->flows))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->work_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->speed))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->label);
+			IXDR_PUT_U_LONG(buf, objp->flows);
+			IXDR_PUT_U_LONG(buf, objp->work_permille);
+			IXDR_PUT_U_LONG(buf, objp->speed);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->label))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->flows))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->work_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->speed))
+				 return FALSE;
+		} else {
+			objp->label = IXDR_GET_U_LONG(buf);
+			objp->flows = IXDR_GET_U_LONG(buf);
+			objp->work_permille = IXDR_GET_U_LONG(buf);
+			objp->speed = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->label))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->flows))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->work_permille))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->speed))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -703,8 +703,8 @@
 {
 	struct jt_director_event event = {.kind = JT_DIRECTOR_LOADS};
 	struct jt_endpoint_load loads[2] = {
-		{jt_flow_label(0x102), second, second * JT_WORK_UNIT},
-		{jt_flow_label(0x101), first, first * JT_WORK_UNIT},
+		{jt_flow_label(0x102), second, second * JT_WORK_UNIT, 0},
+		{jt_flow_label(0x101), first, first * JT_WORK_UNIT, 0},
 	};
 
 	event.u.loads.peer = peer;
--- a/tests/test_mechanisms.c
+++ b/tests/test_mechanisms.c
@@ -38,7 +38,7 @@
 	for (int off = 0; off < 2; off++) {
 		struct bench *bench = two_without(JT_MECHANISM_PEER_WORK, off);
 		struct jt_endpoint_load load = {jt_flow_label(0x101), 0,
-						50 * JT_WORK_UNIT};
+						50 * JT_WORK_UNIT, 0};
 		struct jt_director_event event = {.kind = JT_DIRECTOR_LOADS};
 
 		event.u.loads.peer = 7;
@@ -70,6 +70,57 @@
 	}
 }
 
+static void test_fast_first(void **state)
+{
+	(void)state;
+	for (int off = 0; off < 2; off++) {
+		struct bench *bench = two_without(JT_MECHANISM_FAST_FIRST, off);
+		struct caller_flow slow, fast;
+
+		flow_at_each(bench, &slow, &fast);
+		for (int i = 0; i < 20; i++) {
+			flow_request(bench, &slow, 110);
+			flow_request(bench, &fast, 55);
+		}
+		bench_tick(bench, 5000);
+		/* For four requests the fast one has room enough. */
+		for (int i = 0, there = 0; i < 10; i++) {
+			there += (int)flows_at(bench, 4, 0x101);
+			bench_tick(bench, 4000);
+			if (i == 9)
+				assert_in_range(there, off ? 10 : 0,
+						off ? 20 : 4);
+		}
+		talloc_free(bench);
+	}
+}
+
+static void test_zone_room(void **state)
+{
+	(void)state;
+	for (int off = 0; off < 2; off++) {
+		struct bench *bench = bench_create_without(
+			0, off ? JT_MECHANISM_ZONE_ROOM : 0);
+		struct caller_flow near, far;
+
+		bench_routing(bench, 1, 1, 1);
+		bench_endpoint(bench, 0x101, SERVICE_BOARD, ZONE_A, 2);
+		bench_endpoint(bench, 0x102, SERVICE_BOARD, ZONE_B, 3);
+		bench_listed(bench, 3);
+		bench_tick(bench, LEARNED_MS);
+		flow_at_each(bench, &near, &far);
+		for (int i = 0; i < 10; i++) {
+			flow_request(bench, &near, 10);
+			flow_request(bench, &far, 10);
+		}
+		bench_tick(bench, 5000);
+		/* A few requests of 10 ms are nothing to one of two slots. */
+		assert_in_range(flows_at(bench, 10, 0x102), off ? 3 : 0,
+				off ? 5 : 0);
+		talloc_free(bench);
+	}
+}
+
 static void test_cold(void **state)
 {
 	(void)state;
@@ -315,6 +366,8 @@
 		cmocka_unit_test(test_zone_first),
 		cmocka_unit_test(test_peer_work),
 		cmocka_unit_test(test_slowness),
+		cmocka_unit_test(test_fast_first),
+		cmocka_unit_test(test_zone_room),
 		cmocka_unit_test(test_cold),
 		cmocka_unit_test(test_newcomer_share),
 		cmocka_unit_test(test_doubt_opening),
--- a/tests/test_peer_loads.c
+++ b/tests/test_peer_loads.c
@@ -42,7 +42,7 @@
 		reports[peer].flows[label] = flows;
 		if (flows > 0)
 			loads[count++] = (struct jt_endpoint_load){
-				label + 1, flows, flows * 2 * JT_WORK_UNIT};
+				label + 1, flows, flows * 2 * JT_WORK_UNIT, 0};
 	}
 	jt_peer_loads_take(peers, peer + 1, loads, count, now_ms);
 }
@@ -76,7 +76,7 @@
 
 	(void)state;
 	for (uint32_t peer = 0; peer < PEERS; peer++) {
-		struct jt_endpoint_load load = {7, peer, 0};
+		struct jt_endpoint_load load = {7, peer, 0, 0};
 
 		jt_peer_loads_take(peers, peer + 1, &load, 1, 1000 + peer);
 	}
