--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -91,6 +91,7 @@
 	uint32_t label;
 	uint32_t flows;
 	uint32_t work_permille; /* requests lately, in thousandths */
+	uint32_t speed;		/* jt_speed_told() */
 };
 
 enum { JT_WORK_UNIT = 1000 }; /* of work_permille in a request */
@@ -381,6 +382,7 @@
 	uint64_t failures_told;	  /* endpoints in reports to peers */
 	uint64_t failures_heard;  /* and in theirs */
 	uint64_t shares_reduced;
+	uint64_t placed_far; /* new flows that went to another zone */
 };
 
 struct jt_director;
--- a/src/label/jt_director_entry.c
+++ b/src/label/jt_director_entry.c
@@ -11,8 +11,8 @@
 };
 
 void jt_director_entry_gone(struct jt_director *director, uint64_t id,
-		       uint64_t revision, uint64_t now_ms,
-		       struct jt_director_actions *actions)
+			    uint64_t revision, uint64_t now_ms,
+			    struct jt_director_actions *actions)
 {
 	struct jt_incarnation *incarnation =
 		jt_endpoint_table_by_id(director->endpoints, id);
@@ -34,7 +34,8 @@
 		jt_mechanism_on(director->options.without,
 				JT_MECHANISM_OUTAGE_LAPSES) &&
 		now_ms - director->store_away_until_ms < AWAY_NEWS_MS;
-	jt_director_state_enter(incarnation, JT_INCARNATION_LAPSED, now_ms, actions);
+	jt_director_state_enter(incarnation, JT_INCARNATION_LAPSED, now_ms,
+				actions);
 	/* It may have ended: flows that rest there are better off knowing. */
 	if (incarnation->flows > 0 &&
 	    !jt_incarnation_outlives(incarnation, now_ms))
@@ -43,8 +44,8 @@
 }
 
 void jt_director_entry_unreadable(struct jt_director *director, uint64_t id,
-			     uint64_t revision, uint64_t now_ms,
-			     struct jt_director_actions *actions)
+				  uint64_t revision, uint64_t now_ms,
+				  struct jt_director_actions *actions)
 {
 	struct jt_incarnation *incarnation =
 		jt_endpoint_table_by_id(director->endpoints, id);
@@ -59,8 +60,8 @@
 	incarnation->entry.unreadable = true;
 	director->counters.unreadable++;
 	if (incarnation->state != JT_INCARNATION_DEAD)
-		jt_director_state_enter(incarnation, JT_INCARNATION_LAPSED, now_ms,
-			    actions);
+		jt_director_state_enter(incarnation, JT_INCARNATION_LAPSED,
+					now_ms, actions);
 }
 
 /* A new incarnation: of an endpoint that is new itself, or starts again. */
@@ -95,21 +96,22 @@
 		/* What it wrote since then shows that it lives. */
 		if (incarnation->cause != JT_DEATH_REPLACED &&
 		    incarnation->entry.gone_revision == 0)
-			jt_director_incarnation_revives(director, incarnation, now_ms,
-					    actions);
+			jt_director_incarnation_revives(director, incarnation,
+							now_ms, actions);
 	} else if (result == JT_ENTRY_NEW) {
 		incarnation_begins(director, incarnation, JT_DIRECTOR_SEEN,
 				   now_ms, actions);
 	} else {
-		jt_director_state_enter(incarnation, jt_director_listed_state(incarnation), now_ms,
-			    actions);
+		jt_director_state_enter(incarnation,
+					jt_director_listed_state(incarnation),
+					now_ms, actions);
 	}
 	jt_director_address_settle(director, incarnation, now_ms, actions);
 }
 
 void jt_director_entry(struct jt_director *director,
-			   const struct jt_endpoint_entry *entry,
-			   uint64_t now_ms, struct jt_director_actions *actions)
+		       const struct jt_endpoint_entry *entry, uint64_t now_ms,
+		       struct jt_director_actions *actions)
 {
 	bool stale = director->options.break_mechanism &
 		     JT_DIRECTOR_BREAK_STALE_ENTRY;
@@ -121,8 +123,8 @@
 
 	/* An endpoint that tells its birth always does. */
 	if (known != NULL && known->entry.born_ms != 0 && entry->born_ms == 0) {
-		jt_director_entry_unreadable(director, entry->id, entry->revision, now_ms,
-				 actions);
+		jt_director_entry_unreadable(director, entry->id,
+					     entry->revision, now_ms, actions);
 		return;
 	}
 	result = jt_endpoint_table_take(director->endpoints, entry, stale,
@@ -133,9 +135,10 @@
 	else if (result != JT_ENTRY_OLD)
 		director->counters.entries_refused++;
 	if (entry->gone_revision != 0 && entry->unreadable)
-		jt_director_entry_unreadable(director, entry->id, entry->gone_revision,
-				 now_ms, actions);
+		jt_director_entry_unreadable(director, entry->id,
+					     entry->gone_revision, now_ms,
+					     actions);
 	else if (entry->gone_revision != 0)
-		jt_director_entry_gone(director, entry->id, entry->gone_revision, now_ms,
-			   actions);
+		jt_director_entry_gone(director, entry->id,
+				       entry->gone_revision, now_ms, actions);
 }
--- a/src/label/jt_director_incarnation.c
+++ b/src/label/jt_director_incarnation.c
@@ -10,8 +10,8 @@
 };
 
 void jt_director_state_enter(struct jt_incarnation *incarnation,
-			enum jt_incarnation_state state, uint64_t now_ms,
-			struct jt_director_actions *actions)
+			     enum jt_incarnation_state state, uint64_t now_ms,
+			     struct jt_director_actions *actions)
 {
 	if (incarnation->state == state)
 		return;
@@ -49,8 +49,9 @@
 }
 
 void jt_director_flows_reset(struct jt_director *director,
-			const struct jt_incarnation *incarnation,
-			uint64_t now_ms, struct jt_director_actions *actions)
+			     const struct jt_incarnation *incarnation,
+			     uint64_t now_ms,
+			     struct jt_director_actions *actions)
 {
 	struct jt_cached_flow *flow = director->flows->rested;
 
@@ -72,9 +73,9 @@
 }
 
 void jt_director_incarnation_dies(struct jt_director *director,
-			     struct jt_incarnation *incarnation,
-			     enum jt_death_cause cause, uint64_t now_ms,
-			     struct jt_director_actions *actions)
+				  struct jt_incarnation *incarnation,
+				  enum jt_death_cause cause, uint64_t now_ms,
+				  struct jt_director_actions *actions)
 {
 	struct jt_director_action *action;
 
@@ -102,9 +103,9 @@
 }
 
 void jt_director_incarnation_revives(struct jt_director *director,
-				struct jt_incarnation *incarnation,
-				uint64_t now_ms,
-				struct jt_director_actions *actions)
+				     struct jt_incarnation *incarnation,
+				     uint64_t now_ms,
+				     struct jt_director_actions *actions)
 {
 	incarnation->state = jt_director_listed_state(incarnation);
 	incarnation->state_ms = now_ms;
@@ -124,8 +125,8 @@
 }
 
 void jt_director_address_settle(struct jt_director *director,
-			   struct jt_incarnation *taken, uint64_t now_ms,
-			   struct jt_director_actions *actions)
+				struct jt_incarnation *taken, uint64_t now_ms,
+				struct jt_director_actions *actions)
 {
 	struct jt_incarnation *first =
 		jt_endpoint_table_at(director->endpoints, taken->entry.address);
@@ -140,14 +141,15 @@
 	}
 	for (other = first; other != NULL; other = other->address_next) {
 		if (other != newest)
-			jt_director_incarnation_dies(director, other, JT_DEATH_REPLACED,
-					 now_ms, actions);
+			jt_director_incarnation_dies(director, other,
+						     JT_DEATH_REPLACED, now_ms,
+						     actions);
 	}
 }
 
 void jt_director_address_found(struct jt_director *director,
-			  struct jt_incarnation *found, uint64_t now_ms,
-			  struct jt_director_actions *actions)
+			       struct jt_incarnation *found, uint64_t now_ms,
+			       struct jt_director_actions *actions)
 {
 	struct jt_incarnation *other =
 		jt_endpoint_table_at(director->endpoints, found->entry.address);
@@ -157,15 +159,16 @@
 	jt_director_incarnation_revives(director, found, now_ms, actions);
 	for (; other != NULL; other = other->address_next) {
 		if (other != found)
-			jt_director_incarnation_dies(director, other, JT_DEATH_REPLACED,
-					 now_ms, actions);
+			jt_director_incarnation_dies(director, other,
+						     JT_DEATH_REPLACED, now_ms,
+						     actions);
 	}
 }
 
 void jt_director_address_given_back(struct jt_director *director,
-			       const struct jt_incarnation *gone,
-			       uint64_t now_ms,
-			       struct jt_director_actions *actions)
+				    const struct jt_incarnation *gone,
+				    uint64_t now_ms,
+				    struct jt_director_actions *actions)
 {
 	struct jt_incarnation *newest = NULL, *other;
 
@@ -179,5 +182,6 @@
 			newest = other;
 	}
 	if (newest != NULL)
-		jt_director_incarnation_revives(director, newest, now_ms, actions);
+		jt_director_incarnation_revives(director, newest, now_ms,
+						actions);
 }
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -208,6 +208,8 @@
 		add_reset(director, &packet->key, refusal, actions);
 		return;
 	}
+	if (chosen->entry.zone_id != director->options.zone_id)
+		director->counters.placed_far++;
 	flow = flow_add(director, packet, chosen, chosen->label, now_ms);
 	if (flow != NULL) {
 		jt_flow_cache_opening(director->flows, flow, now_ms);
@@ -398,7 +400,7 @@
 			flow_opened(director, flow, incarnation, now_ms);
 		else
 			jt_director_answer_progress(director, flow, incarnation,
-						    now_ms);
+						    packet, now_ms);
 		flow->answered = flow->answered || flow->opening_ms == 0;
 		jt_flow_cache_opened(director->flows, flow);
 	}
