Soak: endpoints start again under their ids, another writer spoils entries

Drawn on their own, so that a seed's other faults stay as they were. The promises are the same: a restarted endpoint gets packets of its earlier flows and resets them, which is no stray packet; an endpoint whose entry was just spoiled need not be used.

--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -26,6 +26,10 @@
 	ZONE_LEAST_MS = 500,
 	ZONE_MOST_MS = 5000,
 	ZONE_FAULTS_A_STALE = 4,
+	/* Between endpoints that start again, or entries by another writer. */
+	RESTART_LEAST_MS = 400,
+	RESTART_MOST_MS = 3000,
+	SPOILED_MOST_MS = 2000,
 };
 
 struct schedule {
@@ -36,6 +40,8 @@
 	 * other faults stay as they were before there were these. */
 	struct jt_random random;
 	uint64_t zone_due_ms;
+	struct jt_random restarts; /* the same for these */
+	uint64_t restart_due_ms;
 	uint64_t packets_until_ms;
 	uint64_t end_ms;
 	bool over;
@@ -158,6 +164,37 @@
 	}
 }
 
+/* An endpoint starts again under its id, or another writer spoils an entry: of
+ * an endpoint, or of none. */
+static void fault_incarnation(struct schedule *schedule, uint64_t now_ms)
+{
+	struct soak *soak = schedule->soak;
+	uint64_t draw = jt_random_next(&schedule->restarts);
+	int index = (int)(draw / 16 % (uint64_t)soak->endpoint_count);
+	const struct soak_endpoint *endpoint = &soak->endpoints[index];
+
+	schedule->restart_due_ms =
+		now_ms + RESTART_LEAST_MS + draw / 4096 % RESTART_MOST_MS;
+	if (draw % 8 == 0) {
+		soak_note(soak, "another writer: entries of no endpoint");
+		soak_store_put(soak->store, "servers/none", "{}");
+		soak_store_put(soak->store, "servers/i-77/more", "no JSON");
+	} else if (endpoint->life != SOAK_ALIVE || endpoint->no_new_ms != 0 ||
+		   !endpoint->listed) {
+		return;
+	} else if (draw % 8 < 4) {
+		soak_note(soak, "another writer: the entry of %llx",
+			  (unsigned long long)endpoint->id);
+		soak_endpoint_spoil(soak, index, (unsigned)(draw / 65536 % 8),
+				    now_ms + draw / 8192 % SPOILED_MOST_MS);
+	} else {
+		soak_note(soak, "endpoint %llx starts again",
+			  (unsigned long long)endpoint->id);
+		soak_endpoint_restart(soak, index);
+	}
+	soak->faults++;
+}
+
 /* One zone stays, so that there are endpoints for new flows. */
 static void fault_zone(struct schedule *schedule)
 {
@@ -261,6 +298,8 @@
 	}
 	if (soak->calm_ms == 0 && now_ms >= schedule->zone_due_ms)
 		fault_zone_or_stale(schedule, now_ms);
+	if (soak->calm_ms == 0 && now_ms >= schedule->restart_due_ms)
+		fault_incarnation(schedule, now_ms);
 	schedule->over = soak->calm_ms != 0 &&
 			 now_ms > soak->calm_ms + SOAK_RECOVERY_MS + CALM_MS;
 	jt_timer_set(schedule->timer, TICK_MS);
@@ -349,6 +388,8 @@
 	schedule.due_ms = jt_clock_ms() + START_MS;
 	schedule.zone_due_ms = schedule.due_ms;
 	schedule.random.seed = ~(uint64_t)seed;
+	schedule.restart_due_ms = schedule.due_ms;
+	schedule.restarts.seed = ~(uint64_t)seed * 3;
 	schedule.end_ms = schedule.due_ms + seconds * 1000ull;
 	schedule.timer = jt_timer_create(soak, soak->loop, on_tick, &schedule);
 	jt_timer_set(schedule.timer, TICK_MS);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -152,15 +152,18 @@
 
 struct soak_endpoint {
 	uint64_t id;
+	uint64_t born_ms; /* tells starts under one id apart */
 	uint32_t service;
 	uint32_t zone;
 	int place; /* its address */
 	enum soak_life life;
 	bool listed;
-	bool dark;	       /* holds its address, but nobody is there */
-	uint64_t no_new_ms;    /* it was told as leaving or gone, 0: not */
-	uint64_t end_ms;       /* a planned end */
-	uint64_t disturbed_ms; /* its link was cut */
+	bool dark;		   /* holds its address, but nobody is there */
+	uint64_t no_new_ms;	   /* it was told as leaving or gone, 0: not */
+	uint64_t end_ms;	   /* a planned end */
+	uint64_t disturbed_ms;	   /* its link was cut */
+	uint64_t entry_good_ms;	   /* its entry can be read since then */
+	uint64_t spoiled_until_ms; /* another writer's entry, 0: its own */
 	uint64_t silent_until_ms;
 	struct soak_listener *listener;
 };
@@ -170,6 +173,11 @@
 void soak_endpoint_drain(struct soak *soak, int endpoint, bool silently);
 void soak_endpoint_crash(struct soak *soak, int endpoint, bool dark);
 void soak_endpoint_cut(struct soak *soak, int endpoint, uint64_t for_ms);
+/* It crashes, and starts again at once under its id. */
+void soak_endpoint_restart(struct soak *soak, int endpoint);
+/* Another writer's entry of that kind takes the place of its own until then. */
+void soak_endpoint_spoil(struct soak *soak, int endpoint, unsigned kind,
+			 uint64_t until_ms);
 void soak_endpoints_tick(struct soak *soak);
 /* The endpoint with that id, -1 when there was none. */
 int soak_endpoint_of(const struct soak *soak, uint64_t id);
