--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -91,6 +91,7 @@
 	uint32_t label;
 	uint32_t flows;
 	uint32_t work_permille; /* requests lately, in thousandths */
+	uint32_t speed;		/* jt_speed_told() */
 };
 
 enum { JT_WORK_UNIT = 1000 }; /* of work_permille in a request */
@@ -282,7 +283,7 @@
 	uint32_t priority; /* of the route */
 	uint32_t limit;	   /* requests in flight that it may have here */
 	uint32_t in_flight;
-	uint32_t delay_ms;   /* median time to an answer */
+	uint32_t delay_ms;   /* in which a quarter of the answers come */
 	uint32_t allowed_ms; /* that the limit is steered to */
 };
 
@@ -381,6 +382,7 @@
 	uint64_t failures_told;	  /* endpoints in reports to peers */
 	uint64_t failures_heard;  /* and in theirs */
 	uint64_t shares_reduced;
+	uint64_t placed_far; /* new flows that went to another zone */
 };
 
 struct jt_director;
--- a/src/label/jt_director_answers.c
+++ b/src/label/jt_director_answers.c
@@ -5,8 +5,8 @@
 #define PERMILLE 1000.0
 
 enum {
-	/* New part of the smoothed latency, in eighths. */
-	LATENCY_EIGHTHS = 2,
+	/* An answer of more bytes takes several segments. */
+	LONE_BYTES = 1200,
 	/* An answer of which nothing came for so long is whole: packets of one
 	 * follow each other within a round trip. */
 	ANSWER_QUIET_MS = 40,
@@ -14,21 +14,19 @@
 };
 
 /* How fast the endpoint is, by a request that it served. */
-static void speed_note(struct jt_incarnation *incarnation, uint64_t took_ms)
+static void speed_note(struct jt_director *director,
+		       const struct jt_cached_flow *flow,
+		       struct jt_incarnation *incarnation, uint64_t now_ms)
 {
-	uint64_t took_us = took_ms * 1000;
+	const struct jt_answer answer = {
+		.took_ms = (double)flow->answer_took_ms - director->open_ms,
+		.lone = flow->answer_lone,
+	};
 
-	jt_outlier_answered(incarnation, took_ms);
-	if (took_us > UINT32_MAX / 8)
-		took_us = UINT32_MAX / 8;
-	if (incarnation->latency_us == 0)
-		incarnation->latency_us = (uint32_t)took_us;
-	else
-		incarnation->latency_us =
-			(uint32_t)((incarnation->latency_us *
-					    (uint64_t)(8 - LATENCY_EIGHTHS) +
-				    took_us * LATENCY_EIGHTHS) /
-				   8);
+	jt_outlier_answered(incarnation, flow->answer_took_ms);
+	jt_chooser_answered(director->chooser,
+			    jt_routing_route(director->routing, &flow->key),
+			    incarnation, &answer, now_ms);
 }
 
 /* NULL where lengths are not looked at. */
@@ -55,7 +53,7 @@
  * endpoint that refuses at once is not fast. */
 static void speed_look(struct jt_director *director,
 		       struct jt_cached_flow *flow,
-		       struct jt_incarnation *incarnation)
+		       struct jt_incarnation *incarnation, uint64_t now_ms)
 {
 	const struct jt_answer_profile *profile =
 		profile_of(director, flow, incarnation);
@@ -66,16 +64,19 @@
 						  flow->answer_took_ms))
 		return;
 	flow->answer_counted = true;
-	speed_note(incarnation, flow->answer_took_ms);
+	speed_note(director, flow, incarnation, now_ms);
 }
 
 void jt_director_answer_progress(struct jt_director *director,
 				 struct jt_cached_flow *flow,
 				 struct jt_incarnation *incarnation,
+				 const struct jt_label_packet *packet,
 				 uint64_t now_ms)
 {
 	if (flow->waiting_ms != 0) {
 		flow->answer_took_ms = (uint32_t)(now_ms - flow->waiting_ms);
+		flow->answer_lone =
+			packet->length == 0 && answer_bytes(flow) <= LONE_BYTES;
 		flow->answer_counted = false;
 		jt_latency_add(director->latency, flow->answer_took_ms);
 		jt_admission_answered(
@@ -88,7 +89,7 @@
 		return;
 	}
 	jt_flow_cache_answering(director->flows, flow, now_ms);
-	speed_look(director, flow, incarnation);
+	speed_look(director, flow, incarnation, now_ms);
 }
 
 static void failed_note(struct jt_director *director,
@@ -250,6 +251,9 @@
 	if (!jt_outlier_turned(incarnation, now_ms))
 		return;
 	director->counters.shares_reduced += incarnation->outlier.reduced;
+	if (!incarnation->outlier.reduced && incarnation->pool != NULL)
+		jt_chooser_welcome(director->chooser, incarnation->pool,
+				   incarnation, now_ms);
 	action = jt_director_action_about(actions,
 					  incarnation->outlier.reduced
 						  ? JT_DIRECTOR_SHARE_REDUCED
--- a/src/label/jt_director_answers.h
+++ b/src/label/jt_director_answers.h
@@ -5,10 +5,12 @@
 
 #include "jt_director_private.h"
 
-/* The caller has acknowledged more on @flow, up to flow->acknowledged. */
+/* The caller's @packet has acknowledged more on @flow, up to
+ * flow->acknowledged. */
 void jt_director_answer_progress(struct jt_director *director,
 				 struct jt_cached_flow *flow,
 				 struct jt_incarnation *incarnation,
+				 const struct jt_label_packet *packet,
 				 uint64_t now_ms);
 /* No more of the answer under way comes, if there is one: the caller asks for
  * something else, or closes. */
--- a/src/label/jt_flow_cache.h
+++ b/src/label/jt_flow_cache.h
@@ -28,6 +28,7 @@
 	uint64_t answer_seen_ms;
 	uint32_t answer_took_ms; /* from the request to its first bytes */
 	bool answer_counted;	 /* it is long enough to be one that serves */
+	bool answer_lone;	 /* its first bytes were a single segment */
 	bool overdue;	     /* that request's answer is known to be overdue */
 	uint64_t opening_ms; /* when its first SYN came, 0: it is open */
 	bool expected;	     /* its first request counts as work already */
--- a/tests/test_incarnations.c
+++ b/tests/test_incarnations.c
@@ -164,7 +164,7 @@
 	assert_int_equal(incarnation->state, JT_INCARNATION_READY);
 	assert_int_equal(incarnation->flows, 0);
 	assert_int_equal(incarnation->waiting, 0);
-	assert_int_equal(incarnation->latency_us, 0);
+	assert_true(incarnation->speed.weight == 0);
 	assert_int_equal(incarnation->outlier.failed_ms, 0);
 	assert_int_equal(jt_outlier_share_permille(incarnation, bench->now_ms),
 			 JT_FULL_SHARE_PERMILLE);
