Endpoints that turn slow are seen sooner, and as slow as they are

Cause: a speed averaged 48 answers and was bounded to a factor of four: of endpoints that had turned eight times slower a node knew too late, and too little; and the work of the service was reckoned by the time of slow ones, so that shares became proportional where fast ones had room.

Change: 24 answers, a factor of eight, work reckoned at the usual speed; differences below 1.28 (was 1.22) count as none, for more even counts where endpoints are even.

Tried and not kept: what open flows will ask in place of recent work (docs/design/choice.md).

--- a/src/label/jt_speed.c
+++ b/src/label/jt_speed.c
@@ -6,7 +6,7 @@
 	/* Answers of all nodes together that an average spans: enough to tell a
 	 * half as fast endpoint from chance, few enough to follow one that
 	 * turns slow within some seconds. */
-	MEMORY_ANSWERS = 48,
+	MEMORY_ANSWERS = 24,
 	/* The usual speed counts as so many answers of it. */
 	PRIOR_ANSWERS = 1,
 	/* Averages of more nodes are hardly of more answers. */
@@ -30,10 +30,10 @@
 
 /* So little more or less is nothing to a caller, milliseconds. */
 #define TOOK_SLACK_MS 5.0
-/* No answer counts as slower or faster than this, a factor of 4. */
-#define LOG_MOST 1.386
-/* An endpoint that differs by less, a factor of 1.35, counts as any other. */
-#define LOG_LEAST 0.2
+/* No answer counts as slower or faster than this, a factor of 8. */
+#define LOG_MOST 2.08
+/* An endpoint that differs by less, a factor of 1.28, counts as any other. */
+#define LOG_LEAST 0.25
 
 /* Where more of the lone segments are acknowledged sooner than that, callers
  * don't wait. */
--- a/src/label/jt_target.c
+++ b/src/label/jt_target.c
@@ -97,12 +97,14 @@
 	struct jt_service_pool *pool = in->pool;
 	double took_ms = jt_usual_took_ms(kind, answer);
 	double log_ratio = jt_usual_answered(kind, took_ms);
+	double usual_ms;
 
 	if (pool == NULL)
 		return;
+	usual_ms = took_ms / slowness_of(target, in, now_ms);
 	if (pool->serve_ms == 0)
-		pool->serve_ms = took_ms;
+		pool->serve_ms = usual_ms;
 	else
-		pool->serve_ms += (took_ms - pool->serve_ms) / SERVE_ANSWERS;
+		pool->serve_ms += (usual_ms - pool->serve_ms) / SERVE_ANSWERS;
 	jt_speed_answered(&in->speed, log_ratio, target->nodes, now_ms);
 }
