jaspertrack why: troubles are told also where no decision on the flow was logged

Under a flood the line of the placement is the first to be left out; then the request's own endpoint is looked at. tests/logs-without-decision fails without.

--- a/src/cli/why.c
+++ b/src/cli/why.c
@@ -287,11 +287,13 @@
 static const struct log_line *endpoint_event(const struct story *story,
 					     const char *event)
 {
+	const struct log_line *subject =
+		story->decision != NULL ? story->decision : story->request;
 	char *endpoint;
 
-	if (story->decision == NULL)
+	if (subject == NULL)
 		return NULL;
-	endpoint = log_line_field(story->lines, story->decision, "endpoint");
+	endpoint = log_line_field(story->lines, subject, "endpoint");
 	for (size_t i = 0; i < story->lines->count && endpoint != NULL; i++) {
 		const struct log_line *line = &story->lines->items[i];
 		char *of = log_line_field(story->lines, line, "endpoint");
@@ -357,7 +359,7 @@
 	print_load(story);
 }
 
-static void print_conclusion(const struct story *story)
+static void print_decision(const struct story *story)
 {
 	char *reason;
 
@@ -374,6 +376,11 @@
 			printf("conclusion: %s: %s.\n", reason,
 			       explanations[i].text);
 	}
+}
+
+static void print_conclusion(const struct story *story)
+{
+	print_decision(story);
 	if (story->death != NULL)
 		printf("then: its endpoint was found dead by %s (cause=%s)%s; "
 		       "a request that was running there ended with it.\n",
