--- a/fuzz/fuzz_director.c
+++ b/fuzz/fuzz_director.c
@@ -7,7 +7,8 @@
  * late or twice, restart, tell each other. The oracle knows callers and
  * endpoints, never what a node believes:
  *
- *   an open flow whose endpoint lives is never reset by a node;
+ *   an open flow whose endpoint lives is never reset by a node, also where the
+ *   endpoint fails requests;
  *   a first packet that the network doubles leads to no second endpoint;
  *   a flow's packets reach no endpoint but its own;
  *   a first packet reaches a service that some configuration ever allowed;
@@ -64,6 +65,8 @@
 	LATE_MS = 1000,		   /* how late a doubled packet may come */
 	FLOWS_REMEMBERED = 16,	   /* by a node */
 	BIRTHS_FROM = 0xa0,	   /* the first byte of such worlds */
+	ANSWER = 50,		   /* bytes */
+	SHORT_ANSWER = 5,
 };
 
 #define LEAVING_NONE UINT64_MAX
@@ -766,6 +769,14 @@
 	return true;
 }
 
+/* Some endpoints answer part of the requests with a few bytes. */
+static uint32_t answer_length(const struct world *world, int index)
+{
+	if (index % 4 == 1 && world->now_ms % 3 == 0)
+		return SHORT_ANSWER;
+	return ANSWER;
+}
+
 static void on_forward(struct world *world, int node,
 		       const struct jt_director_action *a)
 {
@@ -801,7 +812,7 @@
 	} else if (flow->endpoint >= 0) {
 		flow->queued = false;
 		flow->sequence += 10;
-		flow->acknowledged += 50;
+		flow->acknowledged += answer_length(world, index);
 	} else if (world->endpoints[index].life == ENDED ||
 		   lives(&world->endpoints[index])) {
 		/* The endpoint's host resets it, or its next incarnation. */
@@ -858,6 +869,20 @@
 static struct incarnation_name failing[VERDICTS];
 static size_t failing_count;
 
+/* Failed requests that a node tells of; all hear of them at the next step. */
+static struct jt_endpoint_failure failures[JT_FAILURE_LIMIT];
+static size_t failures_count;
+
+static void failures_take(struct world *world, int node)
+{
+	size_t peers;
+
+	failures_count = jt_director_failures(world->directors[node],
+					      world->now_ms, failures, &peers);
+	if (peers >= NODES)
+		broken(world, "failures are told to more peers than there are");
+}
+
 static void probe_note(int node, const struct jt_director_action *a,
 		       bool identify)
 {
@@ -902,6 +927,9 @@
 			if (failing_count < VERDICTS)
 				failing[failing_count++] = name_of(a);
 			break;
+		case JT_DIRECTOR_FAILURES:
+			failures_take(world, node);
+			break;
 		case JT_DIRECTOR_VERDICT:
 			verdicts[verdict_count++ % VERDICTS] = name_of(a);
 			break;
@@ -1133,6 +1161,7 @@
 static void failing_tell(struct world *world)
 {
 	struct jt_director_event event = {.kind = JT_DIRECTOR_OVERDUE};
+	struct jt_endpoint_failure told[JT_FAILURE_LIMIT];
 
 	while (failing_count > 0) {
 		failing_count--;
@@ -1141,6 +1170,15 @@
 		for (int node = 0; node < NODES; node++)
 			tell(world, node, &event);
 	}
+	if (failures_count == 0)
+		return;
+	event.kind = JT_DIRECTOR_FAILURES_TOLD;
+	memcpy(told, failures, sizeof(told));
+	event.u.failures.items = told;
+	event.u.failures.count = failures_count;
+	failures_count = 0;
+	for (int node = 0; node < NODES; node++)
+		tell(world, node, &event);
 }
 
 static void step(struct world *world)
@@ -1220,6 +1258,7 @@
 	pending_count = 0;
 	verdict_count = 0;
 	failing_count = 0;
+	failures_count = 0;
 	world->data = data;
 	world->size = size;
 	world->births = size > 0 && data[0] >= BIRTHS_FROM;
--- a/include/jaspertrack/director.h
+++ b/include/jaspertrack/director.h
@@ -54,6 +54,12 @@
 /* How many incarnations are known in @state. */
 size_t jt_director_endpoint_count(const struct jt_director *director,
 				  enum jt_incarnation_state state);
+/* How many ready incarnations are found slower, or faster, than is usual of
+ * their service. */
+size_t jt_director_slow_count(const struct jt_director *director,
+			      uint64_t now_ms);
+size_t jt_director_fast_count(const struct jt_director *director,
+			      uint64_t now_ms);
 /* The @index-th known incarnation, with its state; false past the last. */
 bool jt_director_endpoint_at(const struct jt_director *director, size_t index,
 			     struct jt_endpoint_entry *entry,
@@ -70,6 +76,17 @@
 size_t jt_director_loads(struct jt_director *director, uint64_t now_ms,
 			 struct jt_endpoint_load loads[JT_LOAD_LIMIT]);
 
+/* Failed requests that so many @peers are to be told of (JT_DIRECTOR_FAILURES);
+ * returns how many of @failures were set. */
+size_t
+jt_director_failures(struct jt_director *director, uint64_t now_ms,
+		     struct jt_endpoint_failure failures[JT_FAILURE_LIMIT],
+		     size_t *peers);
+/* Endpoints that get less than their part of new flows at @now_ms, since they
+ * fail requests. */
+size_t jt_director_reduced_count(const struct jt_director *director,
+				 uint64_t now_ms);
+
 /* The label that names an incarnation in a flow's packets; never 0. */
 uint32_t jt_incarnation_label(uint64_t endpoint_id, uint64_t born_ms);
 /* The same of an endpoint that tells no birth. */
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -33,6 +33,7 @@
 	struct jt_timer *news_timer;
 	bool news_due;
 	uint64_t told_revision; /* up to which news was sent on */
+	size_t failures_next;	/* place of the peer to tell of failures next */
 	int fd;
 	uint64_t created_ms;
 };
@@ -68,7 +69,7 @@
 
 	for (size_t i = 0; i < own_count; i++)
 		wire[i] = (jt_wire_load){own[i].label, own[i].flows,
-					 own[i].work_permille};
+					 own[i].work_permille, own[i].speed};
 	loads->loads.loads_val = wire;
 	loads->loads.loads_len = (u_int)own_count;
 	for (size_t i = 0; i < count; i++)
@@ -84,6 +85,7 @@
 		loads[i].label = wire->loads.loads_val[i].label;
 		loads[i].flows = wire->loads.loads_val[i].flows;
 		loads[i].work_permille = wire->loads.loads_val[i].work_permille;
+		loads[i].speed = wire->loads.loads_val[i].speed;
 	}
 	exchange->handler.loads(peer, loads, wire->loads.loads_len,
 				exchange->handler.private_data);
@@ -155,6 +157,26 @@
 	return sent;
 }
 
+/* To so many live peers; the next ones follow on. */
+static void message_send_some(struct jt_peer_exchange *exchange,
+			      const jt_wire_director_message *message,
+			      size_t peers)
+{
+	const struct jt_membership *membership = exchange->membership;
+	size_t sent = 0;
+
+	for (size_t i = 0; i < membership->count && sent < peers; i++) {
+		const struct jt_peer *peer =
+			&membership->peers[exchange->failures_next++ %
+					   membership->count];
+
+		if (!jt_peer_lives(peer))
+			continue;
+		message_send(exchange, peer->address, message);
+		sent++;
+	}
+}
+
 /* Whether this node takes flows, to all at once. */
 static void standing_tell(struct jt_peer_exchange *exchange, bool only_zone)
 {
@@ -283,6 +305,27 @@
 	message_send_peers(exchange, &message, false);
 }
 
+void jt_peer_exchange_failures(struct jt_peer_exchange *exchange,
+			       const struct jt_endpoint_failure *failures,
+			       size_t count, size_t peers)
+{
+	jt_wire_failure wire[JT_FAILURE_LIMIT];
+	jt_wire_director_message message = {
+		.from = exchange->membership->id,
+		.body.kind = JT_WIRE_FAILURES,
+	};
+	jt_wire_failures *told = &message.body.jt_wire_director_body_u.failures;
+
+	for (size_t i = 0; i < count; i++)
+		wire[i] = (jt_wire_failure){failures[i].label,
+					    failures[i].failed_permille,
+					    failures[i].served_permille,
+					    failures[i].share_permille};
+	told->failures.failures_val = wire;
+	told->failures.failures_len = (u_int)count;
+	message_send_some(exchange, &message, peers);
+}
+
 /* Datagrams */
 
 static void peer_seen(const struct jt_peer_exchange *exchange,
@@ -319,6 +362,21 @@
 	jt_peer_knowledge_look(exchange->knowledge, now_ms);
 }
 
+static void failures_take(struct jt_peer_exchange *exchange,
+			  const jt_wire_failures *wire)
+{
+	struct jt_endpoint_failure failures[JT_FAILURE_LIMIT];
+
+	for (u_int i = 0; i < wire->failures.failures_len; i++)
+		failures[i] = (struct jt_endpoint_failure){
+			wire->failures.failures_val[i].label,
+			wire->failures.failures_val[i].failed_permille,
+			wire->failures.failures_val[i].served_permille,
+			wire->failures.failures_val[i].share_permille};
+	exchange->handler.failures(failures, wire->failures.failures_len,
+				   exchange->handler.private_data);
+}
+
 static void message_take(struct jt_peer_exchange *exchange,
 			 struct jt_address from,
 			 const jt_wire_director_message *message)
@@ -346,6 +404,10 @@
 		loads_take(exchange, message->from,
 			   &message->body.jt_wire_director_body_u.loads);
 		break;
+	case JT_WIRE_FAILURES:
+		failures_take(exchange,
+			      &message->body.jt_wire_director_body_u.failures);
+		break;
 	case JT_WIRE_SUSPICION:
 		exchange->handler.suspicion(
 			&message->body.jt_wire_director_body_u.suspicion,
@@ -578,6 +640,7 @@
 		[JT_WIRE_LOADS] = "loads",
 		[JT_WIRE_NEWS] = "news",
 		[JT_WIRE_STANDING] = "standing",
+		[JT_WIRE_FAILURES] = "failures",
 	};
 
 	return names[kind];
--- a/src/label/admission/jt_concurrency_limit.c
+++ b/src/label/admission/jt_concurrency_limit.c
@@ -4,14 +4,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Answers may take this part of their target at the median: the slowest of a
- * mixed lot take about three times that, and are still in time. */
-#define DELAY_PART 0.3
+/* The delay that counts is that of the quickest quarter: open flows that are
+ * bound to slow endpoints say nothing of what a new flow meets. It may take
+ * this part of the target: the slowest of a mixed lot take about four times
+ * that, and are still in time. */
+#define DELAY_QUANTILE 4
+#define DELAY_PART 0.23
 /* A service whose work takes long beside its target is left this part. */
-#define DELAY_PART_MOST 0.4
-/* Work that does not wait: the median is about twice the quickest tenth, and
- * the queue may add half of it. */
-#define QUICK_TIMES 3
+#define DELAY_PART_MOST 0.32
+/* Work that does not wait: the quickest quarter take half as long again as the
+ * quickest tenth, and the queue may add as much. The mean is about twice it. */
+#define QUICK_TIMES 2
 #define QUICK_TO_WORK 2
 /* An answer in less than this part of the quickest tenth is no work done: an
  * endpoint has rejected the request. So is one in this part of the target,
@@ -38,20 +41,25 @@
 /* A step moves the limit by no more than this. */
 #define FALL_MOST 0.7
 #define RISE_MOST 1.2
+/* But by up to this where hardly anything waits: the demand has fallen. */
+#define RISE_IDLE 1.5
+#define IDLE_PART 0.5
 /* A step raises the limit by this part of its geometric mean with the demand,
  * which keeps nodes' limits in proportion to their demands; and by no more than
  * this part of itself, however often callers come back. */
-#define DEMAND_PART 0.02
+#define DEMAND_PART 0.03
 #define DEMAND_RISE_MOST 0.08
 #define LIMIT_LEAST 1.0
 
 enum {
 	/* Fewer answers say little: a step waits for more, but so long. */
 	SAMPLES_LEAST = 6,
-	/* A limit begins on so many: a median of less is late by chance. */
+	/* A limit begins on so many: fewer are late by chance. */
 	SAMPLES_TO_BEGIN = 16,
 	STEP_MS = 80,
 	STEP_MOST_MS = 400,
+	/* So many answers count for half of the delay; few are noise. */
+	SMOOTH_SAMPLES = 8,
 	/* Nothing refused for so long: the demand fits. */
 	FITS_MS = 1000,
 	MS_PER_S = 1000,
@@ -133,7 +141,18 @@
 	return samples->took_ms[index];
 }
 
-static void delays_note(struct jt_concurrency_limit *limit, uint32_t target_ms)
+/* A limit is steered by a smoothed delay: that of a few answers is noise. */
+static void delay_note(struct jt_concurrency_limit *limit, double delay_ms,
+		       size_t count)
+{
+	double part = 1;
+
+	if (limit->limit != 0)
+		part = (double)count / (double)(count + SMOOTH_SAMPLES);
+	limit->delay_ms += (delay_ms - limit->delay_ms) * part;
+}
+
+static void answers_note(struct jt_concurrency_limit *limit, uint32_t target_ms)
 {
 	struct jt_limit_samples *samples = &limit->samples;
 	size_t count = samples->answers < JT_LIMIT_SAMPLES ? samples->answers
@@ -142,7 +161,8 @@
 	if (count > 0) {
 		qsort(samples->took_ms, count, sizeof(samples->took_ms[0]),
 		      compare_delays);
-		limit->delay_ms = sample_at(samples, count / 2);
+		delay_note(limit, sample_at(samples, count / DELAY_QUANTILE),
+			   count);
 		quick_note(limit, sample_at(samples, count / 10), target_ms);
 	} else if (samples->rejected >= SAMPLES_LEAST) {
 		/* The service itself may have become so quick. */
@@ -186,21 +206,49 @@
 	return per_s * limit->allowed_ms / MS_PER_S;
 }
 
+/* Whether there are answers enough for a step. */
+static bool samples_suffice(const struct jt_concurrency_limit *limit)
+{
+	const struct jt_limit_samples *samples = &limit->samples;
+
+	if (samples->answers < SAMPLES_LEAST)
+		return false;
+	return limit->limit != 0 ||
+	       samples->answers + samples->rejected >= SAMPLES_TO_BEGIN;
+}
+
 static enum jt_limit_change limit_begin(struct jt_concurrency_limit *limit,
 					double load)
 {
 	if (load < LOAD_LEAST || limit->delay_ms <= limit->allowed_ms ||
-	    limit->samples.answers < SAMPLES_TO_BEGIN)
+	    !samples_suffice(limit))
 		return JT_LIMIT_SAME;
 	limit->limit =
 		fmax(LIMIT_LEAST, in_flight_at(limit, limit->answers_per_s));
 	return JT_LIMIT_BEGAN;
 }
 
+/* What the delay alone makes of the limit. */
+static double limit_by_delay(const struct jt_concurrency_limit *limit)
+{
+	bool idle = limit->delay_ms < limit->allowed_ms * IDLE_PART;
+	double factor = sqrt(limit->allowed_ms / fmax(limit->delay_ms, 1));
+	double most = idle ? RISE_IDLE : RISE_MOST;
+	double moved;
+
+	/* A limit that kept nothing out is no reason for the short delay. */
+	if (factor > 1 && limit->samples.refused == 0)
+		factor = 1;
+	moved = limit->limit * fmin(fmax(factor, FALL_MOST), most);
+	/* What is done now may have twice as much in flight. */
+	if (idle)
+		moved = fmax(moved, in_flight_at(limit, limit->answers_per_s));
+	return moved;
+}
+
 static enum jt_limit_change limit_move(struct jt_concurrency_limit *limit,
 				       double load, uint64_t now_ms)
 {
-	double factor = sqrt(limit->allowed_ms / fmax(limit->delay_ms, 1));
 	double demand;
 
 	if (load < LOAD_FREE || (limit->delay_ms <= limit->allowed_ms &&
@@ -208,10 +256,7 @@
 		limit->limit = 0;
 		return JT_LIMIT_ENDED;
 	}
-	/* A limit that kept nothing out is no reason for the short delay. */
-	if (factor > 1 && limit->samples.refused == 0)
-		factor = 1;
-	limit->limit *= fmin(fmax(factor, FALL_MOST), RISE_MOST);
+	limit->limit = limit_by_delay(limit);
 	demand = in_flight_at(limit, limit->offered_per_s) / limit->limit;
 	if (demand > 1)
 		limit->limit *=
@@ -220,11 +265,6 @@
 	return JT_LIMIT_SAME;
 }
 
-static uint32_t samples_needed(const struct jt_concurrency_limit *limit)
-{
-	return limit->limit == 0 ? SAMPLES_TO_BEGIN : SAMPLES_LEAST;
-}
-
 enum jt_limit_change
 jt_concurrency_limit_step(struct jt_concurrency_limit *limit,
 			  const struct jt_limit_service *service,
@@ -235,10 +275,10 @@
 	enum jt_limit_change change;
 	double load;
 
-	if (elapsed_ms < STEP_MS || (samples->answers < samples_needed(limit) &&
-				     elapsed_ms < STEP_MOST_MS))
+	if (elapsed_ms < STEP_MS ||
+	    (!samples_suffice(limit) && elapsed_ms < STEP_MOST_MS))
 		return JT_LIMIT_SAME;
-	delays_note(limit, service->target_ms);
+	answers_note(limit, service->target_ms);
 	rate_note(&limit->begun_per_s, samples->begun, elapsed_ms);
 	rate_note(&limit->answers_per_s, samples->answers, elapsed_ms);
 	rate_note(&limit->offered_per_s, samples->begun + samples->refused,
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -3,6 +3,8 @@
 #include "jt_mechanism.h"
 #include "jt_outlier.h"
 #include "jt_routing.h"
+#include "jt_target.h"
+#include "jt_zone_choice.h"
 
 #include <string.h>
 
@@ -10,18 +12,12 @@
 	/* Load of an endpoint of another zone must be this much lower, in
 	 * thousandths of the load of one of the own zone. */
 	REMOTE_PERMILLE = 1500,
-	/* A cold endpoint counts as this much slower, in thousandths. */
-	COLD_PERMILLE = 2000,
-	/* Slower than the fastest by less than this counts as equal. */
-	SLOW_PERMILLE = 1700,
-	SLOW_PERMILLE_MOST = 20000,
 	/* A choice looks at no more endpoints: the best of so many at random is
 	 * hardly worse than the best of all, and costs the same in a pool of
 	 * any size. Whoever looks at all finds one where few are willing. */
 	SAMPLE_MOST = 64,
-	/* Answers before an endpoint's speed counts for less than this are
-	 * noise of the callers' own pace. */
-	LATENCY_LEAST_US = 5000,
+	/* A pool of no more is compared whole. */
+	NEAR_MOST = 256,
 };
 
 struct jt_chooser *jt_chooser_create(TALLOC_CTX *mem_ctx,
@@ -122,6 +118,7 @@
 	struct jt_incarnation *room[SAMPLE_MOST];
 	struct incarnations some;
 	struct work_sum others = {0};
+	double lacks;
 
 	if (!jt_mechanism_on(chooser->without, JT_MECHANISM_NEWCOMER_SHARE))
 		return;
@@ -130,7 +127,9 @@
 		if (some.items[i] != newcomer)
 			work_sum_add(&others, chooser, some.items[i], now_ms);
 	}
-	jt_work_add(&newcomer->work, work_mean(&others), now_ms);
+	lacks = work_mean(&others) - jt_work_now(&newcomer->work, now_ms);
+	if (lacks > 0)
+		jt_work_add(&newcomer->work, lacks, now_ms);
 }
 
 static void pool_welcome_zone(const struct jt_chooser *chooser,
@@ -285,72 +284,165 @@
 	}
 }
 
+static bool is_near(const struct jt_chooser *chooser,
+		    const struct jt_incarnation *in)
+{
+	return in->entry.zone_id == chooser->zone_id ||
+	       !jt_mechanism_on(chooser->without, JT_MECHANISM_ZONE_FIRST);
+}
+
 /* What a choice must know of the ready ones among some together. */
 struct pool_view {
-	uint32_t fastest_us; /* lowest smoothed latency; 0: none is known */
-	bool avoid_failing;  /* there are enough without those that fail */
+	struct jt_target near, far; /* of the own zone, and of all others */
+	/* One that fails requests and is tried nevertheless, in proportion to
+	 * its share; NULL: none. */
+	struct jt_incarnation *tried;
 };
 
-static struct pool_view pool_look(const struct jt_chooser *chooser,
+/* What the incarnation is worth of an ordinary share of new flows. */
+static uint32_t share_permille(const struct jt_chooser *chooser,
+			       const struct jt_incarnation *in, uint64_t now_ms)
+{
+	if (!jt_mechanism_on(chooser->without, JT_MECHANISM_OUTLIERS))
+		return JT_FULL_SHARE_PERMILLE;
+	return jt_outlier_share_permille(in, now_ms);
+}
+
+static bool is_reduced(const struct jt_chooser *chooser,
+		       const struct jt_incarnation *in, uint64_t now_ms)
+{
+	return share_permille(chooser, in, now_ms) < JT_FULL_SHARE_PERMILLE;
+}
+
+/*
+ * The incarnation would get one in @near new flows if all were alike, and gets
+ * that times its share when each choice draws one at random and tries it with
+ * that probability. Loads can't do it: where a node sees less than one request
+ * of each endpoint, the least loaded one is any that was left alone.
+ */
+static struct jt_incarnation *draw_tried(struct jt_chooser *chooser,
+					 struct jt_incarnation *const *near,
+					 size_t count, uint64_t now_ms)
+{
+	struct jt_incarnation *drawn =
+		near[jt_random_next(&chooser->random) % count];
+	uint32_t share = jt_outlier_share_permille(drawn, now_ms);
+
+	if (share < JT_FULL_SHARE_PERMILLE &&
+	    jt_random_next(&chooser->random) % JT_FULL_SHARE_PERMILLE < share)
+		return drawn;
+	return NULL;
+}
+
+static struct jt_target target_of(const struct jt_chooser *chooser)
+{
+	return (struct jt_target){
+		.peer_loads = chooser->peer_loads,
+		.nodes = chooser->nodes,
+		.without = chooser->without,
+	};
+}
+
+/* How the work of those of some that may get new flows, and are in the own zone
+ * or not, should be spread over them. */
+static struct jt_target target_aim(const struct jt_chooser *chooser,
+				   struct incarnations some, bool near,
+				   uint64_t now_ms)
+{
+	struct jt_incarnation *aimed_at[JT_TARGET_LOOK_MOST];
+	struct jt_target target = target_of(chooser);
+	size_t count = 0;
+
+	for (size_t i = 0; i < some.count && count < JT_TARGET_LOOK_MOST; i++) {
+		struct jt_incarnation *in = some.items[i];
+
+		if (in->state == JT_INCARNATION_READY &&
+		    is_near(chooser, in) == near &&
+		    !zone_drained(chooser, in) &&
+		    !is_reduced(chooser, in, now_ms))
+			aimed_at[count++] = in;
+	}
+	jt_target_aim(&target, aimed_at, count, now_ms);
+	return target;
+}
+
+void jt_chooser_answered(struct jt_chooser *chooser,
+			 const struct jt_route *route,
+			 struct jt_incarnation *incarnation,
+			 const struct jt_answer *answer, uint64_t now_ms)
+{
+	struct jt_split *split =
+		route != NULL ? jt_splits_find(chooser->splits, route) : NULL;
+	struct jt_target target = target_of(chooser);
+	struct jt_usual *usual = NULL;
+
+	if (split != NULL)
+		usual = jt_split_usual(split, incarnation->entry.service_id);
+	if (usual != NULL)
+		jt_target_answered(&target, usual, incarnation, answer, now_ms);
+}
+
+static struct pool_view pool_look(struct jt_chooser *chooser,
 				  struct incarnations some, uint64_t now_ms)
 {
 	struct pool_view view = {0};
-	size_t ready = 0, failing = 0;
+	struct jt_incarnation *near[NEAR_MOST];
+	size_t near_count = 0, reduced = 0;
 
 	for (size_t i = 0; i < some.count; i++) {
-		const struct jt_incarnation *in = some.items[i];
+		struct jt_incarnation *in = some.items[i];
 
 		if (in->state != JT_INCARNATION_READY ||
 		    zone_drained(chooser, in))
 			continue;
-		ready++;
-		failing += jt_outlier_failing(in, now_ms);
-		if (in->latency_us != 0 &&
-		    (view.fastest_us == 0 || in->latency_us < view.fastest_us))
-			view.fastest_us = in->latency_us;
+		reduced += is_reduced(chooser, in, now_ms);
+		if (is_near(chooser, in) && near_count < NEAR_MOST)
+			near[near_count++] = in;
 	}
-	view.avoid_failing =
-		jt_mechanism_on(chooser->without, JT_MECHANISM_OUTLIERS) &&
-		jt_outlier_few(failing, ready);
+	if (reduced > 0 && near_count > 0)
+		view.tried = draw_tried(chooser, near, near_count, now_ms);
+	view.near = target_aim(chooser, some, true, now_ms);
+	view.far = target_aim(chooser, some, false, now_ms);
 	return view;
 }
 
-/* Time that a request takes there, in thousandths of the fastest. */
-static uint64_t slowness_permille(const struct jt_chooser *chooser,
-				  const struct jt_incarnation *in,
-				  uint32_t fastest_us, uint64_t now_ms)
+/* Requests lately at the incarnation from all nodes, as far as is known. */
+static double requests_lately(const struct jt_chooser *chooser,
+			      const struct jt_incarnation *in, uint64_t now_ms)
 {
-	uint64_t permille = 1000;
+	return jt_work_now(&in->work, now_ms) +
+	       jt_peer_loads_work(chooser->peer_loads, in->label, now_ms) *
+		       (double)(chooser->nodes - 1);
+}
 
-	if (fastest_us < LATENCY_LEAST_US)
-		fastest_us = LATENCY_LEAST_US;
-	if (in->latency_us > fastest_us &&
-	    jt_mechanism_on(chooser->without, JT_MECHANISM_SLOWNESS))
-		permille = (uint64_t)in->latency_us * 1000 / fastest_us;
-	if (permille < SLOW_PERMILLE)
-		permille = 1000;
-	if (permille > SLOW_PERMILLE_MOST)
-		permille = SLOW_PERMILLE_MOST;
-	if (now_ms < in->cold_until_ms && permille < COLD_PERMILLE &&
-	    jt_mechanism_on(chooser->without, JT_MECHANISM_COLD))
-		permille = COLD_PERMILLE;
-	return permille;
+static uint32_t slots_of(const struct jt_incarnation *in)
+{
+	return in->entry.capacity > 0 ? in->entry.capacity : 1;
 }
 
-/* Load after one more flow, for capacity and speed. */
-static double incarnation_load(const struct jt_chooser *chooser,
-			       const struct jt_incarnation *in,
-			       uint32_t fastest_us, uint64_t now_ms)
+void jt_chooser_compare(struct jt_chooser *chooser,
+			struct jt_service_pool *pool, uint64_t now_ms)
 {
-	uint32_t capacity = in->entry.capacity ? in->entry.capacity : 1;
-	double work = jt_work_now(&in->work, now_ms) + (double)in->waiting + 1;
+	struct jt_incarnation *room[SAMPLE_MOST], *ready[NEAR_MOST];
+	struct incarnations some;
+	size_t count = 0;
+	double requests = 0, slots = 0;
 
-	if (jt_mechanism_on(chooser->without, JT_MECHANISM_PEER_WORK))
-		work += jt_peer_loads_work(chooser->peer_loads, in->label,
-					   now_ms);
-	return work *
-	       (double)slowness_permille(chooser, in, fastest_us, now_ms) /
-	       capacity;
+	if (pool == NULL || !jt_outlier_compare_due(pool, now_ms))
+		return;
+	some = pool->count <= NEAR_MOST ? pool_all(pool)
+					: pool_sample(chooser, pool, room);
+	for (size_t i = 0; i < some.count; i++) {
+		if (some.items[i]->state != JT_INCARNATION_READY ||
+		    zone_drained(chooser, some.items[i]))
+			continue;
+		requests += requests_lately(chooser, some.items[i], now_ms);
+		slots += slots_of(some.items[i]);
+		ready[count++] = some.items[i];
+	}
+	if (count > 0)
+		jt_outlier_compare(pool, ready, count, requests / (double)count,
+				   slots / (double)count, now_ms);
 }
 
 struct candidate {
@@ -373,11 +465,16 @@
 		best->incarnation = in;
 }
 
-static bool is_near(const struct jt_chooser *chooser,
-		    const struct jt_incarnation *in)
+/* Whether a flow goes to the best one of other zones, not of the own. */
+static bool goes_far(struct jt_chooser *chooser, const struct pool_view *view,
+		     const struct candidate *local,
+		     const struct candidate *remote)
 {
-	return in->entry.zone_id == chooser->zone_id ||
-	       !jt_mechanism_on(chooser->without, JT_MECHANISM_ZONE_FIRST);
+	if (!view->near.measured ||
+	    !jt_mechanism_on(chooser->without, JT_MECHANISM_ZONE_ROOM))
+		return remote->load * REMOTE_PERMILLE / 1000 < local->load;
+	return (double)(jt_random_next(&chooser->random) % 1000) <
+	       1000 * jt_zone_spill(&view->near, &view->far);
 }
 
 static struct jt_incarnation *best_of(struct jt_chooser *chooser,
@@ -393,9 +490,11 @@
 		struct jt_incarnation *in = some.items[i];
 		enum willingness willing =
 			incarnation_willing(chooser, in, service, now_ms);
+		double load;
 
-		if (willing == WILLING && view.avoid_failing &&
-		    jt_outlier_failing(in, now_ms))
+		if (willing == WILLING && in == view.tried)
+			return in;
+		if (willing == WILLING && is_reduced(chooser, in, now_ms))
 			willing = SUSPECTED;
 		if (willing > lowest)
 			continue;
@@ -404,17 +503,21 @@
 			memset(&remote, 0, sizeof(remote));
 			lowest = willing;
 		}
-		candidate_offer(
-			chooser, is_near(chooser, in) ? &local : &remote, in,
-			incarnation_load(chooser, in, view.fastest_us, now_ms));
+		load = jt_target_load(is_near(chooser, in) ? &view.near
+							   : &view.far,
+				      in, now_ms) *
+		       JT_FULL_SHARE_PERMILLE /
+		       share_permille(chooser, in, now_ms);
+		candidate_offer(chooser,
+				is_near(chooser, in) ? &local : &remote, in,
+				load);
 	}
 	if (local.incarnation == NULL)
 		return remote.incarnation;
 	if (remote.incarnation == NULL)
 		return local.incarnation;
-	if (remote.load * REMOTE_PERMILLE / 1000 < local.load)
-		return remote.incarnation;
-	return local.incarnation;
+	return goes_far(chooser, &view, &local, &remote) ? remote.incarnation
+							 : local.incarnation;
 }
 
 /* An endpoint that is as willing as @most: of a sample, or of all where that
--- a/src/label/jt_choose.h
+++ b/src/label/jt_choose.h
@@ -43,12 +43,18 @@
 					 const struct jt_route *route,
 					 uint64_t now_ms,
 					 enum jt_director_reason *refusal);
+/* A request of the route was answered there. */
+void jt_chooser_answered(struct jt_chooser *chooser,
+			 const struct jt_route *route,
+			 struct jt_incarnation *incarnation,
+			 const struct jt_answer *answer, uint64_t now_ms);
 /* Flows of all nodes together at the incarnation, as far as is known. */
 double jt_chooser_flows(const struct jt_chooser *chooser,
 			const struct jt_incarnation *incarnation,
 			uint64_t now_ms);
-/* An incarnation that has just come counts as one that got as much work as the
- * others of its service: it gets its share of new flows, not all of them. */
+/* An incarnation that has just come, or whose share of new flows is whole
+ * again, counts as one that got as much work as the others of its service: it
+ * gets its share of new flows, not all of them. */
 void jt_chooser_welcome(struct jt_chooser *chooser,
 			const struct jt_service_pool *pool,
 			struct jt_incarnation *newcomer, uint64_t now_ms);
@@ -56,6 +62,9 @@
  * from each node at another time. */
 void jt_chooser_spread(const struct jt_chooser *chooser,
 		       struct jt_incarnation *newcomer, uint64_t now_ms);
+/* Compare the failures of the pool's incarnations, where it is time. */
+void jt_chooser_compare(struct jt_chooser *chooser,
+			struct jt_service_pool *pool, uint64_t now_ms);
 /* The drain of a zone has ended: its endpoints count as ones that got as much
  * work as those of other zones. */
 void jt_chooser_welcome_zone(const struct jt_chooser *chooser,
--- a/src/label/jt_work.h
+++ b/src/label/jt_work.h
@@ -8,6 +8,10 @@
 
 #include <stdint.h>
 
+/* The mean age of the requests that count, milliseconds: at a steady rate they
+ * are that rate times this. */
+#define JT_WORK_MEMORY_MS 721.0
+
 struct jt_work {
 	double requests; /* as of @as_of_ms */
 	uint64_t as_of_ms;
@@ -15,6 +19,8 @@
 
 /* Requests lately, at @now_ms. */
 double jt_work_now(const struct jt_work *work, uint64_t now_ms);
+/* Requests a second at a steady rate that has so many of them lately. */
+double jt_work_per_s(double requests);
 /* So many requests more. */
 void jt_work_add(struct jt_work *work, double requests, uint64_t now_ms);
 
--- a/tests/test_incarnations.c
+++ b/tests/test_incarnations.c
@@ -3,6 +3,7 @@
  * that turn unreadable: one director in virtual time.
  */
 #include "director_fixture.h"
+#include "jt_outlier.h"
 
 #include "jt_director_private.h"
 
@@ -154,7 +155,7 @@
 	told_of(bench, JT_DIRECTOR_SUSPICION, RESTARTED, BORN_FIRST);
 	incarnation = incarnation_of(bench, RESTARTED);
 	assert_int_equal(incarnation->waiting, 1);
-	assert_true(incarnation->failing_until_ms > 0);
+	assert_true(incarnation->outlier.failed > 0);
 	assert_true(incarnation->peer_verdict_ms > 0);
 	restart(bench, 10);
 	told = bench_find(bench, JT_DIRECTOR_RESTARTED);
@@ -163,8 +164,10 @@
 	assert_int_equal(incarnation->state, JT_INCARNATION_READY);
 	assert_int_equal(incarnation->flows, 0);
 	assert_int_equal(incarnation->waiting, 0);
-	assert_int_equal(incarnation->latency_us, 0);
-	assert_int_equal(incarnation->failing_until_ms, 0);
+	assert_true(incarnation->speed.weight == 0);
+	assert_int_equal(incarnation->outlier.failed_ms, 0);
+	assert_int_equal(jt_outlier_share_permille(incarnation, bench->now_ms),
+			 JT_FULL_SHARE_PERMILLE);
 	assert_int_equal(incarnation->peer_verdict_ms, 0);
 	assert_int_equal(incarnation->suspected_ms, 0);
 	assert_false(incarnation->probing);
@@ -260,7 +263,9 @@
 	assert_null(bench_find(bench, JT_DIRECTOR_PROBE));
 	assert_int_equal(incarnation->suspected_ms, 0);
 	assert_int_equal(incarnation->avoid_until_ms, 0);
-	assert_int_equal(incarnation->failing_until_ms, 0);
+	assert_int_equal(incarnation->outlier.failed_ms, 0);
+	assert_int_equal(jt_outlier_share_permille(incarnation, bench->now_ms),
+			 JT_FULL_SHARE_PERMILLE);
 	assert_int_equal(incarnation->unanswered, 0);
 	assert_int_equal(incarnation->progress_ms, 0);
 	talloc_free(bench);
@@ -412,7 +417,9 @@
 	told_of(bench, JT_DIRECTOR_SUSPICION, RESTARTED, BORN_SECOND + 7);
 	assert_null(bench_find(bench, JT_DIRECTOR_PROBE));
 	assert_int_equal(incarnation->peer_verdict_ms, 0);
-	assert_int_equal(incarnation->failing_until_ms, 0);
+	assert_int_equal(incarnation->outlier.failed_ms, 0);
+	assert_int_equal(jt_outlier_share_permille(incarnation, bench->now_ms),
+			 JT_FULL_SHARE_PERMILLE);
 	told_of(bench, JT_DIRECTOR_SUSPICION, RESTARTED, BORN_SECOND);
 	assert_non_null(bench_find(bench, JT_DIRECTOR_PROBE));
 	talloc_free(bench);
