Reports of peers on an earlier incarnation are not about the next

Cause, after the merge with the speeds and failures that peers tell: they name endpoints by label, and a label of an earlier incarnation is looked up as the one in its place, so that its packets reach it. Reports are taken for the label of now alone.

--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -216,7 +216,7 @@
 			   event->now_ms);
 	for (size_t i = 0; i < event->u.loads.count; i++) {
 		const struct jt_endpoint_load *load = &event->u.loads.loads[i];
-		struct jt_incarnation *incarnation = jt_endpoint_table_by_label(
+		struct jt_incarnation *incarnation = jt_endpoint_table_labelled(
 			director->endpoints, load->label);
 
 		if (incarnation != NULL)
--- a/src/label/jt_director_answers.c
+++ b/src/label/jt_director_answers.c
@@ -194,7 +194,7 @@
 			 uint64_t now_ms)
 {
 	struct jt_incarnation *incarnation =
-		jt_endpoint_table_by_label(director->endpoints, failure->label);
+		jt_endpoint_table_labelled(director->endpoints, failure->label);
 
 	director->counters.failures_heard++;
 	if (incarnation == NULL)
--- a/src/label/jt_endpoint_table.c
+++ b/src/label/jt_endpoint_table.c
@@ -58,9 +58,9 @@
 	return found;
 }
 
-/* The oldest that has @label now. */
-static struct jt_incarnation *label_first(const struct jt_endpoint_table *table,
-					  uint32_t label)
+struct jt_incarnation *
+jt_endpoint_table_labelled(const struct jt_endpoint_table *table,
+			   uint32_t label)
 {
 	struct jt_incarnation *found;
 
@@ -72,7 +72,7 @@
 jt_endpoint_table_by_label(const struct jt_endpoint_table *table,
 			   uint32_t label)
 {
-	struct jt_incarnation *found = label_first(table, label);
+	struct jt_incarnation *found = jt_endpoint_table_labelled(table, label);
 
 	if (found == NULL)
 		HASH_FIND(by_earlier_label, table->earlier_labels, &label,
@@ -157,7 +157,8 @@
 static void label_join(struct jt_endpoint_table *table,
 		       struct jt_incarnation *incarnation)
 {
-	struct jt_incarnation *first = label_first(table, incarnation->label);
+	struct jt_incarnation *first =
+		jt_endpoint_table_labelled(table, incarnation->label);
 	struct jt_incarnation *oldest = first;
 
 	DL_INSERT_INORDER2(oldest, incarnation, label_order, label_prev,
@@ -172,7 +173,8 @@
 static void label_leave(struct jt_endpoint_table *table,
 			struct jt_incarnation *incarnation)
 {
-	struct jt_incarnation *first = label_first(table, incarnation->label);
+	struct jt_incarnation *first =
+		jt_endpoint_table_labelled(table, incarnation->label);
 	struct jt_incarnation *oldest = first;
 
 	DL_DELETE2(oldest, incarnation, label_prev, label_next);
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -175,6 +175,11 @@
 struct jt_incarnation *
 jt_endpoint_table_by_label(const struct jt_endpoint_table *table,
 			   uint32_t label);
+/* The one of those that have @label now: what is told of an earlier incarnation
+ * is not about the one in its place. */
+struct jt_incarnation *
+jt_endpoint_table_labelled(const struct jt_endpoint_table *table,
+			   uint32_t label);
 /* Whether the flow was placed at this incarnation, not at an earlier one. */
 static inline bool jt_incarnation_placed(const struct jt_incarnation *in,
 					 uint32_t flow_label)
--- a/tests/test_incarnations.c
+++ b/tests/test_incarnations.c
@@ -540,6 +540,48 @@
 	talloc_free(bench);
 }
 
+/* What peers report of the earlier one's answers is not about the next one. */
+static void test_reports_of_peers_are_by_incarnation(void **state)
+{
+	struct bench *bench = two_born();
+	uint32_t earlier = jt_incarnation_label(RESTARTED, BORN_FIRST);
+	struct jt_endpoint_load load = {
+		.label = earlier, .flows = 1, .speed = 200u << 16 | 900};
+	struct jt_endpoint_failure failure = {
+		.label = earlier,
+		.failed_permille = 9000,
+		.share_permille = 1000,
+	};
+	struct jt_director_event loads = {.kind = JT_DIRECTOR_LOADS};
+	struct jt_director_event failures = {.kind = JT_DIRECTOR_FAILURES_TOLD};
+	struct jt_incarnation *incarnation = incarnation_of(bench, RESTARTED);
+	struct jt_incarnation before;
+
+	(void)state;
+	loads.u.loads.peer = 7;
+	loads.u.loads.loads = &load;
+	loads.u.loads.count = 1;
+	failures.u.failures.items = &failure;
+	failures.u.failures.count = 1;
+	restart(bench, 10);
+	before = *incarnation;
+	bench_event(bench, &loads);
+	bench_event(bench, &failures);
+	assert_memory_equal(&incarnation->speed, &before.speed,
+			    sizeof(before.speed));
+	assert_memory_equal(&incarnation->outlier, &before.outlier,
+			    sizeof(before.outlier));
+	/* The same of this one counts. */
+	load.label = failure.label = incarnation->label;
+	bench_event(bench, &loads);
+	bench_event(bench, &failures);
+	assert_memory_not_equal(&incarnation->speed, &before.speed,
+				sizeof(before.speed));
+	assert_memory_not_equal(&incarnation->outlier, &before.outlier,
+				sizeof(before.outlier));
+	talloc_free(bench);
+}
+
 static void test_an_unreadable_entry_names_no_endpoint(void **state)
 {
 	struct bench *bench = two_born();
@@ -628,6 +670,7 @@
 		cmocka_unit_test(test_flows_of_the_dead_are_reset_once_proven),
 		cmocka_unit_test(test_it_is_cold_anew),
 		cmocka_unit_test(test_loads_of_peers_are_by_incarnation),
+		cmocka_unit_test(test_reports_of_peers_are_by_incarnation),
 		cmocka_unit_test(test_an_unreadable_entry_names_no_endpoint),
 		cmocka_unit_test(test_peers_tell_births_and_unreadable_entries),
 	};
