--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -1,4 +1,5 @@
 #include "jt_choose.h"
+#include "jt_choose_pool.h"
 #include "jt_detector.h"
 #include "jt_mechanism.h"
 #include "jt_outlier.h"
@@ -12,10 +13,6 @@
 	/* Load of an endpoint of another zone must be this much lower, in
 	 * thousandths of the load of one of the own zone. */
 	REMOTE_PERMILLE = 1500,
-	/* A choice looks at no more endpoints: the best of so many at random is
-	 * hardly worse than the best of all, and costs the same in a pool of
-	 * any size. Whoever looks at all finds one where few are willing. */
-	SAMPLE_MOST = 64,
 	/* A pool of no more is compared whole. */
 	NEAR_MOST = 256,
 };
@@ -57,115 +54,6 @@
 	return incarnation->flows + mean * (double)(chooser->nodes - 1);
 }
 
-/* Some incarnations of one service. */
-struct incarnations {
-	struct jt_incarnation *const *items;
-	size_t count;
-};
-
-static struct incarnations pool_all(const struct jt_service_pool *pool)
-{
-	return (struct incarnations){pool->members, pool->count};
-}
-
-/* So many members of the pool at random, which may be drawn twice; all where
- * there are no more. @room holds them. */
-static struct incarnations pool_sample(struct jt_chooser *chooser,
-				       const struct jt_service_pool *pool,
-				       struct jt_incarnation *room[SAMPLE_MOST])
-{
-	if (pool->count <= SAMPLE_MOST)
-		return pool_all(pool);
-	for (size_t i = 0; i < SAMPLE_MOST; i++)
-		room[i] = pool->members[jt_random_next(&chooser->random) %
-					pool->count];
-	return (struct incarnations){room, SAMPLE_MOST};
-}
-
-/* Whether operators keep new flows from the incarnation's zone. */
-static bool zone_drained(const struct jt_chooser *chooser,
-			 const struct jt_incarnation *in)
-{
-	if (chooser->break_mechanism & JT_DIRECTOR_BREAK_ZONE_DRAIN)
-		return false;
-	return jt_zone_drains_has(chooser->zone_drains, in->entry.zone_id);
-}
-
-/* The sum of the work of some incarnations. */
-struct work_sum {
-	double work;
-	size_t count;
-};
-
-static void work_sum_add(struct work_sum *sum, const struct jt_chooser *chooser,
-			 const struct jt_incarnation *in, uint64_t now_ms)
-{
-	if (in->state != JT_INCARNATION_READY || zone_drained(chooser, in))
-		return;
-	sum->work += jt_work_now(&in->work, now_ms);
-	sum->count++;
-}
-
-static double work_mean(const struct work_sum *sum)
-{
-	return sum->count > 0 ? sum->work / (double)sum->count : 0;
-}
-
-void jt_chooser_welcome(struct jt_chooser *chooser,
-			const struct jt_service_pool *pool,
-			struct jt_incarnation *newcomer, uint64_t now_ms)
-{
-	struct jt_incarnation *room[SAMPLE_MOST];
-	struct incarnations some;
-	struct work_sum others = {0};
-	double lacks;
-
-	if (!jt_mechanism_on(chooser->without, JT_MECHANISM_NEWCOMER_SHARE))
-		return;
-	some = pool_sample(chooser, pool, room);
-	for (size_t i = 0; i < some.count; i++) {
-		if (some.items[i] != newcomer)
-			work_sum_add(&others, chooser, some.items[i], now_ms);
-	}
-	lacks = work_mean(&others) - jt_work_now(&newcomer->work, now_ms);
-	if (lacks > 0)
-		jt_work_add(&newcomer->work, lacks, now_ms);
-}
-
-static void pool_welcome_zone(const struct jt_chooser *chooser,
-			      const struct jt_service_pool *pool,
-			      uint32_t zone_id, uint64_t now_ms)
-{
-	struct work_sum others = {0};
-	double mean;
-
-	for (size_t i = 0; i < pool->count; i++) {
-		if (pool->members[i]->entry.zone_id != zone_id)
-			work_sum_add(&others, chooser, pool->members[i],
-				     now_ms);
-	}
-	mean = work_mean(&others);
-	for (size_t i = 0; i < pool->count; i++) {
-		struct jt_incarnation *in = pool->members[i];
-		double lacks = mean - jt_work_now(&in->work, now_ms);
-
-		if (in->entry.zone_id == zone_id && lacks > 0)
-			jt_work_add(&in->work, lacks, now_ms);
-	}
-}
-
-void jt_chooser_welcome_zone(const struct jt_chooser *chooser,
-			     const struct jt_endpoint_table *table,
-			     uint32_t zone_id, uint64_t now_ms)
-{
-	const struct jt_service_pool *pool;
-
-	if (!jt_mechanism_on(chooser->without, JT_MECHANISM_NEWCOMER_SHARE))
-		return;
-	for (pool = table->pools; pool != NULL; pool = pool->hh.next)
-		pool_welcome_zone(chooser, pool, zone_id, now_ms);
-}
-
 /* Whether a ready incarnation holds as many flows, by this node's count of all
  * nodes', as its service allows; a limit of 0 allows any number. */
 static bool incarnation_full(const struct jt_chooser *chooser,
--- a/tests/test_choice.c
+++ b/tests/test_choice.c
@@ -230,6 +230,32 @@
 	assert_true(jt_speed_slowness(&speed, NODES, 301000) == 1);
 }
 
+/* Whoever starts again under its id is another one. */
+static void test_speed_is_forgotten_at_a_restart(void **state)
+{
+	struct bench *bench = two_endpoints(0);
+	struct jt_endpoint_entry again =
+		entry_of(0x101, SERVICE_BOARD, ZONE_A, 9);
+	struct jt_endpoint_load load = {
+		.label = jt_flow_label(0x101),
+		.speed = 2000u << 16 | 1000,
+	};
+	struct jt_director_event event = {.kind = JT_DIRECTOR_LOADS};
+
+	(void)state;
+	event.u.loads.peer = 7;
+	event.u.loads.loads = &load;
+	event.u.loads.count = 1;
+	bench_event(bench, &event);
+	assert_int_equal(jt_director_slow_count(bench->director, bench->now_ms),
+			 1);
+	again.born_ms = bench->now_ms;
+	bench_entry(bench, again);
+	assert_int_equal(jt_director_slow_count(bench->director, bench->now_ms),
+			 0);
+	talloc_free(bench);
+}
+
 /* Callers that wait before they acknowledge a lone segment don't make their
  * endpoint look slow; where they don't wait, nothing is taken off. */
 static void test_delayed_acknowledgements(void **state)
@@ -302,6 +328,7 @@
 		cmocka_unit_test(test_kinds_are_measured_apart),
 		cmocka_unit_test(test_speed_is_told),
 		cmocka_unit_test(test_speed_is_forgotten),
+		cmocka_unit_test(test_speed_is_forgotten_at_a_restart),
 		cmocka_unit_test(test_delayed_acknowledgements),
 		cmocka_unit_test(test_fill),
 		cmocka_unit_test(test_zone_spill),
