Admission waits until endpoints reject, keeps slots busy, and asks what new flows meet

Change: a limit begins when answers take half of the target, or when endpoints reject more than one request in twenty (then the lower delay holds as before); nodes together may always have two in flight for each slot; only first requests of flows that were placed here tell the delay, later ones count in flight.

--- a/fuzz/fuzz_director.c
+++ b/fuzz/fuzz_director.c
@@ -52,9 +52,9 @@
 	/* Answers that callers of this world would like: at the pace of its
 	 * clock, nodes find services full at times. */
 	TARGET_MS = 2000,
-	CROWD = 8, /* callers, that a node remembers */
+	CROWD = 16, /* callers, that a node remembers */
 	CROWD_REQUESTS = 4,
-	CROWD_WAITS_MS = 900,
+	CROWD_WAITS_MS = 1100,
 	ZONES = 2,
 	OPEN_ACKNOWLEDGED = 0x40000000, /* of an endpoint's own choice */
 	RESET_WINDOW = 76800,		/* in which a reset is taken */
--- a/src/label/admission/jt_admission.c
+++ b/src/label/admission/jt_admission.c
@@ -349,7 +349,7 @@
 }
 
 void jt_admission_answered(struct jt_admission *admission, uint32_t service_id,
-			   uint64_t requested_ms, uint32_t bytes,
+			   uint64_t requested_ms, uint32_t bytes, bool placed,
 			   uint64_t now_ms)
 {
 	struct admission_service *service =
@@ -358,6 +358,10 @@
 	if (service == NULL)
 		return;
 	jt_in_flight_end(&service->requests, requested_ms, now_ms);
+	if (!placed) {
+		jt_concurrency_limit_bound(&service->limit);
+		return;
+	}
 	if (!jt_concurrency_limit_answered(&service->limit,
 					   now_ms - requested_ms, bytes))
 		return;
--- a/src/label/admission/jt_admission.h
+++ b/src/label/admission/jt_admission.h
@@ -67,9 +67,11 @@
 /* A request was passed on. */
 void jt_admission_requested(struct jt_admission *admission, uint32_t service_id,
 			    uint64_t now_ms);
-/* The first @bytes of its answer were acknowledged. */
+/* The first @bytes of its answer were acknowledged. @placed: it was the first
+ * request of a flow that this node placed, and tells what a new flow meets;
+ * later ones are bound to their flow's endpoint. */
 void jt_admission_answered(struct jt_admission *admission, uint32_t service_id,
-			   uint64_t requested_ms, uint32_t bytes,
+			   uint64_t requested_ms, uint32_t bytes, bool placed,
 			   uint64_t now_ms);
 /* It never will be, as far as this node sees. */
 void jt_admission_given_up(struct jt_admission *admission, uint32_t service_id,
--- a/src/label/admission/jt_concurrency_limit.c
+++ b/src/label/admission/jt_concurrency_limit.c
@@ -12,6 +12,17 @@
 #define DELAY_PART 0.23
 /* A service whose work takes long beside its target is left this part. */
 #define DELAY_PART_MOST 0.32
+/* While endpoints take what they get, this part: an answer that is late serves
+ * its caller better than none, and nobody is turned away for it. */
+#define DELAY_PART_PATIENT 0.5
+/* Endpoints that reject more than this part of the requests have full queues:
+ * what waits there costs others their answers. */
+#define REJECTED_MOST 0.05
+/* The allowed delay goes down by this part of the difference a step while they
+ * do, and up by this part once there is no limit any more: what is refused
+ * keeps them from rejecting. */
+#define PRESSURE_RISE 0.35
+#define PRESSURE_FALL 0.01
 /* Work that does not wait: the quickest quarter take half as long again as the
  * quickest tenth, and the queue may add as much. The mean is about twice it. */
 #define QUICK_TIMES 2
@@ -50,6 +61,9 @@
 #define DEMAND_PART 0.03
 #define DEMAND_RISE_MOST 0.08
 #define LIMIT_LEAST 1.0
+/* All nodes together may have so many in flight for each slot, whatever the
+ * delay: one at work and one that waits, so that no slot is ever idle. */
+#define IN_FLIGHT_A_SLOT 2.0
 
 enum {
 	/* Fewer answers say little: a step waits for more, but so long. */
@@ -99,6 +113,11 @@
 	return true;
 }
 
+void jt_concurrency_limit_bound(struct jt_concurrency_limit *limit)
+{
+	limit->samples.bound++;
+}
+
 void jt_concurrency_limit_begun(struct jt_concurrency_limit *limit)
 {
 	limit->samples.begun++;
@@ -179,13 +198,31 @@
 	*rate += (now - *rate) * RATE_PART;
 }
 
+/* How hard endpoints are pressed, by what they reject. */
+static void pressure_note(struct jt_concurrency_limit *limit)
+{
+	const struct jt_limit_samples *samples = &limit->samples;
+	double ended = (double)samples->answers + samples->rejected;
+
+	if (ended > 0)
+		limit->rejected_part +=
+			(samples->rejected / ended - limit->rejected_part) *
+			RATE_PART;
+	if (limit->rejected_part > REJECTED_MOST)
+		limit->pressure = fmin(1, limit->pressure + PRESSURE_RISE);
+	else if (limit->limit == 0)
+		limit->pressure = fmax(0, limit->pressure - PRESSURE_FALL);
+}
+
 static double allowed_ms(const struct jt_concurrency_limit *limit,
 			 uint32_t target_ms)
 {
-	double allowed = limit->quick_ms * QUICK_TIMES;
+	double patient = target_ms * DELAY_PART_PATIENT;
+	double pressed = limit->quick_ms * QUICK_TIMES;
 
-	return fmin(fmax(allowed, target_ms * DELAY_PART),
-		    target_ms * DELAY_PART_MOST);
+	pressed = fmin(fmax(pressed, target_ms * DELAY_PART),
+		       target_ms * DELAY_PART_MOST);
+	return patient - (patient - pressed) * limit->pressure;
 }
 
 /* What part of the slots is at work, if each node passes on as much as this
@@ -217,14 +254,20 @@
 	       samples->answers + samples->rejected >= SAMPLES_TO_BEGIN;
 }
 
+/* The limit is never lower. */
+static double limit_least(const struct jt_limit_service *service)
+{
+	return fmax(LIMIT_LEAST, IN_FLIGHT_A_SLOT * (double)service->slots /
+					 fmax((double)service->nodes, 1));
+}
+
 static enum jt_limit_change limit_begin(struct jt_concurrency_limit *limit,
-					double load)
+					double load, double least)
 {
 	if (load < LOAD_LEAST || limit->delay_ms <= limit->allowed_ms ||
 	    !samples_suffice(limit))
 		return JT_LIMIT_SAME;
-	limit->limit =
-		fmax(LIMIT_LEAST, in_flight_at(limit, limit->answers_per_s));
+	limit->limit = fmax(least, in_flight_at(limit, limit->answers_per_s));
 	return JT_LIMIT_BEGAN;
 }
 
@@ -247,7 +290,8 @@
 }
 
 static enum jt_limit_change limit_move(struct jt_concurrency_limit *limit,
-				       double load, uint64_t now_ms)
+				       double load, double least,
+				       uint64_t now_ms)
 {
 	double demand;
 
@@ -261,7 +305,7 @@
 	if (demand > 1)
 		limit->limit *=
 			1 + fmin(sqrt(demand) * DEMAND_PART, DEMAND_RISE_MOST);
-	limit->limit = fmax(limit->limit, LIMIT_LEAST);
+	limit->limit = fmax(limit->limit, least);
 	return JT_LIMIT_SAME;
 }
 
@@ -273,20 +317,23 @@
 	struct jt_limit_samples *samples = &limit->samples;
 	uint64_t elapsed_ms = now_ms - limit->stepped_ms;
 	enum jt_limit_change change;
-	double load;
+	double load, least;
 
 	if (elapsed_ms < STEP_MS ||
 	    (!samples_suffice(limit) && elapsed_ms < STEP_MOST_MS))
 		return JT_LIMIT_SAME;
 	answers_note(limit, service->target_ms);
 	rate_note(&limit->begun_per_s, samples->begun, elapsed_ms);
-	rate_note(&limit->answers_per_s, samples->answers, elapsed_ms);
+	rate_note(&limit->answers_per_s, samples->answers + samples->bound,
+		  elapsed_ms);
 	rate_note(&limit->offered_per_s, samples->begun + samples->refused,
 		  elapsed_ms);
+	pressure_note(limit);
 	limit->allowed_ms = allowed_ms(limit, service->target_ms);
 	load = slots_load(limit, service);
-	change = limit->limit == 0 ? limit_begin(limit, load)
-				   : limit_move(limit, load, now_ms);
+	least = limit_least(service);
+	change = limit->limit == 0 ? limit_begin(limit, load, least)
+				   : limit_move(limit, load, least, now_ms);
 	memset(samples, 0, sizeof(*samples));
 	limit->stepped_ms = now_ms;
 	return change;
--- a/src/label/admission/jt_concurrency_limit.h
+++ b/src/label/admission/jt_concurrency_limit.h
@@ -26,8 +26,9 @@
 	uint16_t took_ms[JT_LIMIT_SAMPLES]; /* the latest answers */
 	uint32_t answers;		    /* after work */
 	uint32_t rejected;		    /* answers too quick for that */
-	uint32_t begun;			    /* requests that were let pass */
-	uint32_t refused;		    /* first packets that were not */
+	uint32_t bound; /* answers to requests that had no choice of endpoint */
+	uint32_t begun; /* requests that were let pass */
+	uint32_t refused; /* first packets that were not */
 };
 
 struct jt_concurrency_limit {
@@ -37,6 +38,8 @@
 	double allowed_ms;    /* the delay that the limit is steered to */
 	double quick_ms;      /* the quickest tenth, when little waits */
 	double work_least_ms; /* no work is done in less */
+	double rejected_part; /* of the requests, smoothed */
+	double pressure;      /* 0: endpoints take what they get, 1: full */
 	double usual_bytes;   /* that a quarter of the answers exceed */
 	double begun_per_s;   /* smoothed */
 	double answers_per_s;
@@ -58,6 +61,8 @@
  * the endpoint has rejected the request. */
 bool jt_concurrency_limit_answered(struct jt_concurrency_limit *limit,
 				   uint64_t took_ms, uint32_t bytes);
+/* A request that was bound to its open flow's endpoint was answered. */
+void jt_concurrency_limit_bound(struct jt_concurrency_limit *limit);
 void jt_concurrency_limit_begun(struct jt_concurrency_limit *limit);
 void jt_concurrency_limit_refused(struct jt_concurrency_limit *limit,
 				  uint64_t now_ms);
--- a/src/label/jt_director_answers.c
+++ b/src/label/jt_director_answers.c
@@ -79,9 +79,10 @@
 			packet->length == 0 && answer_bytes(flow) <= LONE_BYTES;
 		flow->answer_counted = false;
 		jt_latency_add(director->latency, flow->answer_took_ms);
-		jt_admission_answered(
-			director->admission, incarnation->entry.service_id,
-			flow->waiting_ms, answer_bytes(flow), now_ms);
+		jt_admission_answered(director->admission,
+				      incarnation->entry.service_id,
+				      flow->waiting_ms, answer_bytes(flow),
+				      flow->placing, now_ms);
 		jt_flow_cache_answered(director->flows, flow);
 		if (incarnation->waiting > 0)
 			incarnation->waiting--;
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -120,6 +120,7 @@
 	jt_admission_requested(director->admission,
 			       incarnation->entry.service_id, now_ms);
 	incarnation->waiting++;
+	flow->placing = flow->expected;
 	if (!flow->expected)
 		jt_work_add(&incarnation->work, 1, now_ms);
 	flow->expected = false;
--- a/src/label/jt_flow_cache.h
+++ b/src/label/jt_flow_cache.h
@@ -31,6 +31,8 @@
 	bool answer_lone;	 /* its first bytes were a single segment */
 	bool overdue;	     /* that request's answer is known to be overdue */
 	uint64_t opening_ms; /* when its first SYN came, 0: it is open */
+	bool placing;	     /* its request under way is the first one since
+			      * this node placed it */
 	bool expected;	     /* its first request counts as work already */
 	bool answered;	     /* got an answer after it had opened */
 	uint32_t resent;     /* times that the same data came again */
--- a/tests/admission_model.h
+++ b/tests/admission_model.h
@@ -196,7 +196,7 @@
 	if (endpoint->count == MODEL_HOLDS) {
 		jt_admission_answered(admission, MODEL_SERVICE,
 				      model->now_ms - model->reject_ms,
-				      MODEL_REJECT_BYTES, model->now_ms);
+				      MODEL_REJECT_BYTES, true, model->now_ms);
 		model->kinds[kind].shed++;
 		return false;
 	}
@@ -255,7 +255,8 @@
 	struct model_tally *tally = &model->kinds[request->kind];
 
 	jt_admission_answered(model->nodes[request->node], MODEL_SERVICE,
-			      request->since_ms, MODEL_BYTES, model->now_ms);
+			      request->since_ms, MODEL_BYTES, true,
+			      model->now_ms);
 	if (model->now_ms - request->since_ms > MODEL_AIM_MS) {
 		tally->late++;
 		return;
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -220,6 +220,23 @@
 	talloc_free(model);
 }
 
+/* Answers wait long, but endpoints take what they get: nobody is refused for
+ * that, since a late answer serves its caller better than none. */
+static void test_waiting_at_endpoints_with_room_refuses_nobody(void **state)
+{
+	struct model *model = model_create();
+
+	(void)state;
+	for (unsigned i = 0; i < MODEL_ENDPOINTS; i++)
+		model->endpoints[i].slowness = 2;
+	model_run(model, 0.46, SETTLED_MS);
+	model_count_anew(model);
+	model_run(model, 0.46, RUN_MS);
+	assert_int_equal(BOTH(model, refused), 0);
+	assert_int_equal(model->began, 0);
+	talloc_free(model);
+}
+
 /* Open flows are bound to endpoints that have turned slow; new ones find room
  * elsewhere, as the quickest answers show. */
 static void test_open_flows_at_slow_endpoints_refuse_nobody(void **state)
@@ -251,6 +268,39 @@
 			 JT_LIMIT_BEGAN);
 }
 
+/* All requests on open flows wait long at the endpoints that these have, and
+ * first ones of new flows meet free slots: nobody is refused, though only one
+ * request in ten is a first one. */
+static void test_bound_requests_refuse_no_new_flows(void **state)
+{
+	struct model *model = model_create();
+	struct jt_admission *admission = model->nodes[0];
+	const struct jt_route *route = &model->routing->routes[0];
+
+	(void)state;
+	for (int step = 0; step < 50; step++, model->now_ms += 100) {
+		for (int i = 0; i < 60; i++) {
+			bool placed = i % 10 == 0;
+			uint64_t took_ms = placed ? 25 : MODEL_AIM_MS;
+
+			assert_true(!placed ||
+				    jt_admission_ask(admission, route,
+						     model->now_ms)
+					    .admitted);
+			jt_admission_requested(admission, MODEL_SERVICE,
+					       model->now_ms);
+			jt_admission_answered(admission, MODEL_SERVICE,
+					      model->now_ms - took_ms,
+					      MODEL_BYTES, placed,
+					      model->now_ms);
+		}
+		jt_admission_tick(admission, model->table, 1, model->now_ms,
+				  model_changed, model);
+	}
+	assert_int_equal(model->began, 0);
+	talloc_free(model);
+}
+
 /* The demand is as before: nobody is refused any more a moment later. */
 static void test_end_of_overload(void **state)
 {
@@ -408,8 +458,11 @@
 		cmocka_unit_test(test_endpoints_are_halved),
 		cmocka_unit_test(test_room_for_all_refuses_nobody),
 		cmocka_unit_test(test_slow_endpoints_refuse_nobody),
+		cmocka_unit_test(
+			test_waiting_at_endpoints_with_room_refuses_nobody),
 		cmocka_unit_test(
 			test_open_flows_at_slow_endpoints_refuse_nobody),
+		cmocka_unit_test(test_bound_requests_refuse_no_new_flows),
 		cmocka_unit_test(test_end_of_overload),
 		cmocka_unit_test(test_callers_that_return_for_ever),
 		cmocka_unit_test(test_greedy_group_takes_nothing_from_others),
--- a/tests/test_mechanisms.c
+++ b/tests/test_mechanisms.c
@@ -383,11 +383,15 @@
 	}
 }
 
-/* Each flow has a request, all are answered after so long. */
-static void requests_at_once(struct bench *bench,
-			     struct caller_flow flows[CALLERS],
-			     uint64_t took_ms)
+/* Callers open flows with a request each, all are answered after so long. */
+static void requests_at_once(struct bench *bench, uint64_t took_ms)
 {
+	struct caller_flow flows[CALLERS];
+
+	for (int i = 0; i < CALLERS; i++) {
+		flows[i] = flow_new(bench, CALLER, BOARD_PORT);
+		flow_open(bench, &flows[i]);
+	}
 	for (int i = 0; i < CALLERS; i++) {
 		flow_send(bench, &flows[i], JT_PACKET_ACK, 100);
 		flows[i].sequence += 100;
@@ -406,7 +410,6 @@
 	struct jt_routing *routing = talloc_zero(bench, struct jt_routing);
 	struct jt_endpoint_entry entry =
 		entry_of(0x101, SERVICE_BOARD, ZONE_A, 2);
-	struct caller_flow flows[CALLERS];
 
 	routing->version = 1;
 	routing->routes = talloc_zero_array(routing, struct jt_route, 2);
@@ -425,12 +428,8 @@
 	bench_entry(bench, entry);
 	bench_listed(bench, 2);
 	bench_tick(bench, LEARNED_MS);
-	for (int i = 0; i < CALLERS; i++) {
-		flows[i] = flow_new(bench, CALLER, BOARD_PORT);
-		flow_open(bench, &flows[i]);
-	}
-	for (int round = 0; round < 12; round++)
-		requests_at_once(bench, flows, round < 6 ? 10 : 150);
+	for (int round = 0; round < 7; round++)
+		requests_at_once(bench, round < 6 ? 10 : 150);
 }
 
 static void test_admission(void **state)
