An endpoint takes 805 bytes: the table's bound is reckoned from that

Cause: births, speeds and shares have made an endpoint's state larger (struct 512 -> 664 bytes; with its places in all indices 805 bytes each, 100,000 endpoints by mallinfo2), and the bound was reckoned from 700: a full table would have taken 29% instead of a quarter of a node's memory. Now 840: 49,932 endpoints at 160 MB (59,918 before).

--- a/src/settings/jt_director_settings.c
+++ b/src/settings/jt_director_settings.c
@@ -21,9 +21,9 @@
 	MEMORY_LEAST_MB = 8,
 	MEMORY_MOST_MB = 1 << 20,
 	/* Endpoints may take this part of a node's memory, and one takes up to
-	 * 670 bytes with its places in all indices (docs/CAPACITY.md). */
+	 * 805 bytes with its places in all indices (docs/CAPACITY.md). */
 	MEMORY_PART = 4,
-	ENDPOINT_BYTES = 700,
+	ENDPOINT_BYTES = 840,
 	DEFAULT_LINK_MBPS = 100,
 	LINK_LEAST_MBPS = 0,
 	LINK_MOST_MBPS = 1000000,
