--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -234,6 +234,16 @@
 		jt_target_answered(&target, usual, incarnation, answer, now_ms);
 }
 
+/* Whether one that was drawn to be tried is fast enough for that now: a slow
+ * one is drawn as often as others, but should have less of the work. */
+static bool is_wanted(struct jt_chooser *chooser,
+		      const struct jt_target *target,
+		      const struct jt_incarnation *in, uint64_t now_ms)
+{
+	return (double)(jt_random_next(&chooser->random) % 1000) <
+	       1000 * jt_target_part(target, in, now_ms);
+}
+
 static struct pool_view pool_look(struct jt_chooser *chooser,
 				  struct incarnations some, uint64_t now_ms)
 {
@@ -251,11 +261,14 @@
 		if (is_near(chooser, in) && near_count < JT_COMPARE_MOST)
 			near[near_count++] = in;
 	}
+	view.near = target_aim(chooser, some, true, now_ms);
+	view.far = target_aim(chooser, some, false, now_ms);
 	if (reduced > 0 && near_count > 0)
 		view.tried =
 			jt_choose_draw_tried(chooser, near, near_count, now_ms);
-	view.near = target_aim(chooser, some, true, now_ms);
-	view.far = target_aim(chooser, some, false, now_ms);
+	if (view.tried != NULL &&
+	    !is_wanted(chooser, &view.near, view.tried, now_ms))
+		view.tried = NULL;
 	return view;
 }
 
--- a/src/label/jt_target.c
+++ b/src/label/jt_target.c
@@ -57,6 +57,7 @@
 
 	target->level = INFINITY;
 	target->slots = 0;
+	target->share = 0;
 	if (count == 0)
 		return;
 	if (count > JT_TARGET_LOOK_MOST)
@@ -75,6 +76,22 @@
 		target->level = jt_fill_level(fill, count,
 					      jt_work_per_s(work) *
 						      pool->serve_ms / 1000);
+	for (size_t i = 0; i < count; i++)
+		target->share +=
+			jt_fill_share(&fill[i], target->level) / (double)count;
+}
+
+double jt_target_part(const struct jt_target *target,
+		      const struct jt_incarnation *in, uint64_t now_ms)
+{
+	struct jt_fill_endpoint fill = {
+		.slots = slots_of(in),
+		.slowness = slowness_of(target, in, now_ms),
+	};
+
+	if (target->share == 0)
+		return 1;
+	return fmin(1, jt_fill_share(&fill, target->level) / target->share);
 }
 
 double jt_target_load(const struct jt_target *target,
--- a/src/label/jt_target.h
+++ b/src/label/jt_target.h
@@ -15,6 +15,7 @@
 	/* Of the endpoints at hand: */
 	double level;  /* jt_fill_level() */
 	double slots;  /* requests that all work on at once */
+	double share;  /* of the work, at the mean of them */
 	bool measured; /* it is known how long their requests take */
 };
 
@@ -29,6 +30,10 @@
  * have; lower is better. */
 double jt_target_load(const struct jt_target *target,
 		      const struct jt_incarnation *in, uint64_t now_ms);
+/* What the endpoint should have of the mean share, 1 at the most: little where
+ * it is slow and others have room. */
+double jt_target_part(const struct jt_target *target,
+		      const struct jt_incarnation *in, uint64_t now_ms);
 /* A request of that kind was answered there. */
 void jt_target_answered(const struct jt_target *target, struct jt_usual *kind,
 			struct jt_incarnation *in,
--- a/tests/test_choice.c
+++ b/tests/test_choice.c
@@ -1,6 +1,7 @@
 /* What callers get of the choice of endpoints, with news of half a second and
  * more, and what it rests on. */
 #include "choice_world.h"
+#include "jt_target.h"
 #include "jt_fill.h"
 #include "jt_mechanism.h"
 #include "jt_zone_choice.h"
@@ -316,9 +317,39 @@
 	assert_true(jt_zone_spill(&near, &far) == 0);
 }
 
+/* While fast endpoints have room, a slow one should have next to nothing of an
+ * ordinary part, and one like the others all of it. */
+static void test_slow_endpoint_is_wanted_little(void **state)
+{
+	enum { COUNT = 4, SLOW = COUNT - 1, SLOW_TIMES = 6 };
+	struct jt_service_pool pool = {.serve_ms = 24};
+	struct jt_incarnation endpoints[COUNT] = {0};
+	struct jt_incarnation *known[COUNT];
+	struct jt_target target = {.nodes = 1,
+				   .peer_loads = jt_peer_loads_create(NULL)};
+
+	(void)state;
+	for (size_t i = 0; i < COUNT; i++) {
+		endpoints[i].entry.capacity = 2;
+		endpoints[i].pool = &pool;
+		known[i] = &endpoints[i];
+		jt_work_add(&endpoints[i].work, 10, 1000);
+		for (int k = 0; k < 24; k++)
+			jt_speed_answered(&endpoints[i].speed,
+					  i == SLOW ? log(SLOW_TIMES) : 0, 1,
+					  1000);
+	}
+	jt_target_aim(&target, known, SLOW, 1000);
+	assert_true(jt_target_part(&target, &endpoints[0], 1000) > 0.99);
+	assert_true(jt_target_part(&target, &endpoints[SLOW], 1000) <
+		    1.0 / SLOW_TIMES);
+	talloc_free(target.peer_loads);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_slow_endpoint_is_wanted_little),
 		cmocka_unit_test(test_speed_saves_time),
 		cmocka_unit_test(test_fast_first),
 		cmocka_unit_test(test_nodes_agree_on_speed),
