--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -157,7 +157,9 @@
 	return sent;
 }
 
-/* To so many live peers; the next ones follow on. */
+/* To so many live peers of the own zone; the next ones follow on. Nodes send
+ * most flows to endpoints of their zone, so that those of others have little
+ * use for the message, and bytes between zones cost. */
 static void message_send_some(struct jt_peer_exchange *exchange,
 			      const jt_wire_director_message *message,
 			      size_t peers)
@@ -170,7 +172,8 @@
 			&membership->peers[exchange->failures_next++ %
 					   membership->count];
 
-		if (!jt_peer_lives(peer))
+		if (!jt_peer_lives(peer) ||
+		    peer->zone_id != membership->zone_id)
 			continue;
 		message_send(exchange, peer->address, message);
 		sent++;
