--- a/fuzz/fuzz_document.c
+++ b/fuzz/fuzz_document.c
@@ -2,6 +2,7 @@
  * Items of the store by any writer: each is taken or explained, alone, and
  * leaves those beside it in a page as they are.
  */
+#include "fuzz_input.h"
 #include "jt_platform.h"
 
 #include <sodium.h>
@@ -55,19 +56,6 @@
 	"\"regina\",\"version\":\"v1\",\"capacity\":2,\"state\":\"ready\","
 	"\"coldLeftMs\":0,\"callCount\":0,\"born\":1764740000000}";
 
-struct input {
-	const uint8_t *data;
-	size_t left;
-};
-
-static size_t take(struct input *input, size_t below)
-{
-	if (input->left == 0)
-		return 0;
-	input->left--;
-	return *input->data++ % below;
-}
-
 /* An object of some fields, each of them right by half. */
 static void document_make(struct input *input, char *text)
 {
--- a/fuzz/fuzz_resource.c
+++ b/fuzz/fuzz_resource.c
@@ -1,4 +1,5 @@
 /* Resource documents: any JSON is built or explained, never half taken. */
+#include "fuzz_input.h"
 #include "jt_change.h"
 
 #include <stdlib.h>
@@ -45,19 +46,6 @@
 	"shares", "write_ids", "no_such_kind",
 };
 
-struct input {
-	const uint8_t *data;
-	size_t left;
-};
-
-static size_t take(struct input *input, size_t below)
-{
-	if (input->left == 0)
-		return 0;
-	input->left--;
-	return *input->data++ % below;
-}
-
 static json_t *take_resource(struct input *input)
 {
 	json_t *resource = json_object();
--- a/src/director/jt_director_log.h
+++ b/src/director/jt_director_log.h
@@ -23,11 +23,11 @@
 void jt_director_log_endpoint(const struct jt_log *log,
 			      const struct jt_director_action *action,
 			      const char *event);
-/* The drain of a zone began or ended. */
 /* An endpoint's share of new flows was reduced or restored, and what of. */
 void jt_director_log_share(const struct jt_log *log,
 			   const struct jt_director_action *action,
 			   const char *event, uint64_t now_ms);
+/* The drain of a zone began or ended. */
 void jt_director_log_zone(const struct jt_log *log,
 			  const struct jt_director_action *action);
 /* A service has a limit from now on, or has none any more. */
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -136,6 +136,13 @@
 	talloc_free(frame);
 }
 
+static bool is_addressee(const struct jt_membership *membership,
+			 const struct jt_peer *peer, bool only_zone)
+{
+	return jt_peer_lives(peer) &&
+	       (!only_zone || peer->zone_id == membership->zone_id);
+}
+
 /* To every live peer, or to those of this node's zone alone; returns to how
  * many. */
 static size_t message_send_peers(struct jt_peer_exchange *exchange,
@@ -148,8 +155,7 @@
 	for (size_t i = 0; i < membership->count; i++) {
 		const struct jt_peer *peer = &membership->peers[i];
 
-		if (!jt_peer_lives(peer) ||
-		    (only_zone && peer->zone_id != membership->zone_id))
+		if (!is_addressee(membership, peer, only_zone))
 			continue;
 		message_send(exchange, peer->address, message);
 		sent++;
@@ -172,8 +178,7 @@
 			&membership->peers[exchange->failures_next++ %
 					   membership->count];
 
-		if (!jt_peer_lives(peer) ||
-		    peer->zone_id != membership->zone_id)
+		if (!is_addressee(membership, peer, true))
 			continue;
 		message_send(exchange, peer->address, message);
 		sent++;
--- a/src/label/admission/jt_admission.c
+++ b/src/label/admission/jt_admission.c
@@ -243,11 +243,10 @@
 	       (1 - RESERVE_PART * (double)before / (double)(active - 1));
 }
 
-static struct jt_admission_verdict verdict_of(struct admission_service *service,
-					      size_t place, uint64_t now_ms)
+static struct jt_director_room room_of(struct admission_service *service,
+				       size_t place, uint64_t now_ms)
 {
-	return (struct jt_admission_verdict){
-		.admitted = true,
+	return (struct jt_director_room){
 		.priority = service->priorities[place].priority,
 		.limit = (uint32_t)ceil(priority_limit(service, place, now_ms)),
 		.in_flight = service_in_flight(service, now_ms),
@@ -258,17 +257,16 @@
 
 /* Whether the limit, and the group's share of it, leave room for one more. */
 static bool has_room(const struct admission_service *service,
-		     const struct jt_admission_verdict *verdict, size_t place,
+		     const struct jt_director_room *room, size_t place,
 		     const struct jt_group *group, uint64_t now_ms)
 {
 	if (service->limit.limit == 0)
 		return true;
-	if (verdict->in_flight >= verdict->limit)
+	if (room->in_flight >= room->limit)
 		return false;
 	return group == NULL ||
 	       jt_group_shares_admit(service->priorities[place].shares, group,
-				     verdict->in_flight, verdict->limit,
-				     now_ms);
+				     room->in_flight, room->limit, now_ms);
 }
 
 /* Use up what the priority may open by its floor; false: nothing is left. */
@@ -290,7 +288,7 @@
 	struct admission_priority *priority;
 	struct jt_group *group;
 	size_t place;
-	bool room;
+	bool fits;
 
 	if (service == NULL || route->target_ms == 0)
 		return verdict;
@@ -300,9 +298,10 @@
 	priority = &service->priorities[place];
 	priority->asked_ms = now_ms;
 	group = jt_group_shares_ask(priority->shares, route->address, now_ms);
-	verdict = verdict_of(service, place, now_ms);
-	room = has_room(service, &verdict, place, group, now_ms);
-	if (!floor_use(priority) && !room) {
+	verdict.room = room_of(service, place, now_ms);
+	verdict.room.route = route->name;
+	fits = has_room(service, &verdict.room, place, group, now_ms);
+	if (!floor_use(priority) && !fits) {
 		verdict.admitted = false;
 		priority->refused++;
 		jt_concurrency_limit_refused(&service->limit, now_ms);
@@ -400,8 +399,7 @@
 		const struct jt_incarnation *in = pool->members[i];
 
 		if (in->state == JT_INCARNATION_READY)
-			service->slots +=
-				in->entry.capacity ? in->entry.capacity : 1;
+			service->slots += jt_incarnation_slots(in);
 	}
 }
 
--- a/src/label/admission/jt_admission.h
+++ b/src/label/admission/jt_admission.h
@@ -22,11 +22,7 @@
 /* Why a new flow was admitted or not. */
 struct jt_admission_verdict {
 	bool admitted;
-	uint32_t priority;
-	uint32_t limit; /* of this priority, 0: none */
-	uint32_t in_flight;
-	uint32_t delay_ms;
-	uint32_t allowed_ms;
+	struct jt_director_room room;
 };
 
 /* How a service stands, for metrics and log lines. */
--- a/src/label/jt_choose.c
+++ b/src/label/jt_choose.c
@@ -195,26 +195,25 @@
 	};
 }
 
-/* How the work of those of some that may get new flows, and are in the own zone
- * or not, should be spread over them. */
+/* Some incarnations whose work should be spread over them. */
+struct aimed_at {
+	struct jt_incarnation *items[JT_TARGET_LOOK_MOST];
+	size_t count;
+};
+
+static void aimed_add(struct aimed_at *aimed, struct jt_incarnation *in)
+{
+	if (aimed->count < JT_TARGET_LOOK_MOST)
+		aimed->items[aimed->count++] = in;
+}
+
 static struct jt_target target_aim(const struct jt_chooser *chooser,
-				   struct incarnations some, bool near,
+				   const struct aimed_at *aimed,
 				   uint64_t now_ms)
 {
-	struct jt_incarnation *aimed_at[JT_TARGET_LOOK_MOST];
 	struct jt_target target = target_of(chooser);
-	size_t count = 0;
 
-	for (size_t i = 0; i < some.count && count < JT_TARGET_LOOK_MOST; i++) {
-		struct jt_incarnation *in = some.items[i];
-
-		if (in->state == JT_INCARNATION_READY &&
-		    is_near(chooser, in) == near &&
-		    !zone_drained(chooser, in) &&
-		    !jt_choose_is_reduced(chooser, in, now_ms))
-			aimed_at[count++] = in;
-	}
-	jt_target_aim(&target, aimed_at, count, now_ms);
+	jt_target_aim(&target, aimed->items, aimed->count, now_ms);
 	return target;
 }
 
@@ -234,38 +233,48 @@
 		jt_target_answered(&target, usual, incarnation, answer, now_ms);
 }
 
+/* True for so large a @part of the times that it is asked. */
+static bool happens(struct jt_chooser *chooser, double part)
+{
+	return (double)(jt_random_next(&chooser->random) % 1000) < 1000 * part;
+}
+
 /* Whether one that was drawn to be tried is fast enough for that now: a slow
  * one is drawn as often as others, but should have less of the work. */
 static bool is_wanted(struct jt_chooser *chooser,
 		      const struct jt_target *target,
 		      const struct jt_incarnation *in, uint64_t now_ms)
 {
-	return (double)(jt_random_next(&chooser->random) % 1000) <
-	       1000 * jt_target_part(target, in, now_ms);
+	return happens(chooser, jt_target_part(target, in, now_ms));
 }
 
 static struct pool_view pool_look(struct jt_chooser *chooser,
 				  struct incarnations some, uint64_t now_ms)
 {
 	struct pool_view view = {0};
-	struct jt_incarnation *near[JT_COMPARE_MOST];
-	size_t near_count = 0, reduced = 0;
+	struct jt_incarnation *tried_of[JT_COMPARE_MOST];
+	struct aimed_at near = {.count = 0}, far = {.count = 0};
+	size_t tried_count = 0, reduced = 0;
 
 	for (size_t i = 0; i < some.count; i++) {
 		struct jt_incarnation *in = some.items[i];
+		bool is_local = is_near(chooser, in);
 
 		if (in->state != JT_INCARNATION_READY ||
 		    zone_drained(chooser, in))
 			continue;
-		reduced += jt_choose_is_reduced(chooser, in, now_ms);
-		if (is_near(chooser, in) && near_count < JT_COMPARE_MOST)
-			near[near_count++] = in;
+		if (is_local && tried_count < JT_COMPARE_MOST)
+			tried_of[tried_count++] = in;
+		if (jt_choose_is_reduced(chooser, in, now_ms))
+			reduced++;
+		else
+			aimed_add(is_local ? &near : &far, in);
 	}
-	view.near = target_aim(chooser, some, true, now_ms);
-	view.far = target_aim(chooser, some, false, now_ms);
-	if (reduced > 0 && near_count > 0)
-		view.tried =
-			jt_choose_draw_tried(chooser, near, near_count, now_ms);
+	view.near = target_aim(chooser, &near, now_ms);
+	view.far = target_aim(chooser, &far, now_ms);
+	if (reduced > 0 && tried_count > 0)
+		view.tried = jt_choose_draw_tried(chooser, tried_of,
+						  tried_count, now_ms);
 	if (view.tried != NULL &&
 	    !is_wanted(chooser, &view.near, view.tried, now_ms))
 		view.tried = NULL;
@@ -300,8 +309,7 @@
 	if (!view->near.measured ||
 	    !jt_mechanism_on(chooser->without, JT_MECHANISM_ZONE_ROOM))
 		return remote->load * REMOTE_PERMILLE / 1000 < local->load;
-	return (double)(jt_random_next(&chooser->random) % 1000) <
-	       1000 * jt_zone_spill(&view->near, &view->far);
+	return happens(chooser, jt_zone_spill(&view->near, &view->far));
 }
 
 static struct jt_incarnation *best_of(struct jt_chooser *chooser,
--- a/src/label/jt_choose_share.c
+++ b/src/label/jt_choose_share.c
@@ -1,6 +1,5 @@
 #include "jt_choose_share.h"
 #include "jt_mechanism.h"
-#include "jt_outlier.h"
 
 uint32_t jt_choose_share_permille(const struct jt_chooser *chooser,
 				  const struct jt_incarnation *in,
@@ -47,11 +46,6 @@
 		       (double)(chooser->nodes - 1);
 }
 
-static uint32_t slots_of(const struct jt_incarnation *in)
-{
-	return in->entry.capacity > 0 ? in->entry.capacity : 1;
-}
-
 /* Of a large pool, as many as are compared at once, from a place at random. */
 void jt_chooser_compare(struct jt_chooser *chooser,
 			struct jt_service_pool *pool, uint64_t now_ms)
@@ -72,7 +66,7 @@
 		    jt_zone_drains_has(chooser->zone_drains, in->entry.zone_id))
 			continue;
 		requests += requests_lately(chooser, in, now_ms);
-		slots += slots_of(in);
+		slots += jt_incarnation_slots(in);
 		ready[count++] = in;
 	}
 	if (count > 0)
--- a/src/label/jt_choose_share.h
+++ b/src/label/jt_choose_share.h
@@ -6,9 +6,7 @@
 #define JT_CHOOSE_SHARE_H
 
 #include "jt_choose.h"
-
-/* Endpoints of a service that are compared at once. */
-enum { JT_COMPARE_MOST = 256 };
+#include "jt_outlier.h"
 
 /* What the incarnation is worth of an ordinary share of new flows. */
 uint32_t jt_choose_share_permille(const struct jt_chooser *chooser,
--- a/src/label/jt_choose_welcome.c
+++ b/src/label/jt_choose_welcome.c
@@ -23,6 +23,16 @@
 	return sum->count > 0 ? sum->work / (double)sum->count : 0;
 }
 
+/* Make up for what the incarnation lacks of so many requests. */
+static void work_raise(struct jt_incarnation *in, double requests,
+		       uint64_t now_ms)
+{
+	double lacks = requests - jt_work_now(&in->work, now_ms);
+
+	if (lacks > 0)
+		jt_work_add(&in->work, lacks, now_ms);
+}
+
 void jt_chooser_welcome(struct jt_chooser *chooser,
 			const struct jt_service_pool *pool,
 			struct jt_incarnation *newcomer, uint64_t now_ms)
@@ -30,7 +40,6 @@
 	struct jt_incarnation *room[SAMPLE_MOST];
 	struct incarnations some;
 	struct work_sum others = {0};
-	double lacks;
 
 	if (!jt_mechanism_on(chooser->without, JT_MECHANISM_NEWCOMER_SHARE))
 		return;
@@ -39,9 +48,7 @@
 		if (some.items[i] != newcomer)
 			work_sum_add(&others, chooser, some.items[i], now_ms);
 	}
-	lacks = work_mean(&others) - jt_work_now(&newcomer->work, now_ms);
-	if (lacks > 0)
-		jt_work_add(&newcomer->work, lacks, now_ms);
+	work_raise(newcomer, work_mean(&others), now_ms);
 }
 
 static void pool_welcome_zone(const struct jt_chooser *chooser,
@@ -58,11 +65,8 @@
 	}
 	mean = work_mean(&others);
 	for (size_t i = 0; i < pool->count; i++) {
-		struct jt_incarnation *in = pool->members[i];
-		double lacks = mean - jt_work_now(&in->work, now_ms);
-
-		if (in->entry.zone_id == zone_id && lacks > 0)
-			jt_work_add(&in->work, lacks, now_ms);
+		if (pool->members[i]->entry.zone_id == zone_id)
+			work_raise(pool->members[i], mean, now_ms);
 	}
 }
 
--- a/src/label/jt_director_admission.c
+++ b/src/label/jt_director_admission.c
@@ -11,14 +11,7 @@
 	if (packet->acknowledged != 0)
 		return true;
 	verdict = jt_admission_ask(director->admission, route, now_ms);
-	*room = (struct jt_director_room){
-		.route = route->name,
-		.priority = verdict.priority,
-		.limit = verdict.limit,
-		.in_flight = verdict.in_flight,
-		.delay_ms = verdict.delay_ms,
-		.allowed_ms = verdict.allowed_ms,
-	};
+	*room = verdict.room;
 	return verdict.admitted;
 }
 
--- a/src/label/jt_director_answers.c
+++ b/src/label/jt_director_answers.c
@@ -55,11 +55,11 @@
 		       struct jt_cached_flow *flow,
 		       struct jt_incarnation *incarnation, uint64_t now_ms)
 {
-	const struct jt_answer_profile *profile =
-		profile_of(director, flow, incarnation);
+	const struct jt_answer_profile *profile;
 
 	if (flow->answer_counted)
 		return;
+	profile = profile_of(director, flow, incarnation);
 	if (profile != NULL && jt_answer_is_short(profile, answer_bytes(flow),
 						  flow->answer_took_ms))
 		return;
@@ -86,7 +86,7 @@
 		jt_flow_cache_answered(director->flows, flow);
 		if (incarnation->waiting > 0)
 			incarnation->waiting--;
-	} else if (flow->answering_ms == 0) {
+	} else if (flow->answer_seen_ms == 0) {
 		return;
 	}
 	jt_flow_cache_answering(director->flows, flow, now_ms);
@@ -131,7 +131,7 @@
 	struct jt_answer_profile *profile;
 	double weight, doubt;
 
-	if (flow->answering_ms == 0)
+	if (flow->answer_seen_ms == 0)
 		return;
 	profile = profile_of(director, flow, incarnation);
 	jt_flow_cache_answer_end(director->flows, flow);
@@ -246,9 +246,7 @@
 	struct jt_director_action *action;
 	struct jt_outlier_view view;
 
-	if (incarnation->pool != NULL)
-		jt_chooser_compare(director->chooser, incarnation->pool,
-				   now_ms);
+	jt_chooser_compare(director->chooser, incarnation->pool, now_ms);
 	if (!jt_outlier_turned(incarnation, now_ms))
 		return;
 	director->counters.shares_reduced += incarnation->outlier.reduced;
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -127,6 +127,12 @@
 	return in->entry.revision;
 }
 
+/* Requests that it works on at once: one where its entry says nothing. */
+static inline uint32_t jt_incarnation_slots(const struct jt_incarnation *in)
+{
+	return in->entry.capacity > 0 ? in->entry.capacity : 1;
+}
+
 /* A flow that got on so lately shows that its endpoint lives. */
 enum { JT_LIVES_MS = 1000 };
 
--- a/src/label/jt_flow_cache.c
+++ b/src/label/jt_flow_cache.c
@@ -114,11 +114,7 @@
 void jt_flow_cache_answering(struct jt_flow_cache *cache,
 			     struct jt_cached_flow *flow, uint64_t now_ms)
 {
-	if (flow->answering_ms != 0)
-		DL_DELETE2(cache->answering, flow, answering_prev,
-			   answering_next);
-	else
-		flow->answering_ms = now_ms;
+	jt_flow_cache_answer_end(cache, flow);
 	flow->answer_seen_ms = now_ms;
 	DL_APPEND2(cache->answering, flow, answering_prev, answering_next);
 }
@@ -126,9 +122,9 @@
 void jt_flow_cache_answer_end(struct jt_flow_cache *cache,
 			      struct jt_cached_flow *flow)
 {
-	if (flow->answering_ms == 0)
+	if (flow->answer_seen_ms == 0)
 		return;
-	flow->answering_ms = 0;
+	flow->answer_seen_ms = 0;
 	DL_DELETE2(cache->answering, flow, answering_prev, answering_next);
 }
 
--- a/src/label/jt_flow_cache.h
+++ b/src/label/jt_flow_cache.h
@@ -22,9 +22,8 @@
 	uint64_t seen_ms;
 	uint64_t waiting_ms;  /* since when a request waits, 0: none */
 	uint32_t answer_from; /* acknowledged when that request came */
-	/* Since when an answer is under way whose end is not seen yet, and when
-	 * the caller last acknowledged more of it; 0: none is. */
-	uint64_t answering_ms;
+	/* When the caller last acknowledged more of an answer whose end is not
+	 * seen yet, 0: none is under way. */
 	uint64_t answer_seen_ms;
 	uint32_t answer_took_ms; /* from the request to its first bytes */
 	bool answer_counted;	 /* it is long enough to be one that serves */
@@ -81,8 +80,7 @@
 /* The answer has come. */
 void jt_flow_cache_answered(struct jt_flow_cache *cache,
 			    struct jt_cached_flow *flow);
-/* The caller acknowledges an answer to the request that waited since
- * @asked_ms, or more of one. */
+/* The caller acknowledges the first bytes of an answer, or more of one. */
 void jt_flow_cache_answering(struct jt_flow_cache *cache,
 			     struct jt_cached_flow *flow, uint64_t now_ms);
 /* The answer is whole. */
--- a/src/label/jt_flow_rate.c
+++ b/src/label/jt_flow_rate.c
@@ -70,7 +70,7 @@
 
 uint32_t jt_flow_rate_learning(const struct jt_incarnation *in)
 {
-	return (in->entry.capacity ? in->entry.capacity : 1) * SLOT_FLOWS;
+	return jt_incarnation_slots(in) * SLOT_FLOWS;
 }
 
 /* The order of nodes for an endpoint, different for each endpoint. */
--- a/src/label/jt_outlier.c
+++ b/src/label/jt_outlier.c
@@ -41,7 +41,6 @@
 	TELL_MS = 1000,
 	/* The endpoints of a service are compared so often. */
 	COMPARE_MS = 50,
-	COMPARE_MOST = 256,
 	/* The better ones: the first of so many equal parts. */
 	BETTER_PARTS = 4,
 	/* What is always left, so that one that serves again is found. */
@@ -279,8 +278,8 @@
 			double requests, double slots, uint64_t now_ms)
 {
 	struct jt_outlier_peers *outliers = &pool->outliers;
-	double parts[COMPARE_MOST], sum = 0;
-	size_t compared = count < COMPARE_MOST ? count : COMPARE_MOST;
+	double parts[JT_COMPARE_MOST], sum = 0;
+	size_t compared = count < JT_COMPARE_MOST ? count : JT_COMPARE_MOST;
 
 	outliers->requests = requests;
 	outliers->compared_ms = now_ms;
--- a/src/label/jt_outlier.h
+++ b/src/label/jt_outlier.h
@@ -47,6 +47,9 @@
 void jt_outlier_served(struct jt_incarnation *incarnation, double requests,
 		       uint64_t now_ms);
 
+/* Endpoints of a service that are compared at once. */
+enum { JT_COMPARE_MOST = 256 };
+
 /* Whether it is time to compare the incarnations of a service that fail. */
 bool jt_outlier_compare_due(const struct jt_service_pool *pool,
 			    uint64_t now_ms);
--- a/src/label/jt_target.c
+++ b/src/label/jt_target.c
@@ -12,11 +12,6 @@
 /* A cold endpoint counts as this much slower. */
 #define COLD_SLOWNESS 2.0
 
-static double slots_of(const struct jt_incarnation *in)
-{
-	return in->entry.capacity ? in->entry.capacity : 1;
-}
-
 static double slowness_of(const struct jt_target *target,
 			  const struct jt_incarnation *in, uint64_t now_ms)
 {
@@ -63,7 +58,7 @@
 	if (count > JT_TARGET_LOOK_MOST)
 		count = JT_TARGET_LOOK_MOST;
 	for (size_t i = 0; i < count; i++) {
-		fill[i].slots = slots_of(endpoints[i]);
+		fill[i].slots = jt_incarnation_slots(endpoints[i]);
 		fill[i].slowness = slowness_of(target, endpoints[i], now_ms);
 		work += all_work(target, endpoints[i], now_ms);
 		slots += fill[i].slots;
@@ -85,7 +80,7 @@
 		      const struct jt_incarnation *in, uint64_t now_ms)
 {
 	struct jt_fill_endpoint fill = {
-		.slots = slots_of(in),
+		.slots = jt_incarnation_slots(in),
 		.slowness = slowness_of(target, in, now_ms),
 	};
 
@@ -98,7 +93,7 @@
 		      const struct jt_incarnation *in, uint64_t now_ms)
 {
 	struct jt_fill_endpoint fill = {
-		.slots = slots_of(in),
+		.slots = jt_incarnation_slots(in),
 		.slowness = slowness_of(target, in, now_ms),
 	};
 
