Soak: tells what held it up; starting a node writes over no file

Seen: beside three writers of 1.6 GB and make check the soak stood still for 133 to 455 ms (6 of 10 runs of 30 s; 9 to 23 ms otherwise). Callers, routers, store and endpoints stand still with it.

Cause, from new lines (calls that took 50 ms and more, and what the kernel counted between two ticks): "writing settings took 447 ms", 6 to 8 ms before each stall; run, wait for a processor, page faults and writing events account for none. Each start of a node opened its settings file anew and wrote over it, and a file that is cut to nothing and written again is flushed when it is closed. Ruled out: the flush of events (0 to 2 ms), nodes' processor time.

--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -14,7 +14,6 @@
 enum {
 	EXIT_HELD = 0,
 	EXIT_BROKEN = 1,
-	EXIT_USAGE = 2,
 	TICK_MS = 5,
 	START_MS = 3000,     /* before the first fault */
 	CALM_MS = 4000,	     /* measured after the recovery */
@@ -175,10 +174,10 @@
 	int result;
 
 	if (soak == NULL)
-		return EXIT_USAGE;
+		return SOAK_EXIT_UNABLE;
 	course.schedule = schedule_create(soak);
 	if (course.schedule == NULL)
-		return EXIT_USAGE;
+		return SOAK_EXIT_UNABLE;
 	soak_note(soak, "open flows %s",
 		  soak->flows_stay ? "stay at their nodes to the end"
 				   : "follow the routers");
@@ -244,13 +243,13 @@
 	folder->filename[0] = "/tmp/jaspertrack-soak";
 	if (arg_parse(argc, argv, table) > 0) {
 		arg_print_errors(stderr, end, "jaspertrack-soak");
-		return EXIT_USAGE;
+		return SOAK_EXIT_UNABLE;
 	}
 	if (!within("seconds", seconds->ival[0], SECONDS_LEAST, SECONDS_MOST) ||
 	    !within("nodes", nodes->ival[0], SOAK_NODES_LEAST,
 		    SOAK_NODES_MOST) ||
 	    !within("slot", slot->ival[0], 0, SOAK_SLOTS - 1))
-		return EXIT_USAGE;
+		return SOAK_EXIT_UNABLE;
 	if (help->count > 0) {
 		printf("Usage: jaspertrack-soak [OPTIONS]\n"
 		       "Real nodes on loopback under random faults.\n");
@@ -265,7 +264,7 @@
 		return EXIT_HELD;
 	}
 	if (sodium_init() < 0)
-		return EXIT_USAGE;
+		return SOAK_EXIT_UNABLE;
 	options = (struct soak_options){
 		.seed = (uint64_t)seed->ival[0],
 		.seconds = (unsigned)seconds->ival[0],
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -24,6 +24,7 @@
 #include <sys/types.h>
 
 enum {
+	SOAK_EXIT_UNABLE = 2, /* bad usage, or the machine can't do it */
 	SOAK_NODES_LEAST = 5,
 	SOAK_NODES_MOST = 200,
 	SOAK_ZONES = 3,
@@ -181,6 +182,8 @@
 /* Collect processes that ended, start those that are due, ask for readiness. */
 void soak_nodes_tick(struct soak *soak);
 void soak_nodes_end(struct soak *soak);
+/* The run can't go on, for errno's reason: end the nodes, then this process. */
+void soak_die(struct soak *soak, const char *what) __attribute__((noreturn));
 /* The node that routers pick for the flow. */
 int soak_node_route(const struct soak *soak, uint32_t zone, uint32_t hash);
 /* Whether the node was undisturbed since @since_ms less the contact time. */
@@ -315,6 +318,7 @@
 	struct jt_http_client *client;
 	struct soak_options options;
 	FILE *events;
+	uint64_t events_ms; /* spent on writing them */
 	int node_count;
 	/* Routers leave an open flow at its node until its process is gone,
 	 * whatever its readiness page says. */
@@ -358,6 +362,8 @@
 struct soak_stalls;
 struct soak_stalls *soak_stalls_create(struct soak *soak);
 void soak_stalls_tick(struct soak_stalls *stalls, uint64_t now_ms);
+/* Note a call that began at @began_ms and held the whole run up. */
+void soak_stalls_call(struct soak *soak, const char *call, uint64_t began_ms);
 
 void soak_note(struct soak *soak, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -478,10 +478,8 @@
 		caller->fd = jt_udp_open(
 			(struct jt_address){caller->ip, SOAK_PACKET_PORT},
 			false);
-		if (caller->fd < 0) {
-			perror("jaspertrack-soak: caller");
-			exit(1);
-		}
+		if (caller->fd < 0)
+			soak_die(soak, "caller");
 		tevent_add_fd(soak->loop, soak->callers, caller->fd,
 			      TEVENT_FD_READ, on_packet, caller);
 	}
--- a/tests/soak/soak_endpoints.c
+++ b/tests/soak/soak_endpoints.c
@@ -1,6 +1,7 @@
 /* Endpoints: they take datagrams, run requests and answer callers. */
 #include "soak.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -12,6 +13,10 @@
 	RUN_MOST_MS = 60,
 	FIRST_SEQUENCE = 7000,
 	BACKLOG = 64,
+	/* A node that is being started holds copies of all sockets for a
+	 * moment, until it runs its program. */
+	LISTEN_TRIES = 40,
+	LISTEN_AGAIN_US = 5000,
 	DOCUMENT = 512,
 	RETURNS_ONE_IN = 4, /* of odd ids: half of the endpoints */
 	CHANGES_ONE_IN = 3, /* addresses that go on to another service */
@@ -346,27 +351,43 @@
 	return 0;
 }
 
+static bool listener_open(struct soak_listener *listener, int place)
+{
+	struct jt_address address = place_address(listener->soak, place);
+	struct sockaddr_in name;
+	int on = 1, error;
+
+	jt_address_to_socket(address, &name);
+	listener->udp_fd = jt_udp_open(address, false);
+	listener->tcp_fd =
+		socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	setsockopt(listener->tcp_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (listener->udp_fd >= 0 &&
+	    bind(listener->tcp_fd, (struct sockaddr *)&name, sizeof(name)) ==
+		    0 &&
+	    listen(listener->tcp_fd, BACKLOG) == 0)
+		return true;
+	error = errno;
+	if (listener->udp_fd >= 0)
+		close(listener->udp_fd);
+	close(listener->tcp_fd);
+	errno = error;
+	return false;
+}
+
 static struct soak_listener *listener_create(struct soak *soak, int endpoint,
 					     int place)
 {
 	struct soak_listener *listener =
 		talloc_zero(soak, struct soak_listener);
-	struct sockaddr_in name;
-	int on = 1;
 
 	listener->soak = soak;
 	listener->endpoint = endpoint;
-	jt_address_to_socket(place_address(soak, place), &name);
-	listener->udp_fd = jt_udp_open(place_address(soak, place), false);
-	listener->tcp_fd =
-		socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	setsockopt(listener->tcp_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (listener->udp_fd < 0 ||
-	    bind(listener->tcp_fd, (struct sockaddr *)&name, sizeof(name)) <
-		    0 ||
-	    listen(listener->tcp_fd, BACKLOG) < 0) {
-		perror("jaspertrack-soak: endpoint");
-		exit(1);
+	for (int i = 0; i < LISTEN_TRIES && !listener_open(listener, place);
+	     i++) {
+		if (errno != EADDRINUSE || i == LISTEN_TRIES - 1)
+			soak_die(soak, "endpoint");
+		usleep(LISTEN_AGAIN_US);
 	}
 	listener->udp_event =
 		tevent_add_fd(soak->loop, listener, listener->udp_fd,
--- a/tests/soak/soak_nodes.c
+++ b/tests/soak/soak_nodes.c
@@ -66,16 +66,40 @@
 				 SOAK_PEER_PORT);
 }
 
-static char *settings_write(struct soak *soak, int node)
+static char *settings_link(const struct soak *soak, TALLOC_CTX *mem_ctx,
+			   int node)
 {
-	char *name = talloc_asprintf(soak, "%s/node-%d.cfg",
-				     soak->options.folder, node);
-	FILE *file = fopen(name, "w");
+	return talloc_asprintf(mem_ctx, "%s/node-%d.cfg", soak->options.folder,
+			       node);
+}
 
-	if (file == NULL) {
-		perror(name);
-		exit(1);
-	}
+/* Let the node's settings be the file: under a name that never changes, and
+ * without writing over a file, which waits for the disk. */
+static void settings_use(struct soak *soak, int node, const char *file)
+{
+	char *link = settings_link(soak, soak, node);
+	char *next = talloc_asprintf(link, "%s.next", link);
+
+	(void)unlink(next);
+	if (symlink(strrchr(file, '/') + 1, next) != 0 ||
+	    rename(next, link) != 0)
+		soak_die(soak, link);
+	talloc_free(link);
+}
+
+/* Write the settings that the node has from now on. */
+static void settings_write(struct soak *soak, int node)
+{
+	char *name =
+		talloc_asprintf(soak, "%s/node-%d-%u.cfg", soak->options.folder,
+				node, soak->nodes[node].settings);
+	uint64_t began_ms = jt_clock_ms();
+	FILE *file;
+
+	(void)unlink(name);
+	file = fopen(name, "w");
+	if (file == NULL)
+		soak_die(soak, name);
 	fprintf(file,
 		"placement = \"label\";\nenvironment = \"platform\";\n"
 		"node = { name = \"node-%d\"; zone = \"zone-%u\"; };\n"
@@ -98,18 +122,21 @@
 		address_text(name, seed_address(soak, node, 1)), SOAK_DRAIN_MS,
 		SOAK_CONFIG_MS, SOAK_ZONE_DRAIN_MS, SOAK_GRACE_MS / 1000);
 	fclose(file);
-	return name;
+	settings_use(soak, node, name);
+	talloc_free(name);
+	soak_stalls_call(soak, "writing settings", began_ms);
 }
 
 void soak_node_start(struct soak *soak, int index)
 {
 	struct soak_node *node = &soak->nodes[index];
-	char *settings = settings_write(soak, index);
+	char *settings = settings_link(soak, soak, index);
 	char *log = talloc_asprintf(settings, "%s/node-%d.log",
 				    soak->options.folder, index);
 	char *arguments[] = {(char *)soak->options.program, "-c", settings,
 			     NULL};
 	posix_spawn_file_actions_t actions;
+	uint64_t began_ms = jt_clock_ms();
 
 	posix_spawn_file_actions_init(&actions);
 	posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log,
@@ -118,11 +145,10 @@
 					 STDERR_FILENO);
 	if (posix_spawn(&node->pid, soak->options.program, &actions, NULL,
 			arguments, environ) != 0) {
-		fprintf(stderr, "jaspertrack-soak: %s: can't be started\n",
-			soak->options.program);
-		exit(1);
+		soak_die(soak, soak->options.program);
 	}
 	posix_spawn_file_actions_destroy(&actions);
+	soak_stalls_call(soak, "starting a node", began_ms);
 	talloc_free(settings);
 	node->started_ms = jt_clock_ms();
 	node->disturbed_ms = node->gone_ms = node->started_ms;
@@ -138,6 +164,7 @@
 	struct soak_node *node = &soak->nodes[index];
 
 	waitpid(node->pid, NULL, 0);
+	soak_stalls_call(soak, "the end of a node", node->disturbed_ms);
 	node->pid = 0;
 	node->ready = false;
 	node->restart_ms =
@@ -201,7 +228,7 @@
 	struct soak_node *node = &soak->nodes[index];
 
 	node->settings++;
-	talloc_free(settings_write(soak, index));
+	settings_write(soak, index);
 	soak_node_signal(soak, index, SIGHUP);
 }
 
@@ -326,14 +353,20 @@
 		node->zone = (uint32_t)i % SOAK_ZONES;
 		node->proxy =
 			soak_proxy_create(soak, store_address(soak, i), store);
-		if (node->proxy == NULL) {
-			perror("jaspertrack-soak: proxy");
-			exit(1);
-		}
+		if (node->proxy == NULL)
+			soak_die(soak, "proxy");
+		settings_write(soak, i);
 		soak_node_start(soak, i);
 	}
 }
 
+void soak_die(struct soak *soak, const char *what)
+{
+	fprintf(stderr, "jaspertrack-soak: %s: %s\n", what, strerror(errno));
+	soak_nodes_end(soak);
+	exit(SOAK_EXIT_UNABLE);
+}
+
 void soak_nodes_end(struct soak *soak)
 {
 	for (int i = 0; i < soak->node_count; i++) {
--- a/tests/soak/soak_oracle.c
+++ b/tests/soak/soak_oracle.c
@@ -28,10 +28,12 @@
 		 va_list list)
 {
 	char *text = talloc_vasprintf(soak, format, list);
+	uint64_t now_ms = jt_clock_ms();
 
 	fprintf(soak->events, "%8.3f %s %s\n",
-		(double)(jt_clock_ms() - soak->began_ms) / 1000.0, kind, text);
+		(double)(now_ms - soak->began_ms) / 1000.0, kind, text);
 	fflush(soak->events);
+	soak->events_ms += jt_clock_ms() - now_ms;
 	talloc_free(text);
 }
 
--- a/tests/soak/soak_stalls.c
+++ b/tests/soak/soak_stalls.c
@@ -13,6 +13,7 @@
 
 enum {
 	STALL_MS = 100, /* between two ticks: worth a line */
+	CALL_MS = 50,	/* the same of one call */
 	NAME = 64,
 	LINE = 1024,
 	/* Field of /proc/PID/stat: time waited for the disk, in ticks. */
@@ -24,7 +25,9 @@
 	uint64_t run_ms;
 	uint64_t wait_ms; /* for a processor, though it could have run */
 	uint64_t disk_ms;
-	uint64_t faults; /* of pages that came from the disk */
+	uint64_t faults;    /* of pages that came from the disk */
+	uint64_t events_ms; /* that writing events took */
+	uint64_t steal_ms;  /* that the host took from all processors */
 };
 
 struct soak_stalls {
@@ -51,6 +54,11 @@
 	fclose(file);
 }
 
+static uint64_t ticks_ms(unsigned long long ticks)
+{
+	return ticks * 1000 / (uint64_t)sysconf(_SC_CLK_TCK);
+}
+
 static uint64_t disk_read(void)
 {
 	FILE *file = fopen("/proc/self/stat", "r");
@@ -67,14 +75,27 @@
 		field = strtok_r(NULL, " ", &rest);
 	if (field != NULL)
 		(void)sscanf(field, "%llu", &ticks);
-	return ticks * 1000 / (uint64_t)sysconf(_SC_CLK_TCK);
+	return ticks_ms(ticks);
+}
+
+static uint64_t steal_read(void)
+{
+	FILE *file = fopen("/proc/stat", "r");
+	unsigned long long steal = 0;
+
+	if (file == NULL)
+		return 0;
+	(void)!fscanf(file, "cpu %*u %*u %*u %*u %*u %*u %*u %llu", &steal);
+	fclose(file);
+	return ticks_ms(steal);
 }
 
-static struct usage usage_read(void)
+static struct usage usage_read(const struct soak *soak)
 {
-	struct usage usage = {0};
+	struct usage usage = {.events_ms = soak->events_ms};
 	struct rusage counted;
 
+	usage.steal_ms = steal_read();
 	schedule_read("self", &usage);
 	usage.disk_ms = disk_read();
 	if (getrusage(RUSAGE_SELF, &counted) == 0)
@@ -111,23 +132,25 @@
 	if (stalls == NULL)
 		return NULL;
 	stalls->soak = soak;
-	stalls->own = usage_read();
+	stalls->own = usage_read(soak);
 	return stalls;
 }
 
 static void stall_note(struct soak_stalls *stalls, uint64_t stood_ms)
 {
-	struct usage now = usage_read();
+	struct usage now = usage_read(stalls->soak);
 	const struct usage *then = &stalls->own;
 
 	soak_note(stalls->soak,
 		  "stall: the soak stood still for %" PRIu64
 		  " ms; since the one before: run_ms=%" PRIu64
 		  " wait_ms=%" PRIu64 " disk_ms=%" PRIu64
-		  " page_faults=%" PRIu64 " node_wait_ms=%" PRIu64,
+		  " page_faults=%" PRIu64 " events_ms=%" PRIu64
+		  " steal_ms=%" PRIu64 " node_wait_ms=%" PRIu64,
 		  stood_ms, now.run_ms - then->run_ms,
 		  now.wait_ms - then->wait_ms, now.disk_ms - then->disk_ms,
-		  now.faults - then->faults, nodes_waited_ms(stalls));
+		  now.faults - then->faults, now.events_ms - then->events_ms,
+		  now.steal_ms - then->steal_ms, nodes_waited_ms(stalls));
 	stalls->own = now;
 }
 
@@ -143,3 +166,11 @@
 	if (stood_ms >= STALL_MS)
 		stall_note(stalls, stood_ms);
 }
+
+void soak_stalls_call(struct soak *soak, const char *call, uint64_t began_ms)
+{
+	uint64_t took_ms = jt_clock_ms() - began_ms;
+
+	if (took_ms >= CALL_MS)
+		soak_note(soak, "stall: %s took %" PRIu64 " ms", call, took_ms);
+}
