--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -169,6 +169,7 @@
 	JT_DIRECTOR_PROBED,	   /* the outcome of a probe */
 	JT_DIRECTOR_LOADS,	   /* a peer's share of the endpoints' flows */
 	JT_DIRECTOR_ZONE_DRAINS,   /* drains of zones that began or ended */
+	JT_DIRECTOR_FLOW_TOLD,	   /* a peer's answer on a flow */
 	JT_DIRECTOR_TICK,
 };
 
@@ -225,6 +226,12 @@
 			bool complete;
 			uint64_t revision;
 		} zones;
+		struct {
+			struct jt_flow_key key;
+			uint32_t sequence; /* of its first packet */
+			/* Of its endpoint; 0: the peer does not know it. */
+			uint32_t label;
+		} flow_told;
 		struct {
 			uint64_t nodes;	       /* known to live, this one too */
 			uint64_t node_id;      /* of this node */
@@ -254,6 +261,7 @@
 	JT_DIRECTOR_ZONE_RESTORED,  /* and ended */
 	JT_DIRECTOR_SERVICE_FULL,   /* new flows of a service are limited */
 	JT_DIRECTOR_SERVICE_FREE,   /* and no more */
+	JT_DIRECTOR_FLOW_ASK,	    /* ask peers for the flow of the packet */
 };
 
 enum jt_director_reason {
@@ -272,8 +280,9 @@
 	JT_DIRECTOR_NO_ZONE,	   /* the zones of all endpoints are drained */
 	JT_DIRECTOR_COLD,	   /* what is left is cold and got its share */
 	JT_DIRECTOR_LEARNING,	   /* endpoints are still coming to be known */
-	JT_DIRECTOR_UNPROVEN,	/* the dead endpoint may have started again */
-	JT_DIRECTOR_OVERLOADED, /* its service has no room for it */
+	JT_DIRECTOR_UNPROVEN,	 /* the dead endpoint may have started again */
+	JT_DIRECTOR_OVERLOADED,	 /* its service has no room for it */
+	JT_DIRECTOR_PEERS_ASKED, /* a peer may have placed it before */
 	JT_DIRECTOR_REASONS,
 };
 
@@ -290,12 +299,13 @@
 struct jt_director_action {
 	enum jt_director_action_kind kind;
 	enum jt_director_reason reason;
-	struct jt_flow_key key; /* forward, reset, drop */
+	struct jt_flow_key key; /* forward, reset, drop, hold, ask */
 	uint64_t endpoint_id;
 	uint64_t born_ms; /* of the endpoint's incarnation */
 	uint32_t label;
 	struct jt_address address; /* of the endpoint */
 	uint32_t reset_sequence;
+	uint32_t first_sequence; /* ask: of the flow's first packet */
 	enum jt_incarnation_state state;
 	enum jt_death_cause cause;
 	uint64_t revision;   /* of the endpoint's entry */
@@ -383,6 +393,10 @@
 	uint64_t failures_heard;  /* and in theirs */
 	uint64_t shares_reduced;
 	uint64_t placed_far; /* new flows that went to another zone */
+	/* Copies of first packets whose flows were sought at peers, and which
+	 * of them a peer had placed. */
+	uint64_t flows_sought;
+	uint64_t flows_found;
 };
 
 struct jt_director;
--- a/include/jaspertrack/director.h
+++ b/include/jaspertrack/director.h
@@ -76,6 +76,16 @@
 size_t jt_director_loads(struct jt_director *director, uint64_t now_ms,
 			 struct jt_endpoint_load loads[JT_LOAD_LIMIT]);
 
+/* JT_DIRECTOR_FLOW_ASK was carried out: so many peers were asked. */
+void jt_director_flow_asked(struct jt_director *director,
+			    const struct jt_flow_key *key, size_t peers,
+			    uint64_t now_ms);
+/* The label of the flow whose first packet had @sequence, for a peer that asks;
+ * 0 where this node does not know it, or its endpoint is dead. */
+uint32_t jt_director_flow_label(const struct jt_director *director,
+				const struct jt_flow_key *key,
+				uint32_t sequence);
+
 /* Failed requests that so many @peers are to be told of (JT_DIRECTOR_FAILURES);
  * returns how many of @failures were set. */
 size_t
--- a/src/cli/why.c
+++ b/src/cli/why.c
@@ -269,6 +269,9 @@
 	{"no_capacity",
 	 "every endpoint that could take the flow holds as many as "
 	 "its service allows"},
+	{"peers_asked", "a copy of the first packet came to this node, which "
+			"saw none before: it waited while peers were asked "
+			"whether one had placed the flow (see flow_told)"},
 	{"not_started", "the node did not know routing or endpoints yet; the "
 			"packet waited for that"},
 };
--- a/src/common/jt_log_sink.c
+++ b/src/common/jt_log_sink.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 enum {
@@ -10,6 +11,7 @@
 	UNUSUAL_PER_S = 400,
 	ORDINARY_PER_S = 300,
 	REPORT_MS = 1000,
+	US_PER_S = 1000000,
 };
 
 /* Lines that may still be written in the second at hand. */
@@ -83,10 +85,27 @@
 	sink->counters.written++;
 }
 
+static uint64_t clock_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (uint64_t)now.tv_sec * US_PER_S + (uint64_t)now.tv_nsec / 1000;
+}
+
+static ssize_t timed_write(struct jt_log_sink *sink)
+{
+	uint64_t began_us = clock_us();
+	ssize_t done = write(sink->fd, sink->buffer, sink->used);
+
+	sink->counters.write_us += clock_us() - began_us;
+	return done;
+}
+
 void jt_log_sink_flush(struct jt_log_sink *sink)
 {
 	while (sink->used > 0) {
-		ssize_t done = write(sink->fd, sink->buffer, sink->used);
+		ssize_t done = timed_write(sink);
 
 		if (done < 0 && errno == EINTR)
 			continue;
--- a/src/common/jt_log_sink.h
+++ b/src/common/jt_log_sink.h
@@ -25,7 +25,8 @@
 struct jt_log_counters {
 	uint64_t written;
 	uint64_t left_out[JT_LOG_CLASSES];
-	uint64_t lost; /* the reader was too slow */
+	uint64_t lost;	   /* the reader was too slow */
+	uint64_t write_us; /* spent on writing */
 };
 
 struct jt_log_sink;
--- a/src/common/jt_mechanism.h
+++ b/src/common/jt_mechanism.h
@@ -36,7 +36,8 @@
 	JT_MECHANISM_ADMISSION = 1 << 23, /* full services refuse by priority */
 	JT_MECHANISM_SHORT_ANSWERS = 1 << 24, /* may be failures */
 	JT_MECHANISM_FAST_FIRST = 1 << 25,    /* slow ones rest till needed */
-	JT_MECHANISM_ZONE_ROOM = 1 << 26, /* flows go far for want of room */
+	JT_MECHANISM_ZONE_ROOM = 1 << 26,   /* flows go far for want of room */
+	JT_MECHANISM_FLOW_LOOKUP = 1 << 27, /* peers are asked for flows */
 };
 
 /* The mechanism of that name, 0 when there is none. */
--- a/src/director/jt_director_log.c
+++ b/src/director/jt_director_log.c
@@ -113,6 +113,18 @@
 		    (unsigned long long)action->age_ms);
 }
 
+void jt_director_log_flow_told(const struct jt_log *log,
+			       const struct jt_flow_key *key, uint32_t label,
+			       uint64_t now_ms)
+{
+	char flow[FLOW_TEXT];
+
+	if (!allowed(log, JT_LOG_ORDINARY, now_ms))
+		return;
+	jt_log_line(log, LOG_INFO, "event=flow_told flow=%s known=%s label=%x",
+		    flow_format(key, flow), label != 0 ? "yes" : "no", label);
+}
+
 void jt_director_log_endpoint(const struct jt_log *log,
 			      const struct jt_director_action *action,
 			      const char *event)
--- a/src/director/jt_director_log.h
+++ b/src/director/jt_director_log.h
@@ -19,6 +19,10 @@
 void jt_director_log_request(const struct jt_log *log,
 			     const struct jt_director_action *action,
 			     const char *request, uint64_t now_ms);
+/* A peer has answered where a flow is; @label 0: it does not know. */
+void jt_director_log_flow_told(const struct jt_log *log,
+			       const struct jt_flow_key *key, uint32_t label,
+			       uint64_t now_ms);
 /* What this node believes of an endpoint has changed. */
 void jt_director_log_endpoint(const struct jt_log *log,
 			      const struct jt_director_action *action,
--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -13,6 +13,9 @@
 
 enum {
 	TICK_MS = 100,
+	/* A tick that comes so much later is worth a line. */
+	STOOD_STILL_MS = 200,
+	US_PER_MS = 1000,
 	/* A leaving node ends so long before its limit, and longer by what its
 	 * end costs: thousandths of a core times milliseconds. */
 	LEAVE_MARGIN_MS = 400,
@@ -117,12 +120,34 @@
 					       &from);
 }
 
+/* This process stood still: callers' packets, readiness and peers had to wait.
+ * The time that its log took tells a slow disk from a lack of processor. */
+static void stood_still_look(struct jt_director_node *node, uint64_t now_ms)
+{
+	uint64_t log_ms =
+		node->log->sink != NULL
+			? jt_log_sink_counters(node->log->sink)->write_us /
+				  US_PER_MS
+			: 0;
+	uint64_t late_ms = now_ms - node->tick_due_ms;
+
+	if (node->tick_due_ms != 0 && late_ms >= STOOD_STILL_MS) {
+		node->traffic.stood_still_ms += late_ms;
+		jt_log_line(node->log, LOG_NOTICE,
+			    "event=stood_still late_ms=%llu log_ms=%llu",
+			    (unsigned long long)late_ms,
+			    (unsigned long long)(log_ms - node->log_ms));
+	}
+	node->log_ms = log_ms;
+}
+
 static void on_tick(void *private_data)
 {
 	struct jt_director_node *node = private_data;
 	struct jt_director_event event = {.kind = JT_DIRECTOR_TICK};
 	uint64_t *peers;
 
+	stood_still_look(node, jt_clock_ms());
 	event.u.tick.peer_count =
 		jt_peer_exchange_ids(node->peers, node, &peers);
 	event.u.tick.peers = peers;
@@ -135,6 +160,7 @@
 	jt_director_node_reader_look(node, event.now_ms);
 	watch_leave(node, event.now_ms);
 	jt_director_log_flush(node->log, event.now_ms);
+	node->tick_due_ms = event.now_ms + TICK_MS;
 	jt_timer_set(node->tick, TICK_MS);
 }
 
@@ -160,6 +186,12 @@
 	talloc_free(old);
 }
 
+/* Peers that were asked for a flow have answered, or will not. */
+static void on_lookup_over(void *private_data)
+{
+	jt_director_node_release(private_data);
+}
+
 /* Probes */
 
 static void on_probed(uint64_t endpoint_id, uint64_t born_ms,
@@ -263,7 +295,8 @@
 		node->settings->store, &watcher, first_wait_ms(node),
 		node->settings->reader_weight, seed);
 	node->tick = jt_timer_create(node, node->loop, on_tick, node);
-	if (node->sync == NULL || node->tick == NULL)
+	node->lookup = jt_timer_create(node, node->loop, on_lookup_over, node);
+	if (node->sync == NULL || node->tick == NULL || node->lookup == NULL)
 		return false;
 	node->pages = jt_director_pages_create(
 		node, node->loop, node->log, node->settings, node->director,
--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -1,4 +1,5 @@
 /* What a director node hears from the store and from its peers. */
+#include "jt_director_log.h"
 #include "jt_director_node_private.h"
 #include "jt_knowledge.h"
 #include "jt_net.h"
@@ -388,6 +389,28 @@
 	jt_director_node_event(private_data, &event);
 }
 
+static uint32_t on_flow_question(const struct jt_flow_key *key,
+				 uint32_t sequence, void *private_data)
+{
+	const struct jt_director_node *node = private_data;
+
+	return jt_director_flow_label(node->director, key, sequence);
+}
+
+static void on_flow_told(const struct jt_flow_key *key, uint32_t sequence,
+			 uint32_t label, void *private_data)
+{
+	struct jt_director_event event = {.kind = JT_DIRECTOR_FLOW_TOLD};
+	struct jt_director_node *node = private_data;
+
+	event.u.flow_told.key = *key;
+	event.u.flow_told.sequence = sequence;
+	event.u.flow_told.label = label;
+	jt_director_log_flow_told(node->log, key, label, jt_clock_ms());
+	jt_director_node_event(node, &event);
+	jt_director_node_release(node);
+}
+
 void jt_director_node_handlers(struct jt_director_node *node,
 			       struct jt_directory_watcher *watcher,
 			       struct jt_peer_handler *handler)
@@ -414,6 +437,12 @@
 		.own_loads = on_own_loads,
 		.loads = on_loads,
 		.failures = on_failures,
+		.flows =
+			{
+				.label = on_flow_question,
+				.told = on_flow_told,
+				.private_data = node,
+			},
 		.private_data = node,
 	};
 }
--- a/src/director/jt_director_node_packets.c
+++ b/src/director/jt_director_node_packets.c
@@ -1,8 +1,10 @@
 /* What a director node does with an event: decide, act, pass packets on. */
 #include "jt_director_log.h"
 #include "jt_director_node_private.h"
+#include "jt_flow_lookup.h"
 #include "jt_net.h"
 #include "jt_routing.h"
+#include "jt_timer.h"
 
 #include <string.h>
 #include <sys/socket.h>
@@ -136,6 +138,19 @@
 		jt_peer_exchange_failures(node->peers, failures, count, peers);
 }
 
+/* The answers come later; without peers there are none to wait for. The event
+ * is handled once this one is done with. */
+static void act_flow_ask(struct jt_director_node *node,
+			 const struct jt_director_action *action)
+{
+	size_t peers = jt_peer_exchange_ask_flow(node->peers, &action->key,
+						 action->first_sequence);
+
+	jt_director_flow_asked(node->director, &action->key, peers,
+			       node->event_ms);
+	jt_timer_set(node->lookup, peers > 0 ? JT_FLOW_LOOKUP_MS : 0);
+}
+
 static void node_act(struct jt_director_node *node,
 		     const struct jt_director_action *action)
 {
@@ -211,6 +226,9 @@
 	case JT_DIRECTOR_HOLD:
 		act_hold(node);
 		break;
+	case JT_DIRECTOR_FLOW_ASK:
+		act_flow_ask(node, action);
+		break;
 	case JT_DIRECTOR_DROP:
 		break;
 	}
@@ -229,6 +247,15 @@
 
 /* Packets */
 
+/* How long the packet in hand was held: never 0, which is one that just came.
+ */
+static uint32_t held_ms(const struct jt_director_node *node)
+{
+	uint64_t held_ms = jt_clock_ms() - node->held_since_ms;
+
+	return held_ms > 0 ? (uint32_t)held_ms : 1;
+}
+
 static void packet_take(struct jt_director_node *node, size_t length)
 {
 	struct jt_director_event event = {.kind = JT_DIRECTOR_PACKET};
@@ -239,8 +266,7 @@
 		return;
 	}
 	if (node->held_since_ms != 0)
-		event.u.packet.held_ms =
-			(uint32_t)(jt_clock_ms() - node->held_since_ms);
+		event.u.packet.held_ms = held_ms(node);
 	node->packet_length = length;
 	jt_director_node_event(node, &event);
 	/* One that was held is no sign that routers still use this node. */
@@ -259,7 +285,7 @@
 }
 
 /* Offer held packets again once the node places flows, each of them once. */
-static void held_release(struct jt_director_node *node)
+void jt_director_node_release(struct jt_director_node *node)
 {
 	size_t count = node->held_count;
 
@@ -319,5 +345,5 @@
 void jt_director_node_started_look(struct jt_director_node *node)
 {
 	jt_director_node_watch_ready(node);
-	held_release(node);
+	jt_director_node_release(node);
 }
--- a/src/director/jt_director_node_private.h
+++ b/src/director/jt_director_node_private.h
@@ -39,6 +39,9 @@
 	struct jt_refusals refusals;
 	uint64_t store_failures; /* calls that had failed at the last look */
 	struct jt_timer *tick;
+	uint64_t tick_due_ms;	 /* of the next one, 0: none was set */
+	uint64_t log_ms;	 /* spent on log lines up to the last tick */
+	struct jt_timer *lookup; /* when peers have had time to answer */
 	int data_fd;
 	uint8_t buffer[JT_HEADROOM_MAX + JT_DATAGRAM_MAX];
 	size_t packet_length; /* of the packet in hand */
@@ -70,6 +73,8 @@
 /* The node may know more than before: it may be ready, and held packets are
  * offered again. */
 void jt_director_node_started_look(struct jt_director_node *node);
+/* Offer held packets again, where new flows are placed. */
+void jt_director_node_release(struct jt_director_node *node);
 /* What the store and peers tell goes to these (jt_director_node_news.c). */
 void jt_director_node_handlers(struct jt_director_node *node,
 			       struct jt_directory_watcher *watcher,
--- a/src/director/jt_director_pages.c
+++ b/src/director/jt_director_pages.c
@@ -82,6 +82,8 @@
 			  traffic->resets);
 	text = add_metric(text, "held_overflow_total", "counter",
 			  traffic->held_overflow);
+	text = add_metric(text, "stood_still_ms_total", "counter",
+			  traffic->stood_still_ms);
 	return add_metric(text, "send_failed_total", "counter",
 			  traffic->send_failed);
 }
@@ -125,6 +127,10 @@
 			  counters->identifications);
 	text = add_metric(text, "flows_placed_far_total", "counter",
 			  counters->placed_far);
+	text = add_metric(text, "flows_sought_total", "counter",
+			  counters->flows_sought);
+	text = add_metric(text, "flows_found_total", "counter",
+			  counters->flows_found);
 	text = add_metric(text, "endpoints_slow", "gauge",
 			  jt_director_slow_count(director, jt_clock_ms()));
 	text = add_metric(text, "endpoints_fast", "gauge",
@@ -318,6 +324,8 @@
 			 counters->left_out[JT_LOG_UNUSUAL]);
 	text = add_label(text, "log_lines_left_out_total", "class", "ordinary",
 			 counters->left_out[JT_LOG_ORDINARY]);
+	text = add_metric(text, "log_write_us_total", "counter",
+			  counters->write_us);
 	return add_metric(text, "log_lines_lost_total", "counter",
 			  counters->lost);
 }
--- a/src/director/jt_director_pages.h
+++ b/src/director/jt_director_pages.h
@@ -18,6 +18,7 @@
 	uint64_t resets;
 	uint64_t send_failed;
 	uint64_t held_overflow;
+	uint64_t stood_still_ms; /* nothing was done, though it was due */
 };
 
 /* NULL with a line in @error when the readiness address can't be used. A
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -2,7 +2,9 @@
 #include "jt_http_server.h"
 #include "jt_mechanism.h"
 #include "jt_net.h"
+#include "jt_peer_flows.h"
 #include "jt_peer_knowledge.h"
+#include "jt_peer_sender.h"
 #include "jt_timer.h"
 
 #include <errno.h>
@@ -25,7 +27,7 @@
 	struct tevent_context *loop;
 	const struct jt_log *log;
 	struct jt_peer_handler handler;
-	struct jt_peer_frames frames;
+	struct jt_peer_sender sender;
 	struct jt_membership *membership;
 	struct jt_peer_knowledge *knowledge;
 	struct jt_http_server *server;
@@ -33,27 +35,9 @@
 	struct jt_timer *news_timer;
 	bool news_due;
 	uint64_t told_revision; /* up to which news was sent on */
-	size_t failures_next;	/* place of the peer to tell of failures next */
-	int fd;
 	uint64_t created_ms;
 };
 
-static void message_send(struct jt_peer_exchange *exchange,
-			 struct jt_address to,
-			 const jt_wire_director_message *message)
-{
-	uint8_t frame[DATAGRAM_MOST];
-	struct sockaddr_in name;
-	size_t length = jt_peer_frames_seal(&exchange->frames, to, message,
-					    frame, sizeof(frame));
-
-	if (length == 0)
-		return;
-	jt_address_to_socket(to, &name);
-	(void)sendto(exchange->fd, frame, length, MSG_DONTWAIT,
-		     (struct sockaddr *)&name, sizeof(name));
-}
-
 static void loads_send(struct jt_peer_exchange *exchange,
 		       const struct jt_address *targets, size_t count)
 {
@@ -73,7 +57,7 @@
 	loads->loads.loads_val = wire;
 	loads->loads.loads_len = (u_int)own_count;
 	for (size_t i = 0; i < count; i++)
-		message_send(exchange, targets[i], &message);
+		jt_peer_sender_send(&exchange->sender, targets[i], &message);
 }
 
 static void loads_take(struct jt_peer_exchange *exchange, uint64_t peer,
@@ -102,7 +86,7 @@
 
 	message.body.jt_wire_director_body_u.digest = *digest;
 	for (size_t i = 0; i < count; i++) {
-		message_send(exchange, targets[i], &message);
+		jt_peer_sender_send(&exchange->sender, targets[i], &message);
 	}
 }
 
@@ -136,55 +120,6 @@
 	talloc_free(frame);
 }
 
-static bool is_addressee(const struct jt_membership *membership,
-			 const struct jt_peer *peer, bool only_zone)
-{
-	return jt_peer_lives(peer) &&
-	       (!only_zone || peer->zone_id == membership->zone_id);
-}
-
-/* To every live peer, or to those of this node's zone alone; returns to how
- * many. */
-static size_t message_send_peers(struct jt_peer_exchange *exchange,
-				 const jt_wire_director_message *message,
-				 bool only_zone)
-{
-	const struct jt_membership *membership = exchange->membership;
-	size_t sent = 0;
-
-	for (size_t i = 0; i < membership->count; i++) {
-		const struct jt_peer *peer = &membership->peers[i];
-
-		if (!is_addressee(membership, peer, only_zone))
-			continue;
-		message_send(exchange, peer->address, message);
-		sent++;
-	}
-	return sent;
-}
-
-/* To so many live peers of the own zone; the next ones follow on. Nodes send
- * most flows to endpoints of their zone, so that those of others have little
- * use for the message, and bytes between zones cost. */
-static void message_send_some(struct jt_peer_exchange *exchange,
-			      const jt_wire_director_message *message,
-			      size_t peers)
-{
-	const struct jt_membership *membership = exchange->membership;
-	size_t sent = 0;
-
-	for (size_t i = 0; i < membership->count && sent < peers; i++) {
-		const struct jt_peer *peer =
-			&membership->peers[exchange->failures_next++ %
-					   membership->count];
-
-		if (!is_addressee(membership, peer, true))
-			continue;
-		message_send(exchange, peer->address, message);
-		sent++;
-	}
-}
-
 /* Whether this node takes flows, to all at once. */
 static void standing_tell(struct jt_peer_exchange *exchange, bool only_zone)
 {
@@ -202,7 +137,7 @@
 		.ready = own.ready,
 		.weight = own.weight,
 	};
-	(void)message_send_peers(exchange, &message, only_zone);
+	jt_peer_sender_send_all(&exchange->sender, &message, only_zone);
 }
 
 void jt_peer_exchange_tell_all(struct jt_peer_exchange *exchange)
@@ -282,7 +217,7 @@
 	news_entries(exchange, frame, &own, news);
 	exchange->told_revision = own.revision;
 	for (size_t i = 0; i < count; i++) {
-		message_send(exchange, targets[i], &message);
+		jt_peer_sender_send(&exchange->sender, targets[i], &message);
 	}
 	talloc_free(frame);
 }
@@ -310,7 +245,7 @@
 		.endpoint_id = endpoint_id,
 		.born_ms = born_ms,
 	};
-	message_send_peers(exchange, &message, false);
+	jt_peer_sender_send_all(&exchange->sender, &message, false);
 }
 
 void jt_peer_exchange_failures(struct jt_peer_exchange *exchange,
@@ -331,7 +266,7 @@
 					    failures[i].share_permille};
 	told->failures.failures_val = wire;
 	told->failures.failures_len = (u_int)count;
-	message_send_some(exchange, &message, peers);
+	jt_peer_sender_send_some(&exchange->sender, &message, peers);
 }
 
 /* Datagrams */
@@ -421,6 +356,16 @@
 			&message->body.jt_wire_director_body_u.suspicion,
 			exchange->handler.private_data);
 		break;
+	case JT_WIRE_FLOW_QUESTION:
+		jt_peer_flows_reply(
+			&exchange->sender, &exchange->handler.flows, from,
+			&message->body.jt_wire_director_body_u.flow_question);
+		break;
+	case JT_WIRE_FLOW_ANSWER:
+		jt_peer_flows_take(
+			&exchange->handler.flows,
+			&message->body.jt_wire_director_body_u.flow_answer);
+		break;
 	default:
 		break;
 	}
@@ -432,7 +377,8 @@
 {
 	jt_wire_director_message message = {0};
 
-	if (!jt_peer_frames_open(&exchange->frames, data, length, &message))
+	if (!jt_peer_frames_open(&exchange->sender.frames, data, length,
+				 &message))
 		return;
 	message_take(exchange, from, &message);
 	jt_peer_frames_free(&message);
@@ -451,8 +397,8 @@
 		struct sockaddr_in name;
 		socklen_t size = sizeof(name);
 		ssize_t length =
-			recvfrom(exchange->fd, data, sizeof(data), MSG_DONTWAIT,
-				 (struct sockaddr *)&name, &size);
+			recvfrom(exchange->sender.fd, data, sizeof(data),
+				 MSG_DONTWAIT, (struct sockaddr *)&name, &size);
 
 		if (length < 0)
 			return;
@@ -495,8 +441,8 @@
 
 static int exchange_destructor(struct jt_peer_exchange *exchange)
 {
-	if (exchange->fd >= 0)
-		close(exchange->fd);
+	if (exchange->sender.fd >= 0)
+		close(exchange->sender.fd);
 	return 0;
 }
 
@@ -514,7 +460,7 @@
 void jt_peer_exchange_reload(struct jt_peer_exchange *exchange,
 			     const struct jt_director_settings *settings)
 {
-	exchange->frames.keys = settings->keys;
+	exchange->sender.frames.keys = settings->keys;
 	jt_peer_knowledge_set_link(exchange->knowledge, settings->link_mbps);
 	if (settings->leave_limit_ms > 0)
 		exchange->membership->leave_limit_ms = settings->leave_limit_ms;
@@ -523,16 +469,18 @@
 
 static bool listen_start(struct jt_peer_exchange *exchange)
 {
-	struct jt_http_options options = {.address = exchange->frames.address};
+	struct jt_http_options options = {
+		.address = exchange->sender.frames.address};
 
-	exchange->fd = jt_udp_open(exchange->frames.address, false);
-	if (exchange->fd < 0)
+	exchange->sender.fd =
+		jt_udp_open(exchange->sender.frames.address, false);
+	if (exchange->sender.fd < 0)
 		return false;
 	exchange->server = jt_http_server_create(
 		exchange, exchange->loop, &options, jt_peer_knowledge_request,
 		exchange->knowledge);
 	return exchange->server != NULL &&
-	       tevent_add_fd(exchange->loop, exchange, exchange->fd,
+	       tevent_add_fd(exchange->loop, exchange, exchange->sender.fd,
 			     TEVENT_FD_READ, on_datagrams, exchange) != NULL;
 }
 
@@ -545,7 +493,7 @@
 		.client = client,
 		.log = exchange->log,
 		.membership = exchange->membership,
-		.frames = &exchange->frames,
+		.frames = &exchange->sender.frames,
 		.handler =
 			{
 				.own_state = exchange->handler.own_state,
@@ -572,16 +520,17 @@
 
 	if (exchange == NULL)
 		return NULL;
-	exchange->fd = -1;
+	exchange->sender.fd = -1;
 	talloc_set_destructor(exchange, exchange_destructor);
 	exchange->loop = loop;
 	exchange->log = log;
-	exchange->frames.address = settings->peer;
+	exchange->sender.frames.address = settings->peer;
 	exchange->handler = *handler;
 	exchange->created_ms = jt_clock_ms();
 	randombytes_buf(&id, sizeof(id));
 	exchange->membership = jt_membership_create(
 		exchange, id, settings->peer, jt_name_id(settings->zone));
+	exchange->sender.membership = exchange->membership;
 	if (exchange->membership != NULL)
 		exchange->membership->without = settings->without;
 	exchange->timer = jt_timer_create(exchange, loop, on_round, exchange);
@@ -628,6 +577,14 @@
 	return exchange->membership->id;
 }
 
+size_t jt_peer_exchange_ask_flow(struct jt_peer_exchange *exchange,
+				 const struct jt_flow_key *key,
+				 uint32_t sequence)
+{
+	return jt_peer_flows_ask(&exchange->sender, exchange->membership, key,
+				 sequence);
+}
+
 size_t jt_peer_exchange_live(const struct jt_peer_exchange *exchange)
 {
 	return jt_membership_live(exchange->membership);
@@ -649,6 +606,8 @@
 		[JT_WIRE_NEWS] = "news",
 		[JT_WIRE_STANDING] = "standing",
 		[JT_WIRE_FAILURES] = "failures",
+		[JT_WIRE_FLOW_QUESTION] = "flow_question",
+		[JT_WIRE_FLOW_ANSWER] = "flow_answer",
 	};
 
 	return names[kind];
@@ -657,5 +616,5 @@
 const struct jt_peer_counters *
 jt_peer_exchange_counters(const struct jt_peer_exchange *exchange)
 {
-	return &exchange->frames.counters;
+	return &exchange->sender.frames.counters;
 }
--- a/src/director/jt_peer_exchange.h
+++ b/src/director/jt_peer_exchange.h
@@ -11,6 +11,7 @@
 #include "jt_log.h"
 #include "jaspertrack/director-t.h"
 #include "jt_membership.h"
+#include "jt_peer_flows.h"
 #include "jt_peer_frames.h"
 
 /* What the owner of a peer exchange provides and is told. */
@@ -44,6 +45,7 @@
 	/* A peer has seen requests fail. */
 	void (*failures)(const struct jt_endpoint_failure *failures,
 			 size_t count, void *private_data);
+	struct jt_peer_flow_handler flows;
 	void *private_data;
 };
 
@@ -63,6 +65,11 @@
 void jt_peer_exchange_failures(struct jt_peer_exchange *exchange,
 			       const struct jt_endpoint_failure *failures,
 			       size_t count, size_t peers);
+/* Ask peers for a flow whose first packet, with that sequence, came again here;
+ * returns how many were asked. */
+size_t jt_peer_exchange_ask_flow(struct jt_peer_exchange *exchange,
+				 const struct jt_flow_key *key,
+				 uint32_t sequence);
 /* Tell every live peer at once how this node stands. */
 void jt_peer_exchange_tell_all(struct jt_peer_exchange *exchange);
 /* The other nodes, as one that leaves must see them. */
--- /dev/null
+++ b/src/director/jt_peer_flows.c
@@ -0,0 +1,70 @@
+#include "jt_peer_flows.h"
+
+static jt_wire_flow flow_wire(const struct jt_flow_key *key, uint32_t sequence)
+{
+	return (jt_wire_flow){
+		.source = key->source,
+		.destination = key->destination,
+		.source_port = key->source_port,
+		.destination_port = key->destination_port,
+		.protocol = key->protocol,
+		.sequence = sequence,
+	};
+}
+
+static struct jt_flow_key flow_key(const jt_wire_flow *flow)
+{
+	return (struct jt_flow_key){
+		.source = flow->source,
+		.destination = flow->destination,
+		.source_port = (uint16_t)flow->source_port,
+		.destination_port = (uint16_t)flow->destination_port,
+		.protocol = (uint8_t)flow->protocol,
+	};
+}
+
+size_t jt_peer_flows_ask(struct jt_peer_sender *sender,
+			 struct jt_membership *membership,
+			 const struct jt_flow_key *key, uint32_t sequence)
+{
+	struct jt_address targets[JT_FLOW_FANOUT];
+	size_t count = jt_membership_flow_targets(membership, targets);
+	jt_wire_director_message message = {
+		.from = membership->id,
+		.body.kind = JT_WIRE_FLOW_QUESTION,
+	};
+
+	message.body.jt_wire_director_body_u.flow_question.flow =
+		flow_wire(key, sequence);
+	for (size_t i = 0; i < count; i++)
+		jt_peer_sender_send(sender, targets[i], &message);
+	return count;
+}
+
+void jt_peer_flows_reply(struct jt_peer_sender *sender,
+			 const struct jt_peer_flow_handler *handler,
+			 struct jt_address to,
+			 const jt_wire_flow_question *question)
+{
+	struct jt_flow_key key = flow_key(&question->flow);
+	jt_wire_director_message message = {
+		.from = sender->membership->id,
+		.body.kind = JT_WIRE_FLOW_ANSWER,
+	};
+	jt_wire_flow_answer *answer =
+		&message.body.jt_wire_director_body_u.flow_answer;
+
+	answer->flow = question->flow;
+	answer->label = handler->label(&key, question->flow.sequence,
+				       handler->private_data);
+	jt_peer_sender_send(sender, to, &message);
+}
+
+void jt_peer_flows_take(const struct jt_peer_flow_handler *handler,
+			const jt_wire_flow_answer *answer)
+{
+	struct jt_flow_key key = flow_key(&answer->flow);
+
+	handler->told(&key, answer->flow.sequence, answer->label,
+		      handler->private_data);
+}
--- a/src/director/jt_peer_frames.h
+++ b/src/director/jt_peer_frames.h
@@ -14,7 +14,7 @@
 };
 
 /* Kinds of messages: enum jt_wire_director_kind, from 1 on. */
-enum { JT_MESSAGE_KINDS = JT_WIRE_FAILURES + 1 };
+enum { JT_MESSAGE_KINDS = JT_WIRE_FLOW_ANSWER + 1 };
 
 struct jt_peer_counters {
 	struct jt_message_count sent[JT_MESSAGE_KINDS];
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -4,6 +4,7 @@
 #include "jt_director_entry.h"
 #include "jt_director_flow.h"
 #include "jt_director_incarnation.h"
+#include "jt_director_lookup.h"
 #include "jt_director_packet.h"
 #include "jt_director_suspicion.h"
 #include "jt_director_zones.h"
@@ -61,6 +62,7 @@
 	director->endpoints =
 		jt_endpoint_table_create(director, opts->endpoint_limit);
 	director->flows = jt_flow_cache_create(director, opts->flow_limit);
+	director->lookups = jt_flow_lookups_create(director);
 	director->peer_loads = jt_peer_loads_create(director);
 	director->chooser = jt_chooser_create(
 		director, opts, director->peer_loads, &director->zone_drains);
@@ -68,9 +70,9 @@
 	director->latency = jt_latency_create(director);
 	director->answers = jt_answer_profiles_create(director);
 	if (director->endpoints == NULL || director->flows == NULL ||
-	    director->chooser == NULL || director->latency == NULL ||
-	    director->peer_loads == NULL || director->admission == NULL ||
-	    director->answers == NULL)
+	    director->lookups == NULL || director->chooser == NULL ||
+	    director->latency == NULL || director->peer_loads == NULL ||
+	    director->admission == NULL || director->answers == NULL)
 		TALLOC_FREE(director);
 	return director;
 }
@@ -416,7 +418,11 @@
 	case JT_DIRECTOR_ZONE_DRAINS:
 		jt_director_zones(director, event, actions);
 		break;
+	case JT_DIRECTOR_FLOW_TOLD:
+		jt_director_flow_told(director, event);
+		break;
 	case JT_DIRECTOR_TICK:
+		director->peer_count = event->u.tick.peer_count;
 		director->nodes =
 			event->u.tick.nodes > 0 ? event->u.tick.nodes : 1;
 		director->chooser->nodes = director->nodes;
--- a/src/label/jt_director_flow.c
+++ b/src/label/jt_director_flow.c
@@ -1,6 +1,36 @@
-/* Ends of cached flows: forgotten silently, or with a reset to the caller. */
+/* Cached flows: how they come, and their ends, silent or with a reset to the
+ * caller. */
 #include "jt_director_flow.h"
 
+/* No flow carries so much from its caller. */
+#define FLOW_BYTES_MOST (1u << 24)
+
+struct jt_cached_flow *jt_director_flow_add(
+	struct jt_director *director, const struct jt_label_packet *packet,
+	struct jt_incarnation *incarnation, uint32_t label, uint64_t now_ms)
+{
+	struct jt_cached_flow *flow;
+
+	if (jt_flow_cache_full(director->flows))
+		jt_director_flow_forget(director, director->flows->rested);
+	flow = jt_flow_cache_add(director->flows, &packet->key, now_ms);
+	if (flow == NULL)
+		return NULL;
+	flow->label = label;
+	flow->sequence_end = packet->sequence + packet->length;
+	flow->acknowledged = packet->acknowledged;
+	flow->sent_ms = now_ms;
+	if (jt_incarnation_placed(incarnation, label))
+		incarnation->flows++;
+	return flow;
+}
+
+bool jt_director_flow_has_first(const struct jt_cached_flow *flow,
+				uint32_t sequence)
+{
+	return flow->sequence_end - sequence < FLOW_BYTES_MOST;
+}
+
 /*
  * The sequence of a reset for a flow without an answer. Its caller takes any;
  * one that has opened the flow through another node takes only those near what
--- a/src/label/jt_director_flow.h
+++ b/src/label/jt_director_flow.h
@@ -1,4 +1,5 @@
-/* Ends of cached flows: forgotten silently, or with a reset to the caller. */
+/* Cached flows: how they come, and their ends, silent or with a reset to the
+ * caller. */
 #ifndef JT_DIRECTOR_FLOW_H
 #define JT_DIRECTOR_FLOW_H
 
@@ -8,6 +9,19 @@
  * the first packet after 200 and 600 ms. */
 enum { JT_CALLER_ENDS_MS = 1400 };
 
+/* A flow that this node has not seen before; its @label is that of
+ * @incarnation, or of an earlier one of the same endpoint. NULL when memory
+ * runs out. */
+struct jt_cached_flow *jt_director_flow_add(
+	struct jt_director *director, const struct jt_label_packet *packet,
+	struct jt_incarnation *incarnation, uint32_t label, uint64_t now_ms);
+/*
+ * Whether a first packet of that sequence belongs to the flow that is known by
+ * its key: a copy, or one that was late or doubled. Otherwise the caller uses
+ * the port again; its sequence numbers then begin anywhere else.
+ */
+bool jt_director_flow_has_first(const struct jt_cached_flow *flow,
+				uint32_t sequence);
 /* The sequence of a reset that a caller takes only while its flow is not
  * open. */
 uint32_t jt_director_opening_sequence(struct jt_director *director);
--- /dev/null
+++ b/src/label/jt_director_lookup.c
@@ -0,0 +1,89 @@
+#include "jt_director_lookup.h"
+#include "jt_director_flow.h"
+#include "jt_mechanism.h"
+
+/* A caller counts the copies of its first packet: the first one itself was sent
+ * through another node, or was lost. What was held has waited before. */
+static bool seeks(const struct jt_director *director,
+		  const struct jt_label_packet *packet, uint64_t now_ms)
+{
+	return packet->acknowledged > 0 && packet->held_ms == 0 &&
+	       director->peer_count > 0 &&
+	       jt_director_learning_ms(director, now_ms) == 0 &&
+	       jt_mechanism_on(director->options.without,
+			       JT_MECHANISM_FLOW_LOOKUP);
+}
+
+bool jt_director_lookup_waits(struct jt_director *director,
+			      const struct jt_label_packet *packet,
+			      uint64_t now_ms,
+			      struct jt_director_actions *actions)
+{
+	struct jt_director_action *action;
+
+	if (jt_flow_lookup_waits(director->lookups, &packet->key, now_ms))
+		return true;
+	if (!seeks(director, packet, now_ms) ||
+	    !jt_flow_lookup_begin(director->lookups, packet, now_ms))
+		return false;
+	action = jt_director_action_add(actions, JT_DIRECTOR_FLOW_ASK,
+					JT_DIRECTOR_PEERS_ASKED);
+	if (action == NULL)
+		return false;
+	director->counters.flows_sought++;
+	action->key = packet->key;
+	action->first_sequence = packet->sequence;
+	return true;
+}
+
+void jt_director_flow_asked(struct jt_director *director,
+			    const struct jt_flow_key *key, size_t peers,
+			    uint64_t now_ms)
+{
+	jt_flow_lookup_asked(director->lookups, key, peers, now_ms);
+}
+
+void jt_director_flow_told(struct jt_director *director,
+			   const struct jt_director_event *event)
+{
+	uint32_t label = event->u.flow_told.label;
+	uint64_t now_ms = event->now_ms;
+	struct jt_incarnation *incarnation =
+		label != 0
+			? jt_endpoint_table_by_label(director->endpoints, label)
+			: NULL;
+	bool known = incarnation != NULL &&
+		     incarnation->state != JT_INCARNATION_DEAD;
+	const struct jt_label_packet *packet = jt_flow_lookup_answered(
+		director->lookups, &event->u.flow_told.key,
+		event->u.flow_told.sequence, known, now_ms);
+	struct jt_cached_flow *flow;
+
+	if (packet == NULL || !known ||
+	    jt_flow_cache_find(director->flows, &packet->key) != NULL)
+		return;
+	director->counters.flows_found++;
+	flow = jt_director_flow_add(director, packet, incarnation, label,
+				    now_ms);
+	if (flow == NULL)
+		return;
+	flow->copies = packet->acknowledged;
+	jt_flow_cache_opening(director->flows, flow, now_ms);
+}
+
+uint32_t jt_director_flow_label(const struct jt_director *director,
+				const struct jt_flow_key *key,
+				uint32_t sequence)
+{
+	const struct jt_cached_flow *flow =
+		jt_flow_cache_find(director->flows, key);
+	const struct jt_incarnation *incarnation;
+
+	if (flow == NULL || !jt_director_flow_has_first(flow, sequence))
+		return 0;
+	incarnation =
+		jt_endpoint_table_by_label(director->endpoints, flow->label);
+	if (incarnation == NULL || incarnation->state == JT_INCARNATION_DEAD)
+		return 0;
+	return flow->label;
+}
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -3,13 +3,11 @@
 #include "jt_director_admission.h"
 #include "jt_director_answers.h"
 #include "jt_director_flow.h"
+#include "jt_director_lookup.h"
 #include "jt_director_suspicion.h"
 #include "jt_mechanism.h"
 #include "jt_outlier.h"
 
-/* No flow carries so much from its caller. */
-#define FLOW_BYTES_MOST (1u << 24)
-
 enum {
 	/* New part of the smoothed time to open: one in so many. */
 	OPEN_PART = 16,
@@ -126,29 +124,6 @@
 	flow->expected = false;
 }
 
-/* A flow that this node has not seen before; its @label is that of
- * @incarnation, or of an earlier one of the same endpoint. */
-static struct jt_cached_flow *flow_add(struct jt_director *director,
-				       const struct jt_label_packet *packet,
-				       struct jt_incarnation *incarnation,
-				       uint32_t label, uint64_t now_ms)
-{
-	struct jt_cached_flow *flow;
-
-	if (jt_flow_cache_full(director->flows))
-		jt_director_flow_forget(director, director->flows->rested);
-	flow = jt_flow_cache_add(director->flows, &packet->key, now_ms);
-	if (flow == NULL)
-		return NULL;
-	flow->label = label;
-	flow->sequence_end = packet->sequence + packet->length;
-	flow->acknowledged = packet->acknowledged;
-	flow->sent_ms = now_ms;
-	if (jt_incarnation_placed(incarnation, label))
-		incarnation->flows++;
-	return flow;
-}
-
 /* Whether endpoints are coming back that may take the flow in a moment. */
 static bool may_place_soon(const struct jt_director *director, uint64_t now_ms)
 {
@@ -211,7 +186,8 @@
 	}
 	if (chosen->entry.zone_id != director->options.zone_id)
 		director->counters.placed_far++;
-	flow = flow_add(director, packet, chosen, chosen->label, now_ms);
+	flow = jt_director_flow_add(director, packet, chosen, chosen->label,
+				    now_ms);
 	if (flow != NULL) {
 		jt_flow_cache_opening(director->flows, flow, now_ms);
 		flow->expected = true;
@@ -245,17 +221,6 @@
 	}
 }
 
-/*
- * Whether a first packet belongs to the flow that is known by its key: a copy,
- * or one that was late or doubled. Otherwise the caller uses the port again;
- * its sequence numbers then begin anywhere else.
- */
-static bool first_belongs(const struct jt_cached_flow *flow,
-			  const struct jt_label_packet *packet)
-{
-	return flow->sequence_end - packet->sequence < FLOW_BYTES_MOST;
-}
-
 /*
  * Whether a copy of a first packet comes so late that its caller has given up,
  * and would open a flow in a zone that is drained now. Sooner than that, the
@@ -325,7 +290,8 @@
 			  actions);
 		return;
 	}
-	if (flow != NULL && !first_belongs(flow, packet)) {
+	if (flow != NULL &&
+	    !jt_director_flow_has_first(flow, packet->sequence)) {
 		jt_director_flow_forget(director, flow);
 		flow = NULL;
 	}
@@ -359,6 +325,10 @@
 		}
 		jt_director_flow_forget(director, flow);
 		reason = JT_DIRECTOR_PLACED_AGAIN;
+	} else if (jt_director_lookup_waits(director, packet, now_ms,
+					    actions)) {
+		add_hold(director, packet, JT_DIRECTOR_PEERS_ASKED, actions);
+		return;
 	}
 	suspect_refusal(director, &packet->key, now_ms, actions);
 	place(director, packet, route, reason, now_ms, actions);
@@ -472,7 +442,8 @@
 	bool reset = !(packet->flags & JT_PACKET_RST);
 
 	if (flow == NULL && reset && incarnation->entry.born_ms != 0)
-		flow = flow_add(director, packet, incarnation, label, now_ms);
+		flow = jt_director_flow_add(director, packet, incarnation,
+					    label, now_ms);
 	/* It had not opened when it came here first. */
 	if (flow != NULL && flow->opening_ms != 0) {
 		jt_flow_cache_opened(director->flows, flow);
@@ -546,8 +517,8 @@
 	}
 	if (flow == NULL) {
 		if (!(packet->flags & JT_PACKET_RST))
-			flow = flow_add(director, packet, incarnation, label,
-					now_ms);
+			flow = jt_director_flow_add(director, packet,
+						    incarnation, label, now_ms);
 		/* Now a flow here hangs on whether the peer was right. */
 		if (jt_detector_peer_found_dead(incarnation, now_ms))
 			jt_director_suspect(director, incarnation,
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -10,6 +10,7 @@
 #include "jt_endpoint_table.h"
 #include "jt_failure_news.h"
 #include "jt_flow_cache.h"
+#include "jt_flow_lookup.h"
 #include "jt_latency.h"
 #include "jt_peer_loads.h"
 #include "jt_routing.h"
@@ -23,6 +24,7 @@
 	uint64_t openings_ms; /* when overdue answers were last looked for */
 	double open_ms;	      /* smoothed time to a first packet's answer */
 	uint64_t nodes;	      /* that share the endpoints, this one too */
+	size_t peer_count;    /* other nodes that may be asked */
 	uint64_t revision;    /* all changes up to it are known */
 	uint64_t forgotten_revision; /* the newest of a forgotten entry */
 	bool listed;	  /* discovery was told whole at least once */
@@ -30,6 +32,7 @@
 	struct jt_endpoint_table *endpoints;
 	struct jt_zone_drains zone_drains;
 	struct jt_flow_cache *flows;
+	struct jt_flow_lookups *lookups;
 	struct jt_chooser *chooser;
 	struct jt_admission *admission;
 	struct jt_detector detector;
--- a/src/label/jt_director_view.c
+++ b/src/label/jt_director_view.c
@@ -248,6 +248,7 @@
 		[JT_DIRECTOR_LEARNING] = "learning",
 		[JT_DIRECTOR_UNPROVEN] = "death_unproven",
 		[JT_DIRECTOR_OVERLOADED] = "overloaded",
+		[JT_DIRECTOR_PEERS_ASKED] = "peers_asked",
 	};
 
 	return names[reason];
--- a/src/label/jt_flow_cache.c
+++ b/src/label/jt_flow_cache.c
@@ -21,8 +21,7 @@
 	return cache;
 }
 
-/* The key without padding bytes, which a hash must not read. */
-static void key_copy(struct jt_flow_key *to, const struct jt_flow_key *from)
+void jt_flow_key_copy(struct jt_flow_key *to, const struct jt_flow_key *from)
 {
 	memset(to, 0, sizeof(*to));
 	to->source = from->source;
@@ -38,7 +37,7 @@
 	struct jt_cached_flow *found;
 	struct jt_flow_key plain;
 
-	key_copy(&plain, key);
+	jt_flow_key_copy(&plain, key);
 	HASH_FIND(hh, cache->flows, &plain, sizeof(plain), found);
 	return found;
 }
@@ -51,7 +50,7 @@
 
 	if (flow == NULL)
 		return NULL;
-	key_copy(&flow->key, key);
+	jt_flow_key_copy(&flow->key, key);
 	flow->first_seen_ms = now_ms;
 	flow->seen_ms = now_ms;
 	HASH_ADD(hh, cache->flows, key, sizeof(flow->key), flow);
--- a/src/label/jt_flow_cache.h
+++ b/src/label/jt_flow_cache.h
@@ -54,6 +54,8 @@
 	size_t limit;
 };
 
+/* The key without padding bytes, which a hash must not read. */
+void jt_flow_key_copy(struct jt_flow_key *to, const struct jt_flow_key *from);
 struct jt_flow_cache *jt_flow_cache_create(TALLOC_CTX *mem_ctx, size_t limit);
 struct jt_cached_flow *jt_flow_cache_find(const struct jt_flow_cache *cache,
 					  const struct jt_flow_key *key);
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -25,6 +25,10 @@
 	JT_PEER_LIMIT = 38000,
 	JT_DIGEST_FANOUT = 2, /* peers told in each round */
 	JT_NEWS_FANOUT = 4,   /* peers that news is sent on to at once */
+	/* Peers that are asked where a flow is: whole zones up to some size,
+	 * beyond that a part of them. */
+	JT_FLOW_FANOUT = 24,
+	JT_FLOW_FANOUT_FAR = 6, /* so many at least, of any zone */
 };
 
 struct jt_peer {
@@ -119,6 +123,11 @@
  * how many of @targets were set. */
 size_t jt_membership_news_targets(struct jt_membership *membership,
 				  struct jt_address targets[JT_NEWS_FANOUT]);
+/* Choose whom to ask for a flow that routers may have moved here: peers that
+ * they do without, and others of this node's zone; of other zones where it has
+ * few. Returns how many of @targets were set. */
+size_t jt_membership_flow_targets(struct jt_membership *membership,
+				  struct jt_address targets[JT_FLOW_FANOUT]);
 /* What a digest tells of this node itself. */
 void jt_membership_own_state(const struct jt_membership *membership,
 			     const struct jt_own_state *own, uint64_t now_ms,
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -208,6 +208,27 @@
 };
 typedef struct jt_wire_knowledge jt_wire_knowledge;
 
+struct jt_wire_flow {
+	u_int source;
+	u_int destination;
+	u_int source_port;
+	u_int destination_port;
+	u_int protocol;
+	u_int sequence;
+};
+typedef struct jt_wire_flow jt_wire_flow;
+
+struct jt_wire_flow_question {
+	jt_wire_flow flow;
+};
+typedef struct jt_wire_flow_question jt_wire_flow_question;
+
+struct jt_wire_flow_answer {
+	jt_wire_flow flow;
+	u_int label;
+};
+typedef struct jt_wire_flow_answer jt_wire_flow_answer;
+
 enum jt_wire_director_kind {
 	JT_WIRE_DIGEST = 1,
 	JT_WIRE_SUSPICION = 2,
@@ -216,6 +237,8 @@
 	JT_WIRE_NEWS = 5,
 	JT_WIRE_STANDING = 6,
 	JT_WIRE_FAILURES = 7,
+	JT_WIRE_FLOW_QUESTION = 8,
+	JT_WIRE_FLOW_ANSWER = 9,
 };
 typedef enum jt_wire_director_kind jt_wire_director_kind;
 
@@ -229,6 +252,8 @@
 		jt_wire_news news;
 		jt_wire_standing standing;
 		jt_wire_failures failures;
+		jt_wire_flow_question flow_question;
+		jt_wire_flow_answer flow_answer;
 	} jt_wire_director_body_u;
 };
 typedef struct jt_wire_director_body jt_wire_director_body;
@@ -259,6 +284,9 @@
 extern  bool_t xdr_jt_wire_zone_drain (XDR *, jt_wire_zone_drain*);
 extern  bool_t xdr_jt_wire_news (XDR *, jt_wire_news*);
 extern  bool_t xdr_jt_wire_knowledge (XDR *, jt_wire_knowledge*);
+extern  bool_t xdr_jt_wire_flow (XDR *, jt_wire_flow*);
+extern  bool_t xdr_jt_wire_flow_question (XDR *, jt_wire_flow_question*);
+extern  bool_t xdr_jt_wire_flow_answer (XDR *, jt_wire_flow_answer*);
 extern  bool_t xdr_jt_wire_director_kind (XDR *, jt_wire_director_kind*);
 extern  bool_t xdr_jt_wire_director_body (XDR *, jt_wire_director_body*);
 extern  bool_t xdr_jt_wire_director_message (XDR *, jt_wire_director_message*);
@@ -281,6 +309,9 @@
 extern bool_t xdr_jt_wire_zone_drain ();
 extern bool_t xdr_jt_wire_news ();
 extern bool_t xdr_jt_wire_knowledge ();
+extern bool_t xdr_jt_wire_flow ();
+extern bool_t xdr_jt_wire_flow_question ();
+extern bool_t xdr_jt_wire_flow_answer ();
 extern bool_t xdr_jt_wire_director_kind ();
 extern bool_t xdr_jt_wire_director_body ();
 extern bool_t xdr_jt_wire_director_message ();
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -185,6 +185,30 @@
 	jt_wire_zone_drain zones<JT_DIRECTOR_MAX_ZONES>;
 };
 
+/* A caller's flow, and the sequence of its first packet. */
+struct jt_wire_flow {
+	unsigned int source;
+	unsigned int destination;
+	unsigned int source_port;
+	unsigned int destination_port;
+	unsigned int protocol;
+	unsigned int sequence;
+};
+
+/*
+ * A copy of a first packet came to the sender, which saw none before: asks
+ * where the flow is, of the nodes that routers may have moved it from.
+ */
+struct jt_wire_flow_question {
+	jt_wire_flow flow;
+};
+
+/* Sent back to the node that asked. */
+struct jt_wire_flow_answer {
+	jt_wire_flow flow;
+	unsigned int label; /* of its endpoint; 0: not known here either */
+};
+
 enum jt_wire_director_kind {
 	JT_WIRE_DIGEST = 1,
 	JT_WIRE_SUSPICION = 2,
@@ -192,7 +216,9 @@
 	JT_WIRE_LOADS = 4,
 	JT_WIRE_NEWS = 5,
 	JT_WIRE_STANDING = 6,
-	JT_WIRE_FAILURES = 7
+	JT_WIRE_FAILURES = 7,
+	JT_WIRE_FLOW_QUESTION = 8,
+	JT_WIRE_FLOW_ANSWER = 9
 };
 
 union jt_wire_director_body switch (jt_wire_director_kind kind) {
@@ -210,6 +236,10 @@
 	jt_wire_standing standing;
 case JT_WIRE_FAILURES:
 	jt_wire_failures failures;
+case JT_WIRE_FLOW_QUESTION:
+	jt_wire_flow_question flow_question;
+case JT_WIRE_FLOW_ANSWER:
+	jt_wire_flow_answer flow_answer;
 };
 
 struct jt_wire_director_message {
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -688,6 +688,99 @@
 	return TRUE;
 }
 
+bool_t
+xdr_jt_wire_flow (XDR *xdrs, jt_wire_flow *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->source))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->destination))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->source_port))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->destination_port))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->protocol))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sequence))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->source);
+			IXDR_PUT_U_LONG(buf, objp->destination);
+			IXDR_PUT_U_LONG(buf, objp->source_port);
+			IXDR_PUT_U_LONG(buf, objp->destination_port);
+			IXDR_PUT_U_LONG(buf, objp->protocol);
+			IXDR_PUT_U_LONG(buf, objp->sequence);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->source))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->destination))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->source_port))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->destination_port))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->protocol))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sequence))
+				 return FALSE;
+		} else {
+			objp->source = IXDR_GET_U_LONG(buf);
+			objp->destination = IXDR_GET_U_LONG(buf);
+			objp->source_port = IXDR_GET_U_LONG(buf);
+			objp->destination_port = IXDR_GET_U_LONG(buf);
+			objp->protocol = IXDR_GET_U_LONG(buf);
+			objp->sequence = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->source))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->destination))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->source_port))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->destination_port))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->protocol))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sequence))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_jt_wire_flow_question (XDR *xdrs, jt_wire_flow_question *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_jt_wire_flow (xdrs, &objp->flow))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_jt_wire_flow_answer (XDR *xdrs, jt_wire_flow_answer *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_jt_wire_flow (xdrs, &objp->flow))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->label))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_jt_wire_director_kind (XDR *xdrs, jt_wire_director_kind *objp)
 {
@@ -734,6 +827,14 @@
 		 if (!xdr_jt_wire_failures (xdrs, &objp->jt_wire_director_body_u.failures))
 			 return FALSE;
 		break;
+	case JT_WIRE_FLOW_QUESTION:
+		 if (!xdr_jt_wire_flow_question (xdrs, &objp->jt_wire_director_body_u.flow_question))
+			 return FALSE;
+		break;
+	case JT_WIRE_FLOW_ANSWER:
+		 if (!xdr_jt_wire_flow_answer (xdrs, &objp->jt_wire_director_body_u.flow_answer))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/tests/test_director_settings.c
+++ b/tests/test_director_settings.c
@@ -119,7 +119,7 @@
 		assert_int_equal(jt_mechanism_find(names[bit]), 1u << bit);
 		all |= 1u << bit;
 	}
-	assert_int_equal(all, 2 * JT_MECHANISM_ZONE_ROOM - 1);
+	assert_int_equal(all, 2 * JT_MECHANISM_FLOW_LOOKUP - 1);
 	assert_int_equal(jt_mechanism_find("early-end"),
 			 JT_MECHANISM_EARLY_END);
 	assert_int_equal(jt_mechanism_find("outliers"), JT_MECHANISM_OUTLIERS);
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -464,6 +464,94 @@
 	talloc_free(membership);
 }
 
+/* So many nodes of the zone that stand so, at the addresses from @first on. */
+static void nodes_stand(struct jt_membership *membership, int first, int count,
+			jt_wire_standing standing)
+{
+	for (int i = first; i < first + count; i++)
+		jt_membership_standing(membership, 100 + (uint64_t)i,
+				       address_of(i), &standing, 1000);
+}
+
+static bool is_target(const struct jt_address *targets, size_t count, int index)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (targets[i].ip == address_of(index).ip)
+			return true;
+	}
+	return false;
+}
+
+/* Failure 64: where a flow may be is asked of the own zone, and of nodes that
+ * routers do without; a node that has not started knows of none. */
+static void test_copies_ask_peers_of_the_zone(void **state)
+{
+	const jt_wire_standing serves = {
+		.zone = 1, .started = TRUE, .ready = TRUE};
+	const jt_wire_standing far = {
+		.zone = 2, .started = TRUE, .ready = TRUE};
+	const jt_wire_standing far_leaves = {
+		.zone = 2, .started = TRUE, .leaving = TRUE, .ready = TRUE};
+	const jt_wire_standing starts = {.zone = 1};
+	struct jt_membership *membership =
+		jt_membership_create(NULL, 1, address_of(0), 1);
+	struct jt_address targets[JT_FLOW_FANOUT];
+	size_t count;
+
+	(void)state;
+	assert_int_equal(jt_membership_flow_targets(membership, targets), 0);
+	nodes_stand(membership, 1, 10, serves);
+	nodes_stand(membership, 11, 10, far);
+	nodes_stand(membership, 21, 1, far_leaves);
+	nodes_stand(membership, 22, 1, starts);
+	count = jt_membership_flow_targets(membership, targets);
+	assert_int_equal(count, 11);
+	for (int i = 1; i <= 10; i++)
+		assert_true(is_target(targets, count, i));
+	assert_true(is_target(targets, count, 21));
+	talloc_free(membership);
+}
+
+/* A zone of one node hands its flows to others and takes them back. */
+static void test_lone_nodes_ask_other_zones(void **state)
+{
+	const jt_wire_standing far = {
+		.zone = 2, .started = TRUE, .ready = TRUE};
+	struct jt_membership *membership =
+		jt_membership_create(NULL, 1, address_of(0), 1);
+	struct jt_address targets[JT_FLOW_FANOUT];
+
+	(void)state;
+	nodes_stand(membership, 1, 20, far);
+	assert_int_equal(jt_membership_flow_targets(membership, targets),
+			 JT_FLOW_FANOUT_FAR);
+	talloc_free(membership);
+}
+
+/* However many nodes a zone has; those that routers do without go first. */
+static void test_questions_go_to_some_of_many(void **state)
+{
+	const jt_wire_standing serves = {
+		.zone = 1, .started = TRUE, .ready = TRUE};
+	const jt_wire_standing leaves = {
+		.zone = 1, .started = TRUE, .leaving = TRUE};
+	struct jt_membership *membership =
+		jt_membership_create(NULL, 1, address_of(0), 1);
+	struct jt_address targets[JT_FLOW_FANOUT];
+
+	(void)state;
+	nodes_stand(membership, 1, 2000, serves);
+	nodes_stand(membership, 2001, 3, leaves);
+	for (int i = 0; i < 20; i++) {
+		assert_int_equal(
+			jt_membership_flow_targets(membership, targets),
+			JT_FLOW_FANOUT);
+		for (int node = 2001; node <= 2003; node++)
+			assert_true(is_target(targets, JT_FLOW_FANOUT, node));
+	}
+	talloc_free(membership);
+}
+
 /* Where nodes are many each is heard of seldom: none of them gives way to
  * another, or is forgotten before it is taken for lost. */
 static void test_thousands_are_known_at_once(void **state)
@@ -521,6 +609,9 @@
 		cmocka_unit_test(test_live_peers_of_many_are_not_lost),
 		cmocka_unit_test(test_node_that_starts_learns_some_first),
 		cmocka_unit_test(test_thousands_are_known_at_once),
+		cmocka_unit_test(test_copies_ask_peers_of_the_zone),
+		cmocka_unit_test(test_lone_nodes_ask_other_zones),
+		cmocka_unit_test(test_questions_go_to_some_of_many),
 		cmocka_unit_test(test_news_crosses_through_some_nodes),
 		cmocka_unit_test(test_digests_of_many_stay_in_their_zone),
 		cmocka_unit_test(test_dead_peer_is_lost_and_told_once),
