--- a/src/label/jt_endpoint_table.c
+++ b/src/label/jt_endpoint_table.c
@@ -394,6 +394,29 @@
 		 sizeof(earlier_label), incarnation);
 }
 
+/* When the incarnation first came to discovery, of two times it is said to
+ * have; 0: unknown. An entry that lapsed and came back is created anew, and
+ * nodes that start after that must not see another order than those that know
+ * the first time. */
+static uint64_t created_first(uint64_t a, uint64_t b)
+{
+	if (a == 0 || b == 0)
+		return a + b;
+	return a < b ? a : b;
+}
+
+/* The incarnation came at @created: its place among those of its label may be
+ * another. */
+static void created_note(struct jt_endpoint_table *table,
+			 struct jt_incarnation *incarnation, uint64_t created)
+{
+	if (created == incarnation->entry.created)
+		return;
+	label_leave(table, incarnation);
+	incarnation->entry.created = created;
+	label_join(table, incarnation);
+}
+
 enum jt_entry_result
 jt_endpoint_table_take(struct jt_endpoint_table *table,
 		       const struct jt_endpoint_entry *entry, bool stale,
@@ -401,18 +424,26 @@
 {
 	struct jt_incarnation *known =
 		jt_endpoint_table_by_id(table, entry->id);
-	uint64_t gone_revision;
+	uint64_t gone_revision, created, former;
 	bool unreadable, restarted;
 
 	if (known == NULL)
 		return entry_add(table, entry, now_ms, incarnation);
 	known->told = true;
-	if (!stale && entry->revision <= known->entry.revision)
+	restarted = entry->born_ms != known->entry.born_ms;
+	former = known->entry.created;
+	created = restarted ? entry->created
+			    : created_first(entry->created, former);
+	if (!stale && entry->revision <= known->entry.revision) {
+		if (!restarted)
+			created_note(table, known, created);
 		return JT_ENTRY_OLD;
+	}
 	gone_revision = known->entry.gone_revision;
 	unreadable = known->entry.unreadable;
-	restarted = entry->born_ms != known->entry.born_ms;
 	entry_replace(table, known, entry, now_ms);
+	known->entry.created = former;
+	created_note(table, known, created);
 	/* What it said before it went is news, but does not bring it back. */
 	if (!stale && gone_revision > entry->revision) {
 		known->entry.gone_revision = gone_revision;
--- a/tests/test_many_endpoints.c
+++ b/tests/test_many_endpoints.c
@@ -252,6 +252,63 @@
 	return bench;
 }
 
+static void take_back(struct bench *bench, uint64_t id, uint64_t revision)
+{
+	struct jt_endpoint_entry entry =
+		entry_of(id, SERVICE_BOARD, ZONE_A, revision);
+
+	entry.created = revision;
+	bench_entry(bench, entry);
+}
+
+/* Both entries lapse while the store is away; the younger one's is back first.
+ */
+static void entries_come_back(struct bench *bench)
+{
+	bench_gone(bench, OLD_ID, 21);
+	bench_gone(bench, YOUNG_ID, 22);
+	bench_tick(bench, 1000);
+	take_back(bench, YOUNG_ID, 30);
+	take_back(bench, OLD_ID, 31);
+	bench_tick(bench, LEARNED_MS);
+}
+
+static void learn_from(struct bench *bench, const struct bench *peer)
+{
+	struct jt_endpoint_entry entry;
+	enum jt_incarnation_state state;
+
+	for (size_t i = 0;
+	     jt_director_endpoint_at(peer->director, i, &entry, &state); i++)
+		bench_entry(bench, entry);
+}
+
+/* Failure 59: nodes that start after an outage of the store must send open
+ * flows where those that know of the time before it do. */
+static void test_an_entry_that_came_back_keeps_its_label(void **state)
+{
+	struct bench *peer = two_clashing();
+
+	(void)state;
+	entries_come_back(peer);
+	assert_int_equal(flows_at(peer, 20, OLD_ID), 20);
+	for (int reads_store = 0; reads_store < 2; reads_store++) {
+		struct bench *bench = bench_create(0);
+
+		bench_routing(bench, 1, 50, 50);
+		if (reads_store) {
+			take_back(bench, YOUNG_ID, 30);
+			take_back(bench, OLD_ID, 31);
+		}
+		learn_from(bench, peer);
+		bench_listed(bench, 31);
+		bench_tick(bench, LEARNED_MS);
+		assert_int_equal(flows_at(bench, 20, OLD_ID), 20);
+		talloc_free(bench);
+	}
+	talloc_free(peer);
+}
+
 /* Once flows of the older one can't live any more, the other takes over. */
 static void test_the_younger_one_follows(void **state)
 {
@@ -339,6 +396,7 @@
 		cmocka_unit_test(test_few_are_told_before_the_start),
 		cmocka_unit_test(test_addresses),
 		cmocka_unit_test(test_the_older_one_has_the_label),
+		cmocka_unit_test(test_an_entry_that_came_back_keeps_its_label),
 		cmocka_unit_test(test_the_younger_one_follows),
 		cmocka_unit_test(test_the_younger_one_ends_alone),
 		cmocka_unit_test(test_ticks_leave_the_well_alone),
