--- a/src/lab/label.c
+++ b/src/lab/label.c
@@ -9,6 +9,7 @@
 #include "world_private.h"
 
 #include "jaspertrack/director.h"
+#include "jt_flow_lookup.h"
 #include "jt_routing.h"
 
 #include <string.h>
@@ -20,9 +21,21 @@
 	DISCOVERY_LAPSE_US = 3600000, /* three beats of an endpoint */
 	REPORT_BYTES = 1100, /* digest and loads to two peers, each look */
 	CALL_BYTES = 260,    /* a store call */
+	QUESTION_BYTES = 90, /* where a flow is; the answer has as many */
 	MESSAGE_SPAN = 4096, /* sequence numbers of one message */
 };
 
+/* A packet that a node holds until peers have answered. */
+struct label_held {
+	struct world *world;
+	uint16_t node;
+	struct jt_flow_key key;
+	uint32_t sequence; /* of the flow's first packet */
+	uint8_t tcp_flags;
+	uint64_t packet;
+	uint64_t since_us;
+};
+
 struct label_node {
 	struct jt_director *director; /* NULL: not running */
 	bool paused;
@@ -43,11 +56,14 @@
 	uint64_t revision;
 	uint64_t routed; /* revision of the configuration that is routed */
 	struct jt_director_actions *actions;
+	uint64_t node_ids[JT_CLUSTER_NODES];
 	/* The packet in hand. */
 	uint16_t node;
 	uint64_t packet;
+	uint8_t tcp_flags;
 	struct jt_flow_key key;
 	bool in_hand;
+	bool held; /* the packet that was last in hand */
 };
 
 struct label_probe {
@@ -249,6 +265,9 @@
 		if (label->routed != world->revision)
 			tell_routing(world, n);
 		tick.u.tick.nodes = world->scenario->node_count;
+		tick.u.tick.node_id = n + 1u;
+		tick.u.tick.peers = label->node_ids;
+		tick.u.tick.peer_count = world->scenario->node_count;
 		label_event(world, n, &tick);
 	}
 	label->routed = world->revision;
@@ -260,6 +279,8 @@
 {
 	world->label = talloc_zero(world, struct label_world);
 	world->label->actions = jt_director_actions_create(world->label);
+	for (uint64_t n = 0; n < JT_CLUSTER_NODES; n++)
+		world->label->node_ids[n] = n + 1;
 	look(world, 0);
 }
 
@@ -381,6 +402,88 @@
 	}
 }
 
+/* Questions about flows: all other nodes answer, and the packet is offered
+ * again; once more when those that are down have had their time. */
+
+static void packet_offer(struct world *world, uint16_t index,
+			 const struct jt_flow_key *key, uint8_t tcp_flags,
+			 uint64_t packet, uint32_t held_ms);
+
+static void held_offer(struct label_held *held)
+{
+	uint64_t held_us = world_now(held->world) - held->since_us;
+
+	packet_offer(held->world, held->node, &held->key, held->tcp_flags,
+		     held->packet, (uint32_t)(held_us / 1000) + 1);
+}
+
+static void lookup_over(void *object, uint64_t argument)
+{
+	struct label_held *held = object;
+
+	(void)argument;
+	held_offer(held);
+	talloc_free(held);
+}
+
+static void peer_answers(const struct label_held *held, uint16_t index)
+{
+	struct label_world *label = held->world->label;
+	struct jt_director_event event = {.kind = JT_DIRECTOR_FLOW_TOLD};
+
+	label->nodes[index].bytes += QUESTION_BYTES;
+	event.u.flow_told.key = held->key;
+	event.u.flow_told.sequence = held->sequence;
+	event.u.flow_told.label = jt_director_flow_label(
+		label->nodes[index].director, &held->key, held->sequence);
+	label_event(held->world, held->node, &event);
+}
+
+static void peers_answer(void *object, uint64_t argument)
+{
+	struct label_held *held = object;
+	struct world *world = held->world;
+
+	(void)argument;
+	for (uint16_t n = 0; n < world->scenario->node_count; n++) {
+		if (n != held->node && label_ready(world, n) &&
+		    label_ready(world, held->node))
+			peer_answers(held, n);
+	}
+	world->label->held = false;
+	held_offer(held);
+	if (world->label->held)
+		jt_scheduler_after(world->scheduler, JT_FLOW_LOOKUP_MS * 1000,
+				   lookup_over, held, 0);
+	else
+		talloc_free(held);
+}
+
+/* Of the packet in hand, which is held meanwhile. */
+static void peers_ask(struct world *world, uint16_t index,
+		      const struct jt_director_action *action)
+{
+	struct label_world *label = world->label;
+	struct label_held *held = talloc_zero(world, struct label_held);
+	size_t peers = world->scenario->node_count - 1;
+
+	*held = (struct label_held){
+		.world = world,
+		.node = index,
+		.key = action->key,
+		.sequence = action->first_sequence,
+		.tcp_flags = label->tcp_flags,
+		.packet = label->packet,
+		.since_us = world_now(world),
+	};
+	label->nodes[index].bytes += peers * QUESTION_BYTES;
+	jt_director_flow_asked(label->nodes[index].director, &action->key,
+			       peers, world_now(world) / 1000);
+	jt_scheduler_after(world->scheduler,
+			   (uint64_t)(world->scenario->zone_to_zone_ms * 2000),
+			   peers_answer, held, 0);
+}
+
 static void verdict_tell(struct world *world, enum jt_verdict_kind kind,
 			 struct jt_address endpoint)
 {
@@ -412,6 +515,12 @@
 			reset_other(world, &action->key,
 				    action->reset_sequence);
 		break;
+	case JT_DIRECTOR_HOLD:
+		label->held = true;
+		break;
+	case JT_DIRECTOR_FLOW_ASK:
+		peers_ask(world, index, action);
+		break;
 	case JT_DIRECTOR_PROBE:
 	case JT_DIRECTOR_IDENTIFY:
 		probe_start(world, index, action);
@@ -454,9 +563,9 @@
 			     (flow->label_incarnation & 0xffff));
 }
 
-void label_packet(struct world *world, uint16_t index,
-		  const struct jt_flow_key *key, uint8_t tcp_flags,
-		  uint64_t packet)
+static void packet_offer(struct world *world, uint16_t index,
+			 const struct jt_flow_key *key, uint8_t tcp_flags,
+			 uint64_t packet, uint32_t held_ms)
 {
 	struct jt_director_event event = {.kind = JT_DIRECTOR_PACKET};
 	struct flow *flow = world->flows[packet >> 36];
@@ -476,16 +585,25 @@
 		.sequence =
 			tcp_flags & JT_TCP_SYN ? 0 : message * MESSAGE_SPAN + 1,
 		.acknowledged = tcp_flags & JT_TCP_SYN
-					? 0
+					? flow->tries
 					: (message - (flow->awaiting && data)) *
 							  MESSAGE_SPAN +
 						  flow->parts + 1,
 		.length = data ? 100 : 0,
+		.held_ms = held_ms,
 	};
 	label->node = index;
 	label->packet = packet;
+	label->tcp_flags = tcp_flags;
 	label->key = *key;
 	label->in_hand = true;
 	label_event(world, index, &event);
 	label->in_hand = false;
 }
+
+void label_packet(struct world *world, uint16_t index,
+		  const struct jt_flow_key *key, uint8_t tcp_flags,
+		  uint64_t packet)
+{
+	packet_offer(world, index, key, tcp_flags, packet, 0);
+}
