--- a/tests/soak/soak_oracle.c
+++ b/tests/soak/soak_oracle.c
@@ -298,6 +298,41 @@
 		    (unsigned long long)endpoint->id);
 }
 
+/* Whether some node's process was gone or paused since shortly before then: it
+ * can't tell the others where it placed a flow. */
+static bool node_gone(const struct soak *soak, uint64_t since_ms)
+{
+	for (int i = 0; i < soak->node_count; i++) {
+		const struct soak_node *node = &soak->nodes[i];
+
+		if (node->pid == 0 || node->stopped ||
+		    node->gone_ms + SOAK_CONTACT_MS > since_ms)
+			return true;
+	}
+	return false;
+}
+
+bool soak_check_taken_twice(struct soak *soak, int taken, int index,
+			    uint32_t caller_ip, uint16_t caller_port,
+			    uint64_t first_ms)
+{
+	char flow[JT_ADDRESS_TEXT];
+
+	/* The first one took the flow along when it ended. */
+	if (soak->endpoints[taken].life == SOAK_ENDED)
+		return false;
+	if (node_gone(soak, first_ms))
+		return true;
+	soak_broken(soak, "FLOW",
+		    "copies of a first packet reached two endpoints: of %s at "
+		    "%llx and %llx",
+		    jt_address_format(
+			    (struct jt_address){caller_ip, caller_port}, flow),
+		    (unsigned long long)soak->endpoints[taken].id,
+		    (unsigned long long)soak->endpoints[index].id);
+	return true;
+}
+
 void soak_check_astray(struct soak *soak, int index, int owner, int node)
 {
 	soak_broken(soak, "FLOW",
--- a/tests/test_soak_oracle.c
+++ b/tests/test_soak_oracle.c
@@ -52,6 +52,10 @@
 
 	soak->events = fopen("/dev/null", "w");
 	assert_non_null(soak->events);
+	soak->node_count = SOAK_NODES_LEAST;
+	for (int i = 0; i < soak->node_count; i++)
+		soak->nodes[i] =
+			(struct soak_node){.pid = 1, .gone_ms = LONG_AGO_MS};
 	soak->endpoint_count = SOAK_SERVICES;
 	for (uint32_t i = 0; i < SOAK_SERVICES; i++) {
 		soak->endpoints[i] = (struct soak_endpoint){
@@ -181,6 +185,48 @@
 	assert_true(refusal_breaks(soak, SOAK_SWITCH_PORT));
 }
 
+/* Whether two endpoints that took one flow's first packet break a promise. */
+static bool taken_twice_breaks(struct soak *soak)
+{
+	unsigned broken = soak->broken;
+
+	soak_check_taken_twice(soak, OTHER_ENDPOINT, 0, 0x7f490002, 10000,
+			       SENT_MS);
+	return soak->broken > broken;
+}
+
+static void test_two_endpoints_of_a_flow_break(void **state)
+{
+	struct soak *soak = *state;
+
+	assert_true(taken_twice_breaks(soak));
+	/* However much is wrong between nodes and the store. */
+	soak->nodes[NODE].disturbed_ms = JUST_BEFORE_MS;
+	assert_true(taken_twice_breaks(soak));
+}
+
+/* Soak seed 1001: the first one had crashed and started again under its id
+ * 0.17 s before the copy came; the node could not know. */
+static void test_an_endpoint_that_ended_has_no_flow(void **state)
+{
+	struct soak *soak = *state;
+
+	endpoint_replaced(soak, JUST_BEFORE_MS);
+	assert_false(taken_twice_breaks(soak));
+}
+
+static void test_a_node_that_is_gone_tells_nothing(void **state)
+{
+	struct soak *soak = *state;
+
+	soak->nodes[NODE].gone_ms = JUST_BEFORE_MS;
+	assert_false(taken_twice_breaks(soak));
+	soak->nodes[NODE].gone_ms = SENT_MS - SOAK_CONTACT_MS;
+	assert_true(taken_twice_breaks(soak));
+	soak->nodes[NODE].stopped = true;
+	assert_false(taken_twice_breaks(soak));
+}
+
 #define ORACLE_TEST(test) cmocka_unit_test_setup_teardown(test, setup, teardown)
 
 int main(void)
@@ -195,6 +241,9 @@
 		ORACLE_TEST(test_reset_by_an_older_version_holds),
 		ORACLE_TEST(test_reset_after_the_bound_of_a_version_breaks),
 		ORACLE_TEST(test_refusal_long_after_an_end_breaks),
+		ORACLE_TEST(test_two_endpoints_of_a_flow_break),
+		ORACLE_TEST(test_an_endpoint_that_ended_has_no_flow),
+		ORACLE_TEST(test_a_node_that_is_gone_tells_nothing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
