--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -86,6 +86,13 @@
 	bool draining;	   /* its endpoints get no new flows */
 };
 
+/* Between two revisions a whole list was taken: what came and went in between
+ * is not known. Both 0: there is none. */
+struct jt_list_gap {
+	uint64_t from;
+	uint64_t to;
+};
+
 /* Flows that a node has open at one endpoint. */
 struct jt_endpoint_load {
 	uint32_t label;
@@ -161,6 +168,9 @@
 	JT_DIRECTOR_LISTED, /* all that discovery had at a revision is told */
 	JT_DIRECTOR_CAUGHT_UP, /* all changes up to a revision are told */
 	JT_DIRECTOR_INFORMED,  /* a peer told all it knows at a revision */
+	/* All endpoints of some slices were told that a peer had at a
+	 * revision. */
+	JT_DIRECTOR_SLICES_TOLD,
 	JT_DIRECTOR_NEWS, /* entries that changed up to a revision were told */
 	JT_DIRECTOR_SUSPICION, /* a peer has found the endpoint dead */
 	JT_DIRECTOR_OVERDUE,   /* a peer gets no answers from the endpoint */
@@ -190,11 +200,23 @@
 			/* Informed: the peer may lack entries for so long yet,
 			 * 0: it knows all. */
 			uint32_t learning_ms;
+			/* Informed: in what the peer knows. */
+			struct jt_list_gap gap;
+			/* The same: before it the peer may lack changes. */
+			uint64_t forgotten;
 		} listed; /* and caught up, informed */
+		struct {
+			uint32_t first; /* slice */
+			uint32_t end;	/* the one after the last */
+			uint64_t revision;
+			const uint64_t *ids; /* that were told, sorted */
+			size_t count;
+		} slices;
 		struct {
 			uint64_t since; /* all entries changed after it */
 			uint64_t revision;
 			uint64_t routing_version; /* in force at the teller */
+			struct jt_list_gap gap;	  /* in what it knows */
 		} news;
 		struct {
 			uint64_t id;
--- a/src/director/jt_director_node_news.c
+++ b/src/director/jt_director_node_news.c
@@ -95,15 +95,12 @@
 
 /* All changes up to @revision are known. */
 static void revision_take(struct jt_director_node *node,
-			  enum jt_director_event_kind kind, uint64_t revision,
-			  uint32_t learning_ms)
+			  struct jt_director_event *event)
 {
-	struct jt_director_event event = {.kind = kind};
 	uint64_t before = jt_director_revision(node->director);
+	uint64_t revision = event->u.listed.revision;
 
-	event.u.listed.revision = revision;
-	event.u.listed.learning_ms = learning_ms;
-	jt_director_node_event(node, &event);
+	jt_director_node_event(node, event);
 	if (revision > before)
 		jt_peer_exchange_news(node->peers);
 	jt_director_node_started_look(node);
@@ -111,7 +108,10 @@
 
 static void on_caught_up(uint64_t revision, void *private_data)
 {
-	revision_take(private_data, JT_DIRECTOR_CAUGHT_UP, revision, 0);
+	struct jt_director_event event = {.kind = JT_DIRECTOR_CAUGHT_UP};
+
+	event.u.listed.revision = revision;
+	revision_take(private_data, &event);
 }
 
 static void on_listing(void *private_data)
@@ -123,9 +123,11 @@
 
 static void on_listed(uint64_t revision, void *private_data)
 {
+	struct jt_director_event event = {.kind = JT_DIRECTOR_LISTED};
 	struct jt_director_node *node = private_data;
 
-	revision_take(node, JT_DIRECTOR_LISTED, revision, 0);
+	event.u.listed.revision = revision;
+	revision_take(node, &event);
 	jt_log_line(node->log, LOG_NOTICE, "event=store_listed revision=%llu",
 		    (unsigned long long)revision);
 }
@@ -271,6 +273,18 @@
 	talloc_free(drains);
 }
 
+/* Where whole slices were told, nothing else is there. */
+static void slices_take(struct jt_director_node *node,
+			const jt_wire_knowledge *knowledge)
+{
+	TALLOC_CTX *frame = talloc_new(node);
+	struct jt_director_event event;
+
+	if (jt_knowledge_slices(frame, knowledge, &event))
+		jt_director_node_event(node, &event);
+	talloc_free(frame);
+}
+
 /* A part of what peers know: endpoints, and all drains of zones. */
 static void on_learned(const jt_wire_knowledge *knowledge, void *private_data)
 {
@@ -284,6 +298,7 @@
 		talloc_free(routing);
 	entries_take(node, knowledge->entries.entries_val,
 		     knowledge->entries.entries_len);
+	slices_take(node, knowledge);
 	wire_zones_take(node, knowledge->zones.zones_val,
 			knowledge->zones.zones_len, true, knowledge->revision);
 	on_partly_told(node);
@@ -297,6 +312,7 @@
 static void on_learned_all(const struct jt_knowledge_fetch *whole,
 			   void *private_data)
 {
+	struct jt_director_event event = {.kind = JT_DIRECTOR_INFORMED};
 	struct jt_director_node *node = private_data;
 
 	jt_log_line(node->log, LOG_NOTICE,
@@ -304,8 +320,11 @@
 		    "learning_ms=%u",
 		    (unsigned long long)whole->since,
 		    (unsigned long long)whole->revision, whole->learning_ms);
-	revision_take(node, JT_DIRECTOR_INFORMED, whole->revision,
-		      whole->learning_ms);
+	event.u.listed.revision = whole->revision;
+	event.u.listed.learning_ms = whole->learning_ms;
+	event.u.listed.gap = whole->gap;
+	event.u.listed.forgotten = whole->forgotten;
+	revision_take(node, &event);
 	if (whole->store_reader != jt_peer_exchange_id(node->peers) &&
 	    whole->store_as_of_ms > 0)
 		jt_reader_heard(&node->reader, whole->store_as_of_ms,
@@ -328,6 +347,7 @@
 	event.u.news.since = news->since;
 	event.u.news.revision = news->digest.revision;
 	event.u.news.routing_version = news->digest.routing_version;
+	event.u.news.gap = (struct jt_list_gap){news->gap_from, news->gap_to};
 	jt_director_node_event(node, &event);
 	if (jt_director_revision(node->director) > before)
 		jt_peer_exchange_news(node->peers);
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -192,6 +192,8 @@
 	    !news_zones(&knowledge, news))
 		return;
 	news->since = knowledge.since;
+	news->gap_from = knowledge.gap_from;
+	news->gap_to = knowledge.gap_to;
 	news->entries.entries_val = knowledge.entries.entries_val;
 	news->entries.entries_len = knowledge.entries.entries_len;
 }
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -111,16 +111,30 @@
 	director->chooser->learning_until_ms = now_ms + LEARNING_MS;
 }
 
+/* What a peer does not know, this node does not know after the peer's word. */
+static void peer_gap_take(struct jt_director *director, struct jt_list_gap gap)
+{
+	if (gap.from < director->revision)
+		gap.from = director->revision;
+	jt_list_gaps_add(&director->gaps, gap);
+}
+
 /* A peer that misses nothing has told all that it knows. */
-static void event_informed(struct jt_director *director, uint64_t revision,
-			   uint32_t learning_ms, uint64_t now_ms)
+static void event_informed(struct jt_director *director,
+			   const struct jt_director_event *event)
 {
+	uint32_t learning_ms = event->u.listed.learning_ms;
+
 	if (learning_ms > LEARNING_MS)
 		learning_ms = LEARNING_MS;
-	listed_note(director, learning_ms, now_ms);
+	/* A node that starts knows no more than the peer. */
+	if (!director->listed)
+		jt_list_gaps_forget(&director->gaps, event->u.listed.forgotten);
+	listed_note(director, learning_ms, event->now_ms);
 	if (learning_ms == 0)
 		director->chooser->learning_until_ms = 0;
-	revision_note(director, revision);
+	peer_gap_take(director, event->u.listed.gap);
+	revision_note(director, event->u.listed.revision);
 }
 
 static void event_listing(struct jt_director *director)
@@ -142,6 +156,8 @@
 	struct jt_incarnation *incarnation;
 
 	listed_note(director, LEARNING_MS, now_ms);
+	jt_list_gaps_add(&director->gaps,
+			 (struct jt_list_gap){director->revision, revision});
 	revision_note(director, revision);
 	for (incarnation = jt_endpoint_table_first(director->endpoints);
 	     incarnation != NULL;
@@ -153,15 +169,45 @@
 	jt_director_zones_listed(director, revision, now_ms, actions);
 }
 
+static int id_compare(const void *one, const void *other)
+{
+	uint64_t a = *(const uint64_t *)one, b = *(const uint64_t *)other;
+
+	return (a > b) - (a < b);
+}
+
+/* What a peer that told whole slices did not tell was gone by then. */
+static void event_slices_told(struct jt_director *director,
+			      const struct jt_director_event *event,
+			      struct jt_director_actions *actions)
+{
+	for (uint32_t i = event->u.slices.first; i < event->u.slices.end; i++) {
+		struct jt_incarnation *in =
+			director->endpoints->slices[i].members;
+
+		for (; in != NULL; in = in->slice_next) {
+			if (in->entry.gone_revision == 0 &&
+			    bsearch(&in->entry.id, event->u.slices.ids,
+				    event->u.slices.count, sizeof(uint64_t),
+				    id_compare) == NULL)
+				jt_director_entry_gone(director, in->entry.id,
+						       event->u.slices.revision,
+						       event->now_ms, actions);
+		}
+	}
+}
+
 /* News is complete only for a node that knows all up to where it begins, and
  * has the routing, which news does not hold. */
-static void event_news(struct jt_director *director, uint64_t since,
-		       uint64_t revision, uint64_t routing_version)
+static void event_news(struct jt_director *director,
+		       const struct jt_director_event *event)
 {
-	if (!jt_director_started(director) || since > director->revision ||
-	    director->routing->version < routing_version)
+	if (!jt_director_started(director) ||
+	    event->u.news.since > director->revision ||
+	    director->routing->version < event->u.news.routing_version)
 		return;
-	revision_note(director, revision);
+	peer_gap_take(director, event->u.news.gap);
+	revision_note(director, event->u.news.revision);
 }
 
 /* The incarnation that has this birth, as far as this node knows: what is told
@@ -382,13 +428,13 @@
 		revision_note(director, event->u.listed.revision);
 		break;
 	case JT_DIRECTOR_INFORMED:
-		event_informed(director, event->u.listed.revision,
-			       event->u.listed.learning_ms, now_ms);
+		event_informed(director, event);
+		break;
+	case JT_DIRECTOR_SLICES_TOLD:
+		event_slices_told(director, event, actions);
 		break;
 	case JT_DIRECTOR_NEWS:
-		event_news(director, event->u.news.since,
-			   event->u.news.revision,
-			   event->u.news.routing_version);
+		event_news(director, event);
 		break;
 	case JT_DIRECTOR_SUSPICION:
 		event_suspicion(director, event->u.suspicion.id,
--- a/src/label/jt_director_expiry.c
+++ b/src/label/jt_director_expiry.c
@@ -45,10 +45,8 @@
 static void incarnation_forget(struct jt_director *director,
 			       struct jt_incarnation *incarnation)
 {
-	uint64_t revision = jt_incarnation_revision(incarnation);
-
-	if (revision > director->forgotten_revision)
-		director->forgotten_revision = revision;
+	jt_list_gaps_forget(&director->gaps,
+			    jt_incarnation_revision(incarnation));
 	jt_endpoint_table_remove(director->endpoints, incarnation);
 }
 
--- a/src/label/jt_director_private.h
+++ b/src/label/jt_director_private.h
@@ -12,6 +12,7 @@
 #include "jt_flow_cache.h"
 #include "jt_flow_lookup.h"
 #include "jt_latency.h"
+#include "jt_list_gaps.h"
 #include "jt_peer_loads.h"
 #include "jt_routing.h"
 #include "jt_zone_drains.h"
@@ -26,9 +27,9 @@
 	uint64_t nodes;	      /* that share the endpoints, this one too */
 	size_t peer_count;    /* other nodes that may be asked */
 	uint64_t revision;    /* all changes up to it are known */
-	uint64_t forgotten_revision; /* the newest of a forgotten entry */
-	bool listed;	  /* discovery was told whole at least once */
-	bool partly_told; /* or in part, with all drains of zones */
+	struct jt_list_gaps gaps; /* in what is known up to there */
+	bool listed;		  /* discovery was told whole at least once */
+	bool partly_told;	  /* or in part, with all drains of zones */
 	struct jt_endpoint_table *endpoints;
 	struct jt_zone_drains zone_drains;
 	struct jt_flow_cache *flows;
--- a/src/label/jt_knowledge.c
+++ b/src/label/jt_knowledge.c
@@ -217,13 +217,18 @@
 			jt_wire_knowledge *knowledge)
 {
 	const struct jt_routing *routing = jt_director_routing(director);
+	struct jt_list_gap gap;
 
 	memset(knowledge, 0, sizeof(*knowledge));
 	knowledge->revision = jt_director_revision(director);
 	knowledge->learning_ms = jt_director_learning_ms(director, now_ms);
-	/* Entries that were forgotten since then would be missing. */
-	if (need->since >= director->forgotten_revision)
+	if (jt_list_gaps_know(&director->gaps, need->since))
 		knowledge->since = need->since;
+	gap = jt_list_gaps_after(&director->gaps, knowledge->since);
+	knowledge->gap_from = gap.from;
+	knowledge->gap_to = gap.to;
+	knowledge->forgotten = director->gaps.forgotten;
+	knowledge->complete = director->counters.entries_refused == 0;
 	knowledge->slice = need->slice < JT_DIRECTOR_SLICES
 				   ? need->slice
 				   : JT_DIRECTOR_SLICES;
@@ -240,6 +245,39 @@
 		       : some_write(mem_ctx, director, now_ms, knowledge);
 }
 
+static int by_id(const void *one, const void *other)
+{
+	uint64_t a = *(const uint64_t *)one, b = *(const uint64_t *)other;
+
+	return (a > b) - (a < b);
+}
+
+bool jt_knowledge_slices(TALLOC_CTX *mem_ctx,
+			 const jt_wire_knowledge *knowledge,
+			 struct jt_director_event *event)
+{
+	size_t count = knowledge->entries.entries_len;
+	uint64_t *ids;
+
+	if (knowledge->since != 0 || !knowledge->complete ||
+	    knowledge->slice_next <= knowledge->slice ||
+	    knowledge->slice_next > JT_DIRECTOR_SLICES)
+		return false;
+	ids = talloc_array(mem_ctx, uint64_t, count + 1);
+	if (ids == NULL)
+		return false;
+	for (size_t i = 0; i < count; i++)
+		ids[i] = knowledge->entries.entries_val[i].id;
+	qsort(ids, count, sizeof(*ids), by_id);
+	*event = (struct jt_director_event){.kind = JT_DIRECTOR_SLICES_TOLD};
+	event->u.slices.first = knowledge->slice;
+	event->u.slices.end = knowledge->slice_next;
+	event->u.slices.revision = knowledge->revision;
+	event->u.slices.ids = ids;
+	event->u.slices.count = count;
+	return true;
+}
+
 bool jt_knowledge_whole(const jt_wire_knowledge *knowledge)
 {
 	return knowledge->slice == 0 &&
--- a/src/label/jt_knowledge.h
+++ b/src/label/jt_knowledge.h
@@ -21,6 +21,11 @@
 bool jt_knowledge_write(TALLOC_CTX *mem_ctx, const struct jt_director *director,
 			const struct jt_knowledge_need *need, uint64_t now_ms,
 			jt_wire_knowledge *knowledge);
+/* The event that some slices were told whole; its ids are below @mem_ctx. False
+ * where they were not, or memory runs out. */
+bool jt_knowledge_slices(TALLOC_CTX *mem_ctx,
+			 const jt_wire_knowledge *knowledge,
+			 struct jt_director_event *event);
 /* Whether @knowledge holds all slices. */
 bool jt_knowledge_whole(const jt_wire_knowledge *knowledge);
 
--- a/src/label/jt_knowledge_fetch.c
+++ b/src/label/jt_knowledge_fetch.c
@@ -27,6 +27,25 @@
 	};
 }
 
+/* What is not known to one of the peers counts as unknown: one that told all
+ * anew told nothing of what came and went since the fetch began. */
+static void gap_take(struct jt_knowledge_fetch *fetch,
+		     const jt_wire_knowledge *knowledge)
+{
+	struct jt_list_gap gap = {knowledge->gap_from, knowledge->gap_to};
+
+	if (knowledge->since < fetch->since)
+		gap = (struct jt_list_gap){fetch->since, knowledge->revision};
+	if (knowledge->forgotten > fetch->forgotten)
+		fetch->forgotten = knowledge->forgotten;
+	if (gap.to == 0)
+		return;
+	if (fetch->gap.to == 0 || gap.from < fetch->gap.from)
+		fetch->gap.from = gap.from;
+	if (gap.to > fetch->gap.to)
+		fetch->gap.to = gap.to;
+}
+
 bool jt_knowledge_fetch_took(struct jt_knowledge_fetch *fetch,
 			     const jt_wire_knowledge *knowledge,
 			     uint64_t now_ms)
@@ -44,6 +63,7 @@
 		fetch->revision = knowledge->revision;
 	if (knowledge->learning_ms > fetch->learning_ms)
 		fetch->learning_ms = knowledge->learning_ms;
+	gap_take(fetch, knowledge);
 	if (as_of_ms < fetch->store_as_of_ms) {
 		fetch->store_as_of_ms = as_of_ms;
 		fetch->store_reader = knowledge->store_reader;
--- a/src/label/jt_knowledge_fetch.h
+++ b/src/label/jt_knowledge_fetch.h
@@ -19,6 +19,8 @@
 	uint32_t slice;		 /* the next one */
 	uint64_t revision;	 /* the lowest of those that told */
 	uint32_t learning_ms;	 /* one of them may have missed entries */
+	struct jt_list_gap gap;	 /* in what they know, all taken together */
+	uint64_t forgotten;	 /* before it, one of them may lack changes */
 	uint64_t store_as_of_ms; /* the oldest reading of the store */
 	uint64_t store_reader;	 /* the node that read it then */
 };
--- /dev/null
+++ b/src/label/jt_list_gaps.c
@@ -0,0 +1,46 @@
+#include "jt_list_gaps.h"
+
+/* Whether something can have come and gone between the two revisions. */
+static bool is_gap(struct jt_list_gap gap)
+{
+	return gap.to > gap.from + 1;
+}
+
+void jt_list_gaps_forget(struct jt_list_gaps *gaps, uint64_t revision)
+{
+	if (revision > gaps->forgotten)
+		gaps->forgotten = revision;
+}
+
+void jt_list_gaps_add(struct jt_list_gaps *gaps, struct jt_list_gap gap)
+{
+	if (!is_gap(gap))
+		return;
+	if (gap.to <= gaps->newest.to) {
+		/* One of a time that this node has heard of from others. */
+		if (gap.from < gaps->newest.from)
+			jt_list_gaps_forget(gaps, gap.to);
+		return;
+	}
+	jt_list_gaps_forget(gaps, gaps->newest.to);
+	gaps->newest = gap;
+}
+
+bool jt_list_gaps_know(const struct jt_list_gaps *gaps, uint64_t since)
+{
+	bool inside = since > gaps->newest.from && since < gaps->newest.to;
+
+	return since >= gaps->forgotten && !inside;
+}
+
+struct jt_list_gap jt_list_gaps_after(const struct jt_list_gaps *gaps,
+				      uint64_t since)
+{
+	struct jt_list_gap gap = gaps->newest;
+
+	if (gap.to <= since)
+		return (struct jt_list_gap){0};
+	if (gap.from < since)
+		gap.from = since;
+	return gap;
+}
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -23,7 +23,7 @@
 #define JT_DIRECTOR_MAX_LOADS 96
 #define JT_DIRECTOR_MAX_FAILURES 12
 #define JT_DIRECTOR_MAX_ZONES 64
-#define JT_DIRECTOR_MAX_NEWS 17
+#define JT_DIRECTOR_MAX_NEWS 16
 #define JT_DIRECTOR_MAX_NEWS_ZONES 2
 
 struct jt_wire_peer {
@@ -177,6 +177,8 @@
 struct jt_wire_news {
 	jt_wire_digest digest;
 	u_quad_t since;
+	u_quad_t gap_from;
+	u_quad_t gap_to;
 	struct {
 		u_int entries_len;
 		jt_wire_entry *entries_val;
@@ -193,6 +195,10 @@
 	u_int slice_next;
 	u_quad_t since;
 	u_quad_t revision;
+	u_quad_t gap_from;
+	u_quad_t gap_to;
+	u_quad_t forgotten;
+	bool_t complete;
 	u_int learning_ms;
 	u_int store_age_ms;
 	u_quad_t store_reader;
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -19,7 +19,7 @@
 const JT_DIRECTOR_MAX_FAILURES = 12;
 const JT_DIRECTOR_MAX_ZONES = 64;
 /* Entries and drains of zones that fit into one datagram. */
-const JT_DIRECTOR_MAX_NEWS = 17;
+const JT_DIRECTOR_MAX_NEWS = 16;
 const JT_DIRECTOR_MAX_NEWS_ZONES = 2;
 
 struct jt_wire_peer {
@@ -161,6 +161,8 @@
 struct jt_wire_news {
 	jt_wire_digest digest; /* without peers */
 	unsigned hyper since;
+	unsigned hyper gap_from;      /* as in jt_wire_knowledge */
+	unsigned hyper gap_to;
 	jt_wire_entry entries<JT_DIRECTOR_MAX_NEWS>;
 	jt_wire_zone_drain zones<JT_DIRECTOR_MAX_NEWS_ZONES>;
 };
@@ -175,8 +177,15 @@
 	/* The first one that is not. The same slice: the sender has not started
 	 * and tells some of the endpoints that it knows so far. */
 	unsigned int slice_next;
+	/* 0: all entries of the slices. */
 	unsigned hyper since;
 	unsigned hyper revision;
+	/* The sender took a whole list between these revisions after `since`,
+	 * and knows nothing of what came and went there; 0: it did not. */
+	unsigned hyper gap_from;
+	unsigned hyper gap_to;
+	unsigned hyper forgotten;    /* before it, it may lack changes */
+	bool complete;               /* no entry was left out for want of room */
 	unsigned int learning_ms;    /* entries may be missing so long yet */
 	unsigned int store_age_ms;   /* all that the store had then is in it */
 	unsigned hyper store_reader; /* the node that read it */
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -649,6 +649,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->since))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->gap_from))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->gap_to))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, JT_DIRECTOR_MAX_NEWS,
 		sizeof (jt_wire_entry), (xdrproc_t) xdr_jt_wire_entry))
 		 return FALSE;
@@ -663,6 +667,89 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_int (xdrs, &objp->slice))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->slice_next))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->since))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->gap_from))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->gap_to))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->forgotten))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->complete))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->learning_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->store_age_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->complete);
+		IXDR_PUT_U_LONG(buf, objp->learning_ms);
+		IXDR_PUT_U_LONG(buf, objp->store_age_ms);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->store_reader))
+			 return FALSE;
+		 if (!xdr_jt_wire_routing (xdrs, &objp->routing))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, JT_DIRECTOR_MAX_ENTRIES,
+			sizeof (jt_wire_entry), (xdrproc_t) xdr_jt_wire_entry))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->zones.zones_val, (u_int *) &objp->zones.zones_len, JT_DIRECTOR_MAX_ZONES,
+			sizeof (jt_wire_zone_drain), (xdrproc_t) xdr_jt_wire_zone_drain))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_int (xdrs, &objp->slice))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->slice_next))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->since))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->gap_from))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->gap_to))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->forgotten))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->complete))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->learning_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->store_age_ms))
+				 return FALSE;
+
+		} else {
+		objp->complete = IXDR_GET_BOOL(buf);
+		objp->learning_ms = IXDR_GET_U_LONG(buf);
+		objp->store_age_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->store_reader))
+			 return FALSE;
+		 if (!xdr_jt_wire_routing (xdrs, &objp->routing))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, JT_DIRECTOR_MAX_ENTRIES,
+			sizeof (jt_wire_entry), (xdrproc_t) xdr_jt_wire_entry))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->zones.zones_val, (u_int *) &objp->zones.zones_len, JT_DIRECTOR_MAX_ZONES,
+			sizeof (jt_wire_zone_drain), (xdrproc_t) xdr_jt_wire_zone_drain))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->slice))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->slice_next))
@@ -671,6 +758,14 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->gap_from))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->gap_to))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->forgotten))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->complete))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->learning_ms))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->store_age_ms))
