--- a/src/standin/caller.c
+++ b/src/standin/caller.c
@@ -94,6 +94,7 @@
 	uint64_t close_ms;
 	uint64_t ask_ms;
 	uint64_t waiting_since_ms;
+	uint16_t port; /* of the caller */
 	char line[LINE_LIMIT];
 	size_t line_length;
 	size_t body_left;
@@ -232,20 +233,37 @@
 	handle_line(flow);
 }
 
+/* One line for a flow that ended though nobody here closed it: what showed it,
+ * when, and by which port its packets can be found. */
+static void end_tell(const struct flow *flow, const char *what,
+		     const char *reason)
+{
+	uint64_t now_ms = jt_clock_ms();
+
+	fprintf(stderr,
+		"caller: flow %llu of %s on %s is %s: %s port=%u up_ms=%llu "
+		"step=%d waiting_ms=%llu\n",
+		(unsigned long long)flow->id, flow->load->service,
+		flow->endpoint ? flow->endpoint->name : "?", what, reason,
+		flow->port, (unsigned long long)now_ms, (int)flow->step,
+		(unsigned long long)(flow->waiting_since_ms != 0
+					     ? now_ms - flow->waiting_since_ms
+					     : 0));
+}
+
 /* An established flow ended though nobody here closed it. */
-static void flow_cut(struct flow *flow)
+static void flow_cut(struct flow *flow, const char *reason)
 {
 	struct caller *caller = flow->caller;
 
 	if (flow->step == FLOW_CONNECTING) {
 		caller->refused++;
+		end_tell(flow, "refused", reason);
 		json_array_append_new(caller->refused_ids,
 				      json_integer((json_int_t)flow->id));
 	} else {
 		caller->broken++;
-		fprintf(stderr, "caller: flow %llu of %s on %s is cut\n",
-			(unsigned long long)flow->id, flow->load->service,
-			flow->endpoint ? flow->endpoint->name : "?");
+		end_tell(flow, "cut", reason);
 		if (flow->step == FLOW_ASKING)
 			caller->unresolved++;
 	}
@@ -259,7 +277,7 @@
 
 	(void)error;
 	if (p == NULL) {
-		flow_cut(flow);
+		flow_cut(flow, "closed by the other end");
 		return ERR_OK;
 	}
 	for (uint16_t i = 0; i < p->tot_len; i++)
@@ -281,7 +299,7 @@
 		flow->step = FLOW_CLOSED;
 		return;
 	}
-	flow_cut(flow);
+	flow_cut(flow, error == ERR_RST ? "reset" : "no answer to packets");
 }
 
 static err_t on_connected(void *argument, struct tcp_pcb *pcb, err_t error)
@@ -327,6 +345,8 @@
 	if (tcp_connect(flow->pcb, &to, load->address.port, on_connected) !=
 	    ERR_OK)
 		flow_end(flow);
+	else
+		flow->port = flow->pcb->local_port;
 }
 
 static void flow_tick(struct flow *flow, uint64_t now)
@@ -338,7 +358,7 @@
 	} else if (flow->step != FLOW_CONNECTING && flow->step != FLOW_CLOSED &&
 		   flow->waiting_since_ms &&
 		   now > flow->waiting_since_ms + UNANSWERED_MS) {
-		flow_cut(flow);
+		flow_cut(flow, "no answer to a request");
 	}
 }
 
