--- a/src/lab/label.c
+++ b/src/lab/label.c
@@ -542,8 +542,10 @@
 	jt_director_handle(label->nodes[index].director, event, label->actions);
 	/* What is done may bring the next event. */
 	count = label->actions->count;
+	if (count == 0)
+		return;
 	items = talloc_memdup(label, label->actions->items,
-			      count * sizeof(*items) + 1);
+			      count * sizeof(*items));
 	for (size_t i = 0; i < count; i++)
 		label_act(world, index, &items[i]);
 	talloc_free(items);
