--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -153,6 +153,7 @@
 	bool stopped; /* by SIGSTOP */
 	bool leaving; /* SIGTERM was sent */
 	bool ready;
+	bool was_ready; /* in this life */
 	unsigned missed;
 	unsigned starts;
 	unsigned settings;	    /* how often they have changed */
