--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -169,13 +169,6 @@
 	jt_director_zones_listed(director, revision, now_ms, actions);
 }
 
-static int id_compare(const void *one, const void *other)
-{
-	uint64_t a = *(const uint64_t *)one, b = *(const uint64_t *)other;
-
-	return (a > b) - (a < b);
-}
-
 /* What a peer that told whole slices did not tell was gone by then. */
 static void event_slices_told(struct jt_director *director,
 			      const struct jt_director_event *event,
@@ -189,7 +182,7 @@
 			if (in->entry.gone_revision == 0 &&
 			    bsearch(&in->entry.id, event->u.slices.ids,
 				    event->u.slices.count, sizeof(uint64_t),
-				    id_compare) == NULL)
+				    jt_endpoint_id_compare) == NULL)
 				jt_director_entry_gone(director, in->entry.id,
 						       event->u.slices.revision,
 						       event->now_ms, actions);
--- a/src/label/jt_endpoint_table.c
+++ b/src/label/jt_endpoint_table.c
@@ -20,6 +20,13 @@
 	return label ? label : 1;
 }
 
+int jt_endpoint_id_compare(const void *one, const void *other)
+{
+	uint64_t a = *(const uint64_t *)one, b = *(const uint64_t *)other;
+
+	return (a > b) - (a < b);
+}
+
 uint32_t jt_flow_label(uint64_t endpoint_id)
 {
 	return jt_incarnation_label(endpoint_id, 0);
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -151,6 +151,9 @@
 	JT_ENTRY_NO_ROOM,
 };
 
+/* Orders ids, uint64_t, for qsort() and bsearch(). */
+int jt_endpoint_id_compare(const void *one, const void *other);
+
 struct jt_endpoint_table *jt_endpoint_table_create(TALLOC_CTX *mem_ctx,
 						   size_t limit);
 /*
--- a/src/label/jt_knowledge.c
+++ b/src/label/jt_knowledge.c
@@ -245,13 +245,6 @@
 		       : some_write(mem_ctx, director, now_ms, knowledge);
 }
 
-static int by_id(const void *one, const void *other)
-{
-	uint64_t a = *(const uint64_t *)one, b = *(const uint64_t *)other;
-
-	return (a > b) - (a < b);
-}
-
 bool jt_knowledge_slices(TALLOC_CTX *mem_ctx,
 			 const jt_wire_knowledge *knowledge,
 			 struct jt_director_event *event)
@@ -268,7 +261,7 @@
 		return false;
 	for (size_t i = 0; i < count; i++)
 		ids[i] = knowledge->entries.entries_val[i].id;
-	qsort(ids, count, sizeof(*ids), by_id);
+	qsort(ids, count, sizeof(*ids), jt_endpoint_id_compare);
 	*event = (struct jt_director_event){.kind = JT_DIRECTOR_SLICES_TOLD};
 	event->u.slices.first = knowledge->slice;
 	event->u.slices.end = knowledge->slice_next;
