--- a/tests/soak/soak_proxy.c
+++ b/tests/soak/soak_proxy.c
@@ -2,10 +2,18 @@
 #include "soak.h"
 
 #include <errno.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-enum { CHUNK = 16384, DELAY_MS = 300, BACKLOG = 32 };
+enum {
+	CHUNK = 16384,
+	DELAY_MS = 300,
+	BACKLOG = 256,
+	/* Until a socket that takes no bytes now is tried again: the other end
+	 * may be this process, so that nothing here may wait for it. */
+	FULL_MS = 2,
+};
 
 struct soak_proxy {
 	struct soak *soak;
@@ -81,11 +89,20 @@
 {
 	ssize_t sent = send(half->to, half->buffer, half->held, MSG_NOSIGNAL);
 
-	half->held = 0;
-	if (sent < 0)
+	if (sent < 0 && errno != EAGAIN && errno != ENOTCONN) {
 		talloc_free(half->pipe);
-	else
+		return;
+	}
+	if (sent > 0) {
+		half->held -= (size_t)sent;
+		memmove(half->buffer, half->buffer + sent, half->held);
+	}
+	if (half->held == 0) {
 		tevent_fd_set_flags(half->event, TEVENT_FD_READ);
+		return;
+	}
+	tevent_fd_set_flags(half->event, 0);
+	jt_timer_set(half->timer, FULL_MS);
 }
 
 static void on_delayed(void *private_data)
@@ -101,12 +118,19 @@
 
 	(void)loop;
 	(void)flags;
+	if (half->held > 0) {
+		/* Its timer sends them first. */
+		tevent_fd_set_flags(event, 0);
+		return;
+	}
 	if (!half_passes(half)) {
 		/* Left in the socket: whoever waits hears nothing. */
 		tevent_fd_set_flags(event, 0);
 		return;
 	}
 	count = recv(half->from, half->buffer, CHUNK, 0);
+	if (count < 0 && (errno == EAGAIN || errno == ENOTCONN))
+		return;
 	if (count <= 0) {
 		talloc_free(half->pipe);
 		return;
@@ -135,7 +159,8 @@
 		      uint16_t flags, void *private_data)
 {
 	struct soak_proxy *proxy = private_data;
-	int client = accept4(proxy->listen_fd, NULL, NULL, SOCK_CLOEXEC);
+	int client = accept4(proxy->listen_fd, NULL, NULL,
+			     SOCK_CLOEXEC | SOCK_NONBLOCK);
 	struct sockaddr_in name;
 	struct pipe *pipe;
 
@@ -147,7 +172,8 @@
 	pipe = talloc_zero(proxy, struct pipe);
 	pipe->proxy = proxy;
 	pipe->client_fd = client;
-	pipe->store_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	pipe->store_fd =
+		socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
 	pipe->next = proxy->pipes;
 	if (proxy->pipes != NULL)
 		proxy->pipes->previous = pipe;
@@ -155,8 +181,9 @@
 	talloc_set_destructor(pipe, pipe_destructor);
 	jt_address_to_socket(proxy->to, &name);
 	if (proxy->link == SOAK_LINK_RESET ||
-	    connect(pipe->store_fd, (struct sockaddr *)&name, sizeof(name)) <
-		    0) {
+	    (connect(pipe->store_fd, (struct sockaddr *)&name, sizeof(name)) <
+		     0 &&
+	     errno != EINPROGRESS)) {
 		talloc_free(pipe);
 		return;
 	}
