Held copies are offered again in time, however often peers are asked

The timer that offers held packets again was set anew with each question: while questions came sooner than every 25 ms and some peer was silent, only the tick of 100 ms let copies go on. It runs out now, and is set again if peers were asked meanwhile.

--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -1,5 +1,6 @@
 #include "jt_director_node_private.h"
 #include "jt_director_log.h"
+#include "jt_flow_lookup.h"
 #include "jt_mechanism.h"
 #include "jt_net.h"
 #include "jt_routing.h"
@@ -189,7 +190,13 @@
 /* Peers that were asked for a flow have answered, or will not. */
 static void on_lookup_over(void *private_data)
 {
-	jt_director_node_release(private_data);
+	struct jt_director_node *node = private_data;
+
+	node->lookup_set = node->lookup_again;
+	node->lookup_again = false;
+	if (node->lookup_set)
+		jt_timer_set(node->lookup, JT_FLOW_LOOKUP_MS);
+	jt_director_node_release(node);
 }
 
 /* Probes */
--- a/src/director/jt_director_node_packets.c
+++ b/src/director/jt_director_node_packets.c
@@ -138,8 +138,8 @@
 		jt_peer_exchange_failures(node->peers, failures, count, peers);
 }
 
-/* The answers come later; without peers there are none to wait for. The event
- * is handled once this one is done with. */
+/* The answers come later. Held packets are offered again in good time, however
+ * often peers are asked meanwhile: the timer is not put off. */
 static void act_flow_ask(struct jt_director_node *node,
 			 const struct jt_director_action *action)
 {
@@ -148,6 +148,11 @@
 
 	jt_director_flow_asked(node->director, &action->key, peers,
 			       node->event_ms);
+	if (node->lookup_set) {
+		node->lookup_again = true;
+		return;
+	}
+	node->lookup_set = true;
 	jt_timer_set(node->lookup, peers > 0 ? JT_FLOW_LOOKUP_MS : 0);
 }
 
--- a/src/director/jt_director_node_private.h
+++ b/src/director/jt_director_node_private.h
@@ -41,6 +41,8 @@
 	struct jt_timer *tick;
 	uint64_t tick_due_ms;	 /* of the next one, 0: none was set */
 	uint64_t log_ms;	 /* spent on log lines up to the last tick */
+	bool lookup_set;	 /* that timer runs */
+	bool lookup_again;	 /* peers were asked since it was set */
 	struct jt_timer *lookup; /* when peers have had time to answer */
 	int data_fd;
 	uint8_t buffer[JT_HEADROOM_MAX + JT_DATAGRAM_MAX];
