--- a/tests/test_soak_oracle.c
+++ b/tests/test_soak_oracle.c
@@ -215,6 +215,17 @@
 	assert_false(taken_twice_breaks(soak));
 }
 
+/* Soak seed 5002: an endpoint that leaves closes a flow after its answer; then
+ * the network's late double of the first packet came to it again. */
+static void test_one_endpoint_may_take_a_flow_twice(void **state)
+{
+	struct soak *soak = *state;
+
+	soak_check_taken_twice(soak, OTHER_ENDPOINT, OTHER_ENDPOINT, 0x7f490002,
+			       10000, SENT_MS);
+	assert_int_equal(soak->broken, 0);
+}
+
 static void test_a_node_that_is_gone_tells_nothing(void **state)
 {
 	struct soak *soak = *state;
@@ -243,6 +254,7 @@
 		ORACLE_TEST(test_refusal_long_after_an_end_breaks),
 		ORACLE_TEST(test_two_endpoints_of_a_flow_break),
 		ORACLE_TEST(test_an_endpoint_that_ended_has_no_flow),
+		ORACLE_TEST(test_one_endpoint_may_take_a_flow_twice),
 		ORACLE_TEST(test_a_node_that_is_gone_tells_nothing),
 	};
 
