--- a/review/world/clients.c
+++ b/review/world/clients.c
@@ -35,11 +35,6 @@
 	return world_ip(128, (unsigned)(1 + client));
 }
 
-int client_zone(int client)
-{
-	return clients[client].zone;
-}
-
 int flow_find(uint32_t ip, uint16_t port)
 {
 	for (int i = 0; i < client_count; i++) {
@@ -49,11 +44,6 @@
 	return -1;
 }
 
-uint16_t client_next_port(int client)
-{
-	return clients[client].next_port;
-}
-
 /* Sends the client's packet to the node that routers pick. */
 static void client_send(struct flow *flow, uint8_t flags, uint32_t sequence,
 			uint32_t acknowledged, const char *data,
@@ -302,14 +292,11 @@
 	}
 }
 
-/* The first flow that may still be active. */
-static int first_active;
-
 static void on_tick(void *argument)
 {
 	uint64_t now = now_ms();
 
-	for (int i = first_active; i < flow_count; i++) {
+	for (int i = 0; i < flow_count; i++) {
 		if (flows[i].state == FLOW_OPENING)
 			opening_tick(&flows[i], now);
 		else if (flows[i].state == FLOW_OPEN)
--- a/review/world/endpoints.c
+++ b/review/world/endpoints.c
@@ -19,15 +19,6 @@
 struct endpoint endpoints[ENDPOINT_LIMIT];
 int endpoint_count;
 
-int endpoint_by_ip(uint32_t ip)
-{
-	for (int i = endpoint_count - 1; i >= 0; i--) {
-		if (endpoints[i].ip == ip && endpoints[i].alive)
-			return i;
-	}
-	return -1;
-}
-
 /* Entries */
 
 void endpoint_key(int index, char *text, size_t size)
--- a/review/world/nodes.c
+++ b/review/world/nodes.c
@@ -33,7 +33,6 @@
 	bool sent;
 } checks[NODES];
 static uint64_t term_ms[NODES];
-static bool ready_before[NODES];
 
 static uint32_t node_ip(int node)
 {
@@ -140,10 +139,8 @@
 		nodes[node].stopped = true;
 	if (signal == SIGCONT)
 		nodes[node].stopped = false;
-	if (signal == SIGTERM) {
+	if (signal == SIGTERM)
 		term_ms[node] = now_ms();
-		nodes[node].planned = true;
-	}
 	kill(nodes[node].pid, signal);
 }
 
@@ -165,11 +162,6 @@
 	       at_ms >= nodes[node].disturbed_ms + CONTACT_MS;
 }
 
-bool node_ready_once(int node)
-{
-	return ready_before[node];
-}
-
 /* Readiness */
 
 static void check_end(int node, bool ready)
@@ -184,7 +176,6 @@
 			record("routers: node %d is in", node);
 		nodes[node].in = true;
 		nodes[node].missed = 0;
-		ready_before[node] = true;
 	} else if (++nodes[node].missed >= READY_MISSES && nodes[node].in) {
 		nodes[node].in = false;
 		record("routers: node %d is out", node);
--- a/review/world/store.c
+++ b/review/world/store.c
@@ -42,7 +42,6 @@
 static uint64_t stale_lag_ms;
 static struct connection connections[CONNECTION_LIMIT];
 static int listeners[NODES];
-static uint64_t calls[NODES];
 
 static char *base64(const char *text)
 {
@@ -89,11 +88,6 @@
 	stale_lag_ms = lag_ms;
 }
 
-uint64_t store_calls(int node)
-{
-	return calls[node];
-}
-
 /* Output */
 
 struct text {
@@ -270,7 +264,6 @@
 {
 	char value[32];
 
-	calls[connection->node]++;
 	if (strncmp(target, "/kv-range?", 10) == 0) {
 		range_reply(connection, target);
 	} else if (strncmp(target, "/kv-watch?", 10) == 0) {
--- a/review/world/world.h
+++ b/review/world/world.h
@@ -30,7 +30,6 @@
 	/* The bounds of the small deployments. */
 	CONTACT_MS = 4000,
 	CONFIG_APPLY_MS = 3000,
-	DRAIN_MS = 3000,
 	HEARTBEAT_MS = 1200,
 	ADDRESS_REUSE_MS = 2000,
 
@@ -95,8 +94,6 @@
 /* Returns the node that has waited longest in a watch of 5 s or more, or
  * -1. */
 int store_watcher(void);
-/* Returns the number of changes that were read by the node. */
-uint64_t store_calls(int node);
 
 /* Configuration: routes to one of the two services each */
 
@@ -121,7 +118,6 @@
 	uint64_t disturbed_ms; /* end of its last disruption */
 	bool stopped;	       /* by SIGSTOP */
 	uint64_t restart_ms;   /* 0: none is due */
-	bool planned;	       /* its last end was planned */
 };
 extern struct node nodes[NODES];
 extern const char *const zone_names[ZONES];
@@ -137,7 +133,6 @@
 int node_by_ip(uint32_t ip);
 /* Returns true if nothing disturbed the node in the last contactMs. */
 bool node_in_touch(int node, uint64_t at_ms);
-bool node_ready_once(int node);
 
 /* Endpoints */
 
@@ -172,7 +167,6 @@
 void endpoint_beat(int endpoint);
 void endpoint_document(int endpoint, char *text, size_t size);
 void endpoint_key(int endpoint, char *text, size_t size);
-int endpoint_by_ip(uint32_t ip);
 
 /* Clients */
 
@@ -220,8 +214,7 @@
 	uint32_t pause_ms; /* between two requests */
 	bool waiting;	   /* for the response to a request */
 	int via;	   /* node that took its last packet */
-	unsigned tries;
-	unsigned packets; /* with data, received */
+	unsigned packets;  /* with data, received */
 	uint32_t request_id;
 	struct flow_end ends[ENDS];
 };
@@ -229,7 +222,6 @@
 extern int flow_count;
 
 int client_add(int zone);
-int client_zone(int client);
 uint32_t client_ip(int client);
 /* Opens a flow with that many requests; @port 0: the next free one. Returns
  * its number. */
@@ -237,7 +229,6 @@
 	      uint32_t pause_ms, uint16_t port);
 /* Sends the next request of an open flow now. */
 void flow_request_now(int flow);
-uint16_t client_next_port(int client);
 int flow_find(uint32_t ip, uint16_t port);
 /* Returns the endpoint at which the flow is open, or -1. */
 int flow_holder(const struct flow *flow);
