--- a/review/world/main.c
+++ b/review/world/main.c
@@ -83,7 +83,8 @@
 	for (int service = 0; service < SERVICES; service++) {
 		for (int zone = 0; zone < ZONES; zone++) {
 			for (int i = 0; i < counts[service][zone]; i++)
-				endpoint_start(service, zone, host++, 0, 1);
+				endpoint_start(service, zone, host++, 0,
+					       ENDPOINT_BACKLOG);
 		}
 	}
 	for (int i = 0; i < ZONES * CLIENTS_PER_ZONE; i++)
--- a/review/world/world.h
+++ b/review/world/world.h
@@ -26,6 +26,7 @@
 	PEER_PORT = 7720,
 	STORE_PORT = 8169,
 	ENDPOINT_PORT = 8367,
+	ENDPOINT_BACKLOG = 64, /* new connections that wait */
 
 	/* The bounds of the small deployments. */
 	CONTACT_MS = 4000,
