--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -78,6 +78,9 @@
 				      unknown */
 	/* Revision that removed the entry; 0: present. */
 	uint64_t removed_revision;
+	/* Time since the removal when a peer sent the entry; 0: just removed.
+	 */
+	uint32_t removed_age_ms;
 	/* The entry still exists, but its revision removed_revision can't be
 	 * decoded. */
 	bool unreadable;
@@ -359,8 +362,9 @@
 	uint32_t first_sequence; /* flow lookup: of the flow's SYN */
 	enum jt_incarnation_state state;
 	enum jt_death_cause cause;
-	uint64_t revision;   /* of the endpoint's entry */
-	uint64_t age_ms;     /* time since the endpoint's entry was received */
+	uint64_t revision; /* of the endpoint's entry */
+	/* Time since the endpoint's entry was received, or was removed. */
+	uint64_t age_ms;
 	uint64_t version;    /* of the routing in force */
 	uint32_t service_id; /* of the endpoint */
 	bool peers_know;     /* death report: already sent by a peer */
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -19,7 +19,6 @@
 	 * state. */
 	FAST_ROUND_MS = 100,
 	FAST_ROUNDS_TOTAL_MS = 3000,
-	DATAGRAM_MAX = 1400, /* a digest fits into one packet */
 	DATAGRAM_BATCH = 32,
 	UPDATE_DELAY_MS = 10, /* delay that batches changes into one message */
 };
@@ -404,7 +403,7 @@
 			 uint16_t flags, void *private_data)
 {
 	struct jt_peer_exchange *exchange = private_data;
-	uint8_t data[DATAGRAM_MAX];
+	uint8_t data[JT_PEER_DATAGRAM_MAX];
 
 	(void)loop;
 	(void)fd;
--- a/src/director/jt_peer_frames.h
+++ b/src/director/jt_peer_frames.h
@@ -7,6 +7,10 @@
 
 #include "jt_codec.h"
 
+/* Size in bytes of the largest datagram between nodes: a digest and an update
+ * fit into one packet of the network. */
+enum { JT_PEER_DATAGRAM_MAX = 1400 };
+
 /* Messages of one kind, and their total size. */
 struct jt_message_count {
 	uint64_t messages;
--- a/src/director/jt_peer_sender.c
+++ b/src/director/jt_peer_sender.c
@@ -3,12 +3,10 @@
 
 #include <sys/socket.h>
 
-enum { DATAGRAM_MAX = 1400 }; /* a digest fits into one packet */
-
 void jt_peer_sender_send(struct jt_peer_sender *sender, struct jt_address to,
 			 const jt_wire_director_message *message)
 {
-	uint8_t frame[DATAGRAM_MAX];
+	uint8_t frame[JT_PEER_DATAGRAM_MAX];
 	struct sockaddr_in name;
 	size_t length = jt_peer_frames_seal(&sender->frames, to, message, frame,
 					    sizeof(frame));
--- a/src/label/jt_director.c
+++ b/src/label/jt_director.c
@@ -165,7 +165,7 @@
 		if (!incarnation->listed)
 			jt_director_entry_removed(director,
 						  incarnation->entry.id,
-						  revision, now_ms, actions);
+						  revision, 0, now_ms, actions);
 	}
 	jt_director_zones_listed(director, revision, now_ms, actions);
 }
@@ -186,8 +186,8 @@
 				    jt_endpoint_id_compare) == NULL)
 				jt_director_entry_removed(
 					director, in->entry.id,
-					event->u.slices.revision, event->now_ms,
-					actions);
+					event->u.slices.revision, 0,
+					event->now_ms, actions);
 		}
 	}
 }
@@ -409,13 +409,13 @@
 		break;
 	case JT_DIRECTOR_ENTRY_REMOVED:
 		jt_director_entry_removed(director, event->u.removed.id,
-					  event->u.removed.revision, now_ms,
+					  event->u.removed.revision, 0, now_ms,
 					  actions);
 		break;
 	case JT_DIRECTOR_UNREADABLE:
 		jt_director_entry_unreadable(director, event->u.removed.id,
-					     event->u.removed.revision, now_ms,
-					     actions);
+					     event->u.removed.revision, 0,
+					     now_ms, actions);
 		break;
 	case JT_DIRECTOR_LISTING:
 		event_listing_begin(director);
--- a/src/label/jt_director_entry.c
+++ b/src/label/jt_director_entry.c
@@ -11,8 +11,20 @@
 	OUTAGE_REPORT_MS = 1000,
 };
 
+/* Enters the state of an incarnation without an entry, as of its removal: a
+ * node that learns of the removal later than others must not assign flows to
+ * the endpoint for longer than they do. */
+static void expired_enter(struct jt_incarnation *incarnation, uint64_t now_ms,
+			  struct jt_director_actions *actions)
+{
+	jt_director_state_enter(incarnation, JT_INCARNATION_EXPIRED, now_ms,
+				actions);
+	incarnation->state_ms = incarnation->removed_ms;
+}
+
 void jt_director_entry_removed(struct jt_director *director, uint64_t id,
-			       uint64_t revision, uint64_t now_ms,
+			       uint64_t revision, uint32_t age_ms,
+			       uint64_t now_ms,
 			       struct jt_director_actions *actions)
 {
 	struct jt_incarnation *incarnation =
@@ -22,7 +34,7 @@
 	    revision <= jt_incarnation_revision(incarnation))
 		return;
 	jt_endpoint_table_record_removal(director->endpoints, incarnation,
-					 revision, now_ms);
+					 revision, age_ms, now_ms);
 	if (director->options.injected_faults &
 	    JT_DIRECTOR_FAULT_FORGET_REMOVED) {
 		jt_endpoint_table_remove(director->endpoints, incarnation);
@@ -36,8 +48,7 @@
 		jt_feature_enabled(director->options.disabled_features,
 				   JT_FEATURE_OUTAGE_EXPIRY) &&
 		now_ms - director->store_unreachable_ms < OUTAGE_REPORT_MS;
-	jt_director_state_enter(incarnation, JT_INCARNATION_EXPIRED, now_ms,
-				actions);
+	expired_enter(incarnation, now_ms, actions);
 	/* The endpoint may be dead: a probe finds out, so that idle flows are
 	 * reset, too. */
 	if (incarnation->flows > 0 &&
@@ -47,7 +58,8 @@
 }
 
 void jt_director_entry_unreadable(struct jt_director *director, uint64_t id,
-				  uint64_t revision, uint64_t now_ms,
+				  uint64_t revision, uint32_t age_ms,
+				  uint64_t now_ms,
 				  struct jt_director_actions *actions)
 {
 	struct jt_incarnation *incarnation =
@@ -59,12 +71,11 @@
 	if (revision <= jt_incarnation_revision(incarnation))
 		return;
 	jt_endpoint_table_record_removal(director->endpoints, incarnation,
-					 revision, now_ms);
+					 revision, age_ms, now_ms);
 	incarnation->entry.unreadable = true;
 	director->counters.unreadable++;
 	if (incarnation->state != JT_INCARNATION_DEAD)
-		jt_director_state_enter(incarnation, JT_INCARNATION_EXPIRED,
-					now_ms, actions);
+		expired_enter(incarnation, now_ms, actions);
 }
 
 /* Starts tracking an incarnation of a new or restarted endpoint. */
@@ -114,6 +125,30 @@
 	jt_director_address_assign(director, incarnation, now_ms, actions);
 }
 
+/* Applies the removal that a peer reports with @entry. */
+static void entry_removal_apply(struct jt_director *director,
+				const struct jt_endpoint_entry *entry,
+				uint64_t now_ms,
+				struct jt_director_actions *actions)
+{
+	struct jt_incarnation *known =
+		jt_endpoint_table_by_id(director->endpoints, entry->id);
+
+	/* Known already, perhaps from a listing, which doesn't tell when. */
+	if (known != NULL && known->entry.removed_revision != 0 &&
+	    known->entry.revision == entry->revision)
+		jt_endpoint_table_removed_earlier(known, entry->removed_age_ms,
+						  now_ms);
+	if (entry->unreadable)
+		jt_director_entry_unreadable(
+			director, entry->id, entry->removed_revision,
+			entry->removed_age_ms, now_ms, actions);
+	else
+		jt_director_entry_removed(
+			director, entry->id, entry->removed_revision,
+			entry->removed_age_ms, now_ms, actions);
+}
+
 void jt_director_entry(struct jt_director *director,
 		       const struct jt_endpoint_entry *entry, uint64_t now_ms,
 		       struct jt_director_actions *actions)
@@ -130,7 +165,8 @@
 	if (known != NULL && known->entry.start_time_ms != 0 &&
 	    entry->start_time_ms == 0) {
 		jt_director_entry_unreadable(director, entry->id,
-					     entry->revision, now_ms, actions);
+					     entry->revision, 0, now_ms,
+					     actions);
 		return;
 	}
 	result = jt_endpoint_table_update(director->endpoints, entry, stale,
@@ -140,12 +176,6 @@
 			    now_ms, actions);
 	else if (result != JT_ENTRY_OLD)
 		director->counters.entries_refused++;
-	if (entry->removed_revision != 0 && entry->unreadable)
-		jt_director_entry_unreadable(director, entry->id,
-					     entry->removed_revision, now_ms,
-					     actions);
-	else if (entry->removed_revision != 0)
-		jt_director_entry_removed(director, entry->id,
-					  entry->removed_revision, now_ms,
-					  actions);
+	if (entry->removed_revision != 0)
+		entry_removal_apply(director, entry, now_ms, actions);
 }
--- a/src/label/jt_director_expiry.c
+++ b/src/label/jt_director_expiry.c
@@ -38,16 +38,21 @@
 				 uint64_t now_ms)
 {
 	return incarnation->entry.removed_revision != 0 &&
-	       now_ms - incarnation->entry_received_ms >
+	       jt_incarnation_removed_age_ms(incarnation, now_ms) >
 		       director->options.flow_age_limit_ms;
 }
 
 static void incarnation_forget(struct jt_director *director,
 			       struct jt_incarnation *incarnation)
 {
+	uint32_t label = incarnation->label;
+	bool shared = jt_incarnation_shares_label(incarnation);
+
 	jt_listing_gaps_discard_before(&director->gaps,
 				       jt_incarnation_revision(incarnation));
 	jt_endpoint_table_remove(director->endpoints, incarnation);
+	if (shared)
+		jt_director_flows_recount(director, label);
 }
 
 /* Returns true if a probe, the removal of the incarnation, or a change of its
--- a/src/label/jt_director_flow.c
+++ b/src/label/jt_director_flow.c
@@ -42,7 +42,7 @@
 			     struct jt_cached_flow *flow)
 {
 	struct jt_incarnation *incarnation =
-		jt_endpoint_table_by_label(director->endpoints, flow->label);
+		jt_endpoint_table_flow_holder(director->endpoints, flow->label);
 
 	if (incarnation != NULL &&
 	    jt_incarnation_owns_flow(incarnation, flow->label)) {
@@ -95,6 +95,26 @@
 	jt_director_flow_forget(director, flow);
 }
 
+void jt_director_flows_recount(struct jt_director *director, uint32_t label)
+{
+	struct jt_incarnation *owner =
+		jt_endpoint_table_label_owner(director->endpoints, label);
+	struct jt_incarnation *holder =
+		jt_endpoint_table_flow_holder(director->endpoints, label);
+	const struct jt_cached_flow *flow;
+
+	for (; owner != NULL; owner = owner->label_next) {
+		owner->flows = 0;
+		owner->waiting = 0;
+	}
+	for (flow = director->flows->idle; flow != NULL; flow = flow->newer) {
+		if (flow->label != label)
+			continue;
+		holder->flows += !flow->closing;
+		holder->waiting += flow->waiting_ms != 0;
+	}
+}
+
 bool jt_director_flow_ended(const struct jt_cached_flow *flow,
 			    const struct jt_incarnation *incarnation)
 {
--- a/src/label/jt_director_flow.h
+++ b/src/label/jt_director_flow.h
@@ -40,6 +40,11 @@
 			    uint64_t now_ms,
 			    struct jt_director_actions *actions);
 
+/* Counts the cached flows with @label, which several incarnations share or have
+ * shared, at the one that holds them: call it after
+ * another one with that label has died, is alive again or was forgotten. */
+void jt_director_flows_recount(struct jt_director *director, uint32_t label);
+
 /* Returns true if the flow ended with its dead endpoint. A flow first seen
  * after the last confirmation of the death may belong to a restarted
  * endpoint. */
--- a/src/label/jt_director_incarnation.c
+++ b/src/label/jt_director_incarnation.c
@@ -53,6 +53,9 @@
 			     struct jt_director_actions *actions)
 {
 	struct jt_cached_flow *flow = director->flows->idle;
+	bool handed_over = jt_endpoint_table_flow_holder(director->endpoints,
+							 incarnation->label) !=
+			   incarnation;
 
 	/* Flows with its label belong to another incarnation. */
 	if (!jt_incarnation_owns_label(incarnation))
@@ -64,7 +67,8 @@
 		if (flow->label == incarnation->label && !flow->closing &&
 		    !opening_moved_away(flow, now_ms) &&
 		    (flow->opening_ms != 0 ||
-		     jt_director_flow_ended(flow, incarnation)))
+		     (!handed_over &&
+		      jt_director_flow_ended(flow, incarnation))))
 			jt_director_flow_reset(director, flow, incarnation,
 					       now_ms, actions);
 		flow = newer;
@@ -95,6 +99,8 @@
 		action->peers_know =
 			jt_detector_peer_reported_dead(incarnation, now_ms);
 	jt_director_flows_reset(director, incarnation, now_ms, actions);
+	if (jt_incarnation_shares_label(incarnation))
+		jt_director_flows_recount(director, incarnation->label);
 	/* Another endpoint's entry shows that the address was reassigned, but
 	 * not whether this endpoint has restarted there since: identify who
 	 * responds. */
@@ -111,6 +117,8 @@
 	incarnation->state = jt_director_listed_state(incarnation);
 	incarnation->state_ms = now_ms;
 	incarnation->cause = JT_DEATH_NONE;
+	if (jt_incarnation_shares_label(incarnation))
+		jt_director_flows_recount(director, incarnation->label);
 	director->counters.revived++;
 	jt_director_action_about(actions, JT_DIRECTOR_REVIVED, 0, incarnation,
 				 now_ms);
--- a/src/label/jt_director_incarnation.h
+++ b/src/label/jt_director_incarnation.h
@@ -11,7 +11,9 @@
 /* Returns the state according to the discovery entry alone. */
 enum jt_incarnation_state
 jt_director_listed_state(const struct jt_incarnation *incarnation);
-/* Resets the incarnation's flows that have certainly ended. */
+/* Resets the incarnation's flows that have certainly ended. An open flow has
+ * not if a living incarnation has the same label: that one resets the flows
+ * that it does not hold. */
 void jt_director_flows_reset(struct jt_director *director,
 			     const struct jt_incarnation *incarnation,
 			     uint64_t now_ms,
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -491,7 +491,7 @@
 		drop_add(director, packet, JT_DIRECTOR_NO_LABEL, actions);
 		return;
 	}
-	incarnation = jt_endpoint_table_by_label(director->endpoints, label);
+	incarnation = jt_endpoint_table_flow_holder(director->endpoints, label);
 	if (incarnation == NULL && !jt_director_started(director)) {
 		hold_add(director, packet, JT_DIRECTOR_NOT_STARTED, actions);
 		return;
--- a/src/label/jt_director_responses.c
+++ b/src/label/jt_director_responses.c
@@ -185,8 +185,9 @@
 	while (flow != NULL &&
 	       now_ms - flow->response_seen_ms >= RESPONSE_IDLE_MS) {
 		struct jt_cached_flow *next = flow->answering_next;
-		struct jt_incarnation *incarnation = jt_endpoint_table_by_label(
-			director->endpoints, flow->label);
+		struct jt_incarnation *incarnation =
+			jt_endpoint_table_flow_holder(director->endpoints,
+						      flow->label);
 
 		if (incarnation != NULL)
 			jt_director_response_end(director, flow, incarnation,
@@ -236,8 +237,8 @@
 	director->counters.failures_sent += count;
 	for (size_t i = 0; i < count; i++) {
 		const struct jt_incarnation *incarnation =
-			jt_endpoint_table_by_label(director->endpoints,
-						   failures[i].label);
+			jt_endpoint_table_flow_holder(director->endpoints,
+						      failures[i].label);
 
 		failures[i].share_permille = JT_FULL_SHARE_PERMILLE;
 		if (incarnation != NULL)
--- a/src/label/jt_director_suspicion.c
+++ b/src/label/jt_director_suspicion.c
@@ -118,8 +118,9 @@
 
 	while (flow != NULL && now_ms - flow->waiting_ms >= JT_OVERDUE_MIN_MS) {
 		struct jt_cached_flow *next = flow->waiting_next;
-		struct jt_incarnation *incarnation = jt_endpoint_table_by_label(
-			director->endpoints, flow->label);
+		struct jt_incarnation *incarnation =
+			jt_endpoint_table_flow_holder(director->endpoints,
+						      flow->label);
 
 		if (incarnation == NULL ||
 		    now_ms - flow->waiting_ms >=
--- a/src/label/jt_director_view.c
+++ b/src/label/jt_director_view.c
@@ -58,7 +58,10 @@
 	action->cause = incarnation->cause;
 	action->revision = incarnation->entry.revision;
 	action->service_id = incarnation->entry.service_id;
-	action->age_ms = now_ms - incarnation->entry_received_ms;
+	action->age_ms =
+		incarnation->entry.removed_revision != 0
+			? jt_incarnation_removed_age_ms(incarnation, now_ms)
+			: now_ms - incarnation->entry_received_ms;
 	return action;
 }
 
--- a/src/label/jt_endpoint_table.c
+++ b/src/label/jt_endpoint_table.c
@@ -88,6 +88,21 @@
 	return found;
 }
 
+struct jt_incarnation *
+jt_endpoint_table_flow_holder(const struct jt_endpoint_table *table,
+			      uint32_t label)
+{
+	struct jt_incarnation *owner =
+		jt_endpoint_table_label_owner(table, label);
+	struct jt_incarnation *holder = owner;
+
+	if (owner == NULL)
+		return jt_endpoint_table_by_label(table, label);
+	while (holder != NULL && holder->state == JT_INCARNATION_DEAD)
+		holder = holder->label_next;
+	return holder != NULL ? holder : owner;
+}
+
 struct jt_service_pool *
 jt_endpoint_table_pool(const struct jt_endpoint_table *table,
 		       uint32_t service_id)
@@ -165,6 +180,11 @@
 	return incarnation->label_prev->label_next == NULL;
 }
 
+bool jt_incarnation_shares_label(const struct jt_incarnation *incarnation)
+{
+	return incarnation->label_prev != incarnation;
+}
+
 static void label_join(struct jt_endpoint_table *table,
 		       struct jt_incarnation *incarnation)
 {
@@ -471,14 +491,26 @@
 
 void jt_endpoint_table_record_removal(struct jt_endpoint_table *table,
 				      struct jt_incarnation *incarnation,
-				      uint64_t revision, uint64_t now_ms)
+				      uint64_t revision, uint32_t age_ms,
+				      uint64_t now_ms)
 {
+	if (incarnation->entry.removed_revision == 0)
+		incarnation->removed_ms = now_ms - age_ms;
+	else
+		jt_endpoint_table_removed_earlier(incarnation, age_ms, now_ms);
 	incarnation->entry.removed_revision = revision;
 	incarnation->entry_received_ms = now_ms;
 	slice_revision_update(table, incarnation);
 	jt_endpoint_table_schedule(table, incarnation);
 }
 
+void jt_endpoint_table_removed_earlier(struct jt_incarnation *incarnation,
+				       uint32_t age_ms, uint64_t now_ms)
+{
+	if (age_ms > jt_incarnation_removed_age_ms(incarnation, now_ms))
+		incarnation->removed_ms = now_ms - age_ms;
+}
+
 void jt_endpoint_table_schedule(struct jt_endpoint_table *table,
 				struct jt_incarnation *incarnation)
 {
--- a/src/label/jt_endpoint_table.h
+++ b/src/label/jt_endpoint_table.h
@@ -30,6 +30,10 @@
 	uint32_t label;
 	uint32_t earlier_label;	    /* label before the last restart; 0: none */
 	uint64_t entry_received_ms; /* when the entry was last updated */
+	/* When the entry was removed, by the earliest report of any node; valid
+	 * if entry.removed_revision is set. It may lie before the zero of this
+	 * node's clock: use jt_incarnation_removed_age_ms(). */
+	uint64_t removed_ms;
 	uint64_t cold_until_ms;
 	/* Reported since the last full listing began. */
 	bool listed;
@@ -143,6 +147,14 @@
 	return in->entry.revision;
 }
 
+/* Returns the time since the entry was removed, which nodes agree on except for
+ * delays of messages. */
+static inline uint64_t
+jt_incarnation_removed_age_ms(const struct jt_incarnation *in, uint64_t now_ms)
+{
+	return now_ms - in->removed_ms;
+}
+
 /* Returns the number of requests served concurrently; 1 if the entry has no
  * capacity. */
 static inline uint32_t jt_incarnation_slots(const struct jt_incarnation *in)
@@ -186,10 +198,15 @@
 jt_endpoint_table_update(struct jt_endpoint_table *table,
 			 const struct jt_endpoint_entry *entry, bool stale,
 			 uint64_t now_ms, struct jt_incarnation **incarnation);
-/* Records that the entry was removed at @revision, learned at @now_ms. */
+/* Records that the entry was removed at @revision, @age_ms before @now_ms. If
+ * it is known to be removed, the earlier time is kept. */
 void jt_endpoint_table_record_removal(struct jt_endpoint_table *table,
 				      struct jt_incarnation *incarnation,
-				      uint64_t revision, uint64_t now_ms);
+				      uint64_t revision, uint32_t age_ms,
+				      uint64_t now_ms);
+/* Takes over an earlier time of a known removal, @age_ms before @now_ms. */
+void jt_endpoint_table_removed_earlier(struct jt_incarnation *incarnation,
+				       uint32_t age_ms, uint64_t now_ms);
 /* Adds the incarnation to the list of those that need timed work, such as a
  * probe or their removal. Call jt_endpoint_table_unschedule() when there is
  * none left. */
@@ -209,6 +226,13 @@
 struct jt_incarnation *
 jt_endpoint_table_by_label(const struct jt_endpoint_table *table,
 			   uint32_t label);
+/* Returns the incarnation at which flows with @label may be open: that of
+ * jt_endpoint_table_by_label(), unless it is dead and a later owner of the
+ * label is not. A node that forgets the dead one before this node does assigns
+ * flows to the later owner. */
+struct jt_incarnation *
+jt_endpoint_table_flow_holder(const struct jt_endpoint_table *table,
+			      uint32_t label);
 /* Returns the current owner of @label, or NULL. Ignores the labels of earlier
  * incarnations, so that a report about one is not applied to its successor. */
 struct jt_incarnation *
@@ -225,6 +249,8 @@
 /* Returns true if the incarnation owns its label, so that its flows can be
  * identified by it. */
 bool jt_incarnation_owns_label(const struct jt_incarnation *incarnation);
+/* Returns true if another known incarnation has the same label. */
+bool jt_incarnation_shares_label(const struct jt_incarnation *incarnation);
 /* Returns the first incarnation with @address, or NULL; the others follow by
  * address_next. */
 struct jt_incarnation *
--- a/src/label/jt_snapshot.c
+++ b/src/label/jt_snapshot.c
@@ -89,6 +89,18 @@
 	return count;
 }
 
+/* Returns the time in milliseconds since the entry was removed; 0 if it was
+ * not. */
+static uint32_t removed_age_ms(const struct jt_incarnation *in, uint64_t now_ms)
+{
+	uint64_t age_ms;
+
+	if (in->entry.removed_revision == 0)
+		return 0;
+	age_ms = jt_incarnation_removed_age_ms(in, now_ms);
+	return age_ms < UINT32_MAX ? (uint32_t)age_ms : UINT32_MAX;
+}
+
 static u_int entry_flags(const struct jt_endpoint_entry *entry)
 {
 	u_int flags = 0;
@@ -117,6 +129,7 @@
 		.revision = entry->revision,
 		.created_revision = entry->created_revision,
 		.removed_revision = entry->removed_revision,
+		.removed_age_ms = removed_age_ms(in, now_ms),
 		.flags = entry_flags(entry),
 	};
 }
@@ -388,6 +401,7 @@
 		.revision = wire->revision,
 		.created_revision = wire->created_revision,
 		.removed_revision = wire->removed_revision,
+		.removed_age_ms = wire->removed_age_ms,
 		.unreadable = wire->flags & JT_WIRE_ENTRY_UNREADABLE,
 	};
 	return true;
--- a/src/proto/jt_director_proto.h
+++ b/src/proto/jt_director_proto.h
@@ -23,7 +23,7 @@
 #define JT_DIRECTOR_MAX_LOADS 96
 #define JT_DIRECTOR_MAX_FAILURES 12
 #define JT_DIRECTOR_MAX_ZONES 64
-#define JT_DIRECTOR_MAX_UPDATE_ENTRIES 16
+#define JT_DIRECTOR_MAX_UPDATE_ENTRIES 15
 #define JT_DIRECTOR_MAX_UPDATE_ZONES 2
 
 struct jt_wire_peer {
@@ -163,6 +163,7 @@
 	u_quad_t revision;
 	u_quad_t created_revision;
 	u_quad_t removed_revision;
+	u_int removed_age_ms;
 	u_int flags;
 };
 typedef struct jt_wire_entry jt_wire_entry;
--- a/src/proto/jt_director_proto.x
+++ b/src/proto/jt_director_proto.x
@@ -19,7 +19,7 @@
 const JT_DIRECTOR_MAX_FAILURES = 12;
 const JT_DIRECTOR_MAX_ZONES = 64;
 /* Entries and zone drains of a gossip update; they fit into one datagram. */
-const JT_DIRECTOR_MAX_UPDATE_ENTRIES = 16;
+const JT_DIRECTOR_MAX_UPDATE_ENTRIES = 15;
 const JT_DIRECTOR_MAX_UPDATE_ZONES = 2;
 
 struct jt_wire_peer {
@@ -149,6 +149,7 @@
 	unsigned hyper revision;
 	unsigned hyper created_revision; /* revision that added it to discovery */
 	unsigned hyper removed_revision; /* that removed it; 0: still in discovery */
+	unsigned int removed_age_ms;  /* time since its removal */
 	unsigned int flags;
 };
 
--- a/src/proto/jt_director_proto_xdr.c
+++ b/src/proto/jt_director_proto_xdr.c
@@ -557,6 +557,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->removed_revision))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->removed_age_ms))
+			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->flags))
 			 return FALSE;
 		return TRUE;
@@ -594,6 +596,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->removed_revision))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->removed_age_ms))
+			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->flags))
 			 return FALSE;
 	 return TRUE;
@@ -621,6 +625,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->removed_revision))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->removed_age_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->flags))
 		 return FALSE;
 	return TRUE;
