--- a/src/director/jt_director_node.c
+++ b/src/director/jt_director_node.c
@@ -125,9 +125,9 @@
 					       &from);
 }
 
-/* Logs a delayed tick. The time spent on logging distinguishes a slow disk
+/* Handles a delayed tick. The time spent on logging distinguishes a slow disk
  * from a lack of CPU time. */
-static void late_tick_log(struct jt_director_node *node, uint64_t now_ms)
+static void late_tick_handle(struct jt_director_node *node, uint64_t now_ms)
 {
 	uint64_t log_ms =
 		node->log->sink != NULL
@@ -138,6 +138,7 @@
 
 	if (node->tick_due_ms != 0 && late_ms >= LATE_TICK_MS) {
 		node->traffic.tick_delay_ms += late_ms;
+		jt_reader_stalled(&node->reader, now_ms + TICK_MS);
 		jt_log_line(node->log, LOG_NOTICE,
 			    "event=stood_still late_ms=%llu log_ms=%llu",
 			    (unsigned long long)late_ms,
@@ -152,7 +153,7 @@
 	struct jt_director_event event = {.kind = JT_DIRECTOR_TICK};
 	uint64_t *peers;
 
-	late_tick_log(node, jt_clock_ms());
+	late_tick_handle(node, jt_clock_ms());
 	event.u.tick.peer_count =
 		jt_peer_exchange_ids(node->peers, node, &peers);
 	event.u.tick.peers = peers;
--- a/src/director/jt_directory_sync.c
+++ b/src/director/jt_directory_sync.c
@@ -39,9 +39,11 @@
 	struct tevent_req *call;  /* the pending list or watch */
 	struct tevent_req *check; /* the pending check */
 	uint64_t watch_ms;	  /* when the pending watch began */
-	bool watching;		  /* the pending call is a watch */
-	bool polling;		  /* the pending check is the follower's step */
-	bool first_page_pending;  /* the check timer waits for a first page */
+	uint64_t check_ms;	  /* when the pending check was sent */
+	enum jt_check_kind check_kind;
+	bool watching;		 /* the pending call is a watch */
+	bool polling;		 /* the pending check is the follower's step */
+	bool first_page_pending; /* the check timer waits for a first page */
 	uint64_t peer_wait_until_ms; /* limits the wait for peers */
 	uint64_t page_sent_ms;	     /* when the pending page was requested */
 	char *page_key;		     /* last key of the previous page */
@@ -157,7 +159,7 @@
 	caught_up_report(sync, response);
 	jt_follower_watched(&sync->follower, response->status,
 			    response->revision, response->change_count > 0,
-			    jt_clock_ms());
+			    sync->watch_ms, jt_clock_ms());
 	reachability_update(sync, response->status);
 	talloc_free(response);
 	sync_step(sync);
@@ -172,7 +174,8 @@
 	TALLOC_FREE(sync->call);
 	sync->watching = false;
 	sync->counters.watches_abandoned++;
-	jt_follower_watched(&sync->follower, status, 0, false, jt_clock_ms());
+	jt_follower_watched(&sync->follower, status, 0, false, sync->watch_ms,
+			    jt_clock_ms());
 	reachability_update(sync, status);
 	sync_step(sync);
 }
@@ -205,7 +208,7 @@
 	jt_follower_record_check(
 		&sync->follower, status, revision,
 		sync->watcher.known_revision(sync->watcher.private_data),
-		jt_clock_ms());
+		sync->check_ms, jt_clock_ms());
 	reachability_update(sync, status);
 	sync_step(sync);
 }
@@ -231,18 +234,23 @@
 		idle_check_apply(sync, status);
 	else if (sync->call != NULL && !sync->watching)
 		page_check_apply(sync, status);
-	else if (sync->watching && jt_follower_record_watch_check(
-					   &sync->follower, status, revision,
-					   sync->watch_ms, jt_clock_ms()))
+	else if (sync->watching && sync->check_kind == JT_CHECK_REVISION &&
+		 jt_follower_record_watch_check(&sync->follower, status,
+						revision, sync->watch_ms,
+						sync->check_ms, jt_clock_ms()))
 		watch_abandon(sync, status == JT_KV_OK ? JT_KV_LOST : status);
 }
 
 static void check_start(struct jt_directory_sync *sync)
 {
 	bool page_pending = sync->call != NULL && !sync->watching;
+	bool idle = sync->follower.read_mode == JT_READ_MODE_NONE;
 
+	sync->check_ms = jt_clock_ms();
+	sync->check_kind =
+		page_pending || idle ? JT_CHECK_ANSWERS : JT_CHECK_REVISION;
 	sync->check = sync->directory->check_send(
-		sync, sync->client, sync->store,
+		sync, sync->client, sync->store, sync->check_kind,
 		page_pending ? PAGE_CHECK_TIMEOUT_MS : CHECK_TIMEOUT_MS);
 	if (sync->check != NULL)
 		tevent_req_set_callback(sync->check, on_checked, sync);
@@ -333,6 +341,8 @@
 
 static void poll_start(struct jt_directory_sync *sync)
 {
+	if (sync->check_kind != JT_CHECK_REVISION)
+		TALLOC_FREE(sync->check);
 	if (sync->check == NULL)
 		check_start(sync);
 	sync->polling = sync->check != NULL;
--- a/src/director/jt_environment.h
+++ b/src/director/jt_environment.h
@@ -71,6 +71,12 @@
 	size_t change_count;
 };
 
+/* What a check of the store shows. */
+enum jt_check_kind {
+	JT_CHECK_ANSWERS,  /* only that the store answers */
+	JT_CHECK_REVISION, /* a revision that the store had after the call */
+};
+
 /* Calls to the store that holds routing and endpoints. */
 struct jt_directory {
 	/* Requests the page of all items after @after_key (NULL: the first).
@@ -87,11 +93,12 @@
 					 struct jt_address store,
 					 uint64_t revision, uint32_t wait_ms,
 					 uint32_t timeout_ms);
-	/* Requests only the store's revision, which may be slightly stale.
-	 * Cheaper than a list or a watch. */
+	/* Requests only the store's revision. JT_CHECK_ANSWERS is cheaper than
+	 * JT_CHECK_REVISION, but the revision may be seconds old. */
 	struct tevent_req *(*check_send)(TALLOC_CTX *mem_ctx,
 					 struct jt_http_client *client,
 					 struct jt_address store,
+					 enum jt_check_kind kind,
 					 uint32_t timeout_ms);
 	/* Returns the response to any of these calls, a talloc child of
 	 * @mem_ctx; NULL only if memory runs out. */
--- a/src/director/jt_peer_snapshots.c
+++ b/src/director/jt_peer_snapshots.c
@@ -28,6 +28,7 @@
 	struct jt_timer *timer;	  /* runs until the next attempt */
 	struct tevent_req *fetch; /* NULL: no request is pending */
 	struct jt_address source; /* the peer that the request was sent to */
+	uint64_t requested_ms;	  /* when the pending request was sent */
 	bool answered;		  /* it has already sent a part */
 	struct jt_snapshot_fetch fetched;
 	struct jt_serve_budget budget; /* for snapshots served to peers */
@@ -49,7 +50,8 @@
 	void *private_data = snapshots->handler.private_data;
 
 	snapshots->handler.snapshot_part(snapshot, private_data);
-	if (jt_snapshot_fetch_record(fetched, snapshot, jt_clock_ms()))
+	if (jt_snapshot_fetch_record(fetched, snapshot,
+				     snapshots->requested_ms))
 		snapshots->handler.snapshot_complete(fetched, private_data);
 }
 
@@ -93,6 +95,7 @@
 		(unsigned long long)snapshot_request.since,
 		(unsigned long long)snapshot_request.version,
 		snapshot_request.slice);
+	snapshots->requested_ms = jt_clock_ms();
 	if (url != NULL) {
 		call.url = url;
 		snapshots->fetch =
--- a/src/label/jt_follower.c
+++ b/src/label/jt_follower.c
@@ -75,6 +75,13 @@
 		follower->due_ms = now_ms;
 }
 
+/* Records that the state is complete as of @as_of_ms. */
+static void complete_as_of(struct jt_follower *follower, uint64_t as_of_ms)
+{
+	if (as_of_ms > follower->as_of_ms)
+		follower->as_of_ms = as_of_ms;
+}
+
 /* Records a valid response of the store. */
 static void record_response(struct jt_follower *follower, uint64_t now_ms)
 {
@@ -86,13 +93,13 @@
 bool jt_follower_record_watch_check(struct jt_follower *follower,
 				    enum jt_kv_status status,
 				    uint64_t store_revision, uint64_t watch_ms,
-				    uint64_t now_ms)
+				    uint64_t sent_ms, uint64_t now_ms)
 {
 	if (status != JT_KV_OK)
 		return true;
 	follower->answered_ms = now_ms;
 	if (store_revision <= follower->revision) {
-		follower->as_of_ms = now_ms;
+		complete_as_of(follower, sent_ms);
 		return false;
 	}
 	if (follower->unreported_revision != 0 &&
@@ -135,7 +142,8 @@
 
 void jt_follower_record_check(struct jt_follower *follower,
 			      enum jt_kv_status status, uint64_t store_revision,
-			      uint64_t known_revision, uint64_t now_ms)
+			      uint64_t known_revision, uint64_t sent_ms,
+			      uint64_t now_ms)
 {
 	if (status != JT_KV_OK) {
 		back_off(follower, now_ms);
@@ -147,7 +155,7 @@
 		follower->revision = known_revision;
 	if (store_revision <= follower->revision) {
 		follower->unreported_revision = 0;
-		follower->as_of_ms = now_ms;
+		complete_as_of(follower, sent_ms);
 		follower->due_ms = now_ms + CHECK_PAUSE_MS;
 		return;
 	}
@@ -198,8 +206,10 @@
 	first = !follower->paging;
 	/* Pages are no consistent snapshot: watch from the first one's
 	 * revision. */
-	if (first)
+	if (first) {
 		follower->listing = store_revision;
+		follower->listing_ms = now_ms - took_ms;
+	}
 	follower->paging = more;
 	follower->due_ms = now_ms;
 	if (more) {
@@ -212,9 +222,9 @@
 	}
 	follower->listed = true;
 	follower->revision = follower->listing;
-	follower->as_of_ms = now_ms;
+	complete_as_of(follower, follower->listing_ms);
 	if (follower->read_mode == JT_READ_MODE_CHECK)
-		follower->due_ms = now_ms + CHECK_PAUSE_MS;
+		follower->due_ms = follower->listing_ms + CHECK_PAUSE_MS;
 	return true;
 }
 
@@ -256,13 +266,14 @@
 }
 
 void jt_follower_watched(struct jt_follower *follower, enum jt_kv_status status,
-			 uint64_t store_revision, bool changes, uint64_t now_ms)
+			 uint64_t store_revision, bool changes,
+			 uint64_t sent_ms, uint64_t now_ms)
 {
 	follower->catching_up = false;
 	switch (status) {
 	case JT_KV_OK:
 		record_response(follower, now_ms);
-		follower->as_of_ms = now_ms;
+		complete_as_of(follower, sent_ms);
 		if (store_revision > follower->revision)
 			follower->revision = store_revision;
 		follower->due_ms = now_ms + (changes ? follower->pause_ms : 0);
--- a/src/label/jt_follower.h
+++ b/src/label/jt_follower.h
@@ -62,7 +62,11 @@
 	uint64_t failures_ever;
 	uint64_t due_ms;
 	uint64_t answered_ms; /* time of the last valid response */
-	uint64_t as_of_ms;    /* the state is complete as of this time */
+	/* The state is complete as of this time: when the call was sent whose
+	 * response last showed so. The response may have been on its way for
+	 * long. */
+	uint64_t as_of_ms;
+	uint64_t listing_ms; /* when the listing's first page was requested */
 	/* A revision seen by a check but not yet reported; 0: none. */
 	uint64_t unreported_revision;
 	bool page_check_lost; /* the last check beside a page request was lost
@@ -87,14 +91,15 @@
 void jt_follower_resume(struct jt_follower *follower, uint64_t revision,
 			uint64_t now_ms);
 /*
- * Records the result of a revision check made while a watch is pending; the
- * watch began at @watch_ms. Returns true if the watch has missed a change and
- * should be cancelled.
+ * Records the result of a revision check, sent at @sent_ms, made while a watch
+ * is pending; the watch began at @watch_ms. @store_revision is the store's
+ * revision at some time after @sent_ms. Returns true if the watch has missed a
+ * change and should be cancelled.
  */
 bool jt_follower_record_watch_check(struct jt_follower *follower,
 				    enum jt_kv_status status,
 				    uint64_t store_revision, uint64_t watch_ms,
-				    uint64_t now_ms);
+				    uint64_t sent_ms, uint64_t now_ms);
 /* Records a page of a listing that took @took_ms. Slow pages indicate that many
  * nodes list at once; then most of them pause to get the state from peers
  * instead. Returns true if this page completes the listing. */
@@ -105,19 +110,21 @@
  * listing. Returns true if the follower continues from there. */
 bool jt_follower_record_snapshot(struct jt_follower *follower,
 				 uint64_t revision, uint64_t now_ms);
-/* Records the result of a revision check. All changes up to @known_revision are
- * known, from any source. */
+/* Records the result of a revision check sent at @sent_ms. @store_revision is
+ * the store's revision at some time after that. All changes up to
+ * @known_revision are known, from any source. */
 void jt_follower_record_check(struct jt_follower *follower,
 			      enum jt_kv_status status, uint64_t store_revision,
-			      uint64_t known_revision, uint64_t now_ms);
+			      uint64_t known_revision, uint64_t sent_ms,
+			      uint64_t now_ms);
 /* Changes the read mode. */
 void jt_follower_set_read_mode(struct jt_follower *follower,
 			       enum jt_read_mode mode, uint64_t now_ms);
-/* Records the response of a watch at @store_revision; @changes is true if it
- * reported any. */
+/* Records the response at @store_revision of a watch sent at @sent_ms; @changes
+ * is true if it reported any. */
 void jt_follower_watched(struct jt_follower *follower, enum jt_kv_status status,
 			 uint64_t store_revision, bool changes,
-			 uint64_t now_ms);
+			 uint64_t sent_ms, uint64_t now_ms);
 /*
  * Records that the first page of a listing is late, a sign that many nodes
  * start and list at once. Returns true if the call should be cancelled. Most
--- a/src/label/jt_reader.c
+++ b/src/label/jt_reader.c
@@ -73,11 +73,18 @@
 void jt_reader_record_report(struct jt_reader *reader, uint64_t as_of_ms,
 			     uint64_t from, uint64_t now_ms)
 {
+	if (now_ms < reader->stalled_until_ms)
+		return;
 	if (as_of_ms <= reader->peers_as_of_ms)
 		reader->peers_no_newer_ms = now_ms;
 	jt_reader_record_peer(reader, as_of_ms, from);
 }
 
+void jt_reader_stalled(struct jt_reader *reader, uint64_t until_ms)
+{
+	reader->stalled_until_ms = until_ms;
+}
+
 /* Returns true if peers recently reported no newer state than this node has. */
 static bool peers_are_no_newer(const struct jt_reader *reader, uint64_t now_ms)
 {
@@ -91,8 +98,7 @@
 
 	/* The store was read not long ago: keep the current mode for a while,
 	 * whichever node is preferred now. A store that compacts its history
-	 * ends all watches, and its revision checks lag by seconds meanwhile;
-	 * only a new watch shows that. */
+	 * ends all watches. */
 	if (now_ms - reader->peers_as_of_ms <= reader->limit_ms) {
 		reader->hold_until_ms = now_ms + MIN_READING_MS;
 		return;
--- a/src/label/jt_reader.h
+++ b/src/label/jt_reader.h
@@ -2,8 +2,8 @@
  * Decides which nodes read the store, without agreement among them.
  *
  * One node watches the store and passes changes on by gossip; digests cover
- * lost messages. A few nodes in each zone check the store's revision, which is
- * cheaper, and fetch changes that were missed. Every node decides from its own
+ * lost messages. A few nodes in each zone check the store's revision and fetch
+ * changes that were missed. Every node decides from its own
  * view of its peers. Nodes with different views may both read for a while,
  * which is harmless because revisions order all changes.
  *
@@ -42,6 +42,7 @@
 				     */
 	uint64_t hold_until_ms;	    /* keep watching until then */
 	uint64_t try_after_ms;	    /* don't read before then */
+	uint64_t stalled_until_ms;  /* ignore peers' reports until then */
 	enum jt_read_mode read_mode;
 	/* A node that knows some endpoints doesn't list the store before
 	 * list_after_ms; listing_staggered is set once that time is randomised
@@ -60,10 +61,14 @@
  * all that @from had read as of @as_of_ms. */
 void jt_reader_record_peer(struct jt_reader *reader, uint64_t as_of_ms,
 			   uint64_t from);
-/* The same for a report that a peer sends at @now_ms. A report that is not
- * newer shows that peers are no more up to date than this node. */
+/* The same for a report of a peer that is received at @now_ms. A report that is
+ * not newer shows that peers are no more up to date than this node. */
 void jt_reader_record_report(struct jt_reader *reader, uint64_t as_of_ms,
 			     uint64_t from, uint64_t now_ms);
+/* Records that this node did not run for some time. The reports of peers that
+ * it receives before @until_ms may have waited for it: how old they are is
+ * unknown, and they are ignored. */
+void jt_reader_stalled(struct jt_reader *reader, uint64_t until_ms);
 /*
  * Records that the store did not answer. While its state is fresh, a watching
  * node keeps watching for some time. If the state is old and peers have no
--- a/src/label/jt_snapshot_fetch.c
+++ b/src/label/jt_snapshot_fetch.c
@@ -48,10 +48,11 @@
 }
 
 bool jt_snapshot_fetch_record(struct jt_snapshot_fetch *fetch,
-			      const jt_wire_snapshot *snapshot, uint64_t now_ms)
+			      const jt_wire_snapshot *snapshot,
+			      uint64_t requested_ms)
 {
-	uint64_t as_of_ms = now_ms > snapshot->store_age_ms
-				    ? now_ms - snapshot->store_age_ms
+	uint64_t as_of_ms = requested_ms > snapshot->store_age_ms
+				    ? requested_ms - snapshot->store_age_ms
 				    : 0;
 
 	if (!fetch->begun || snapshot->slice != fetch->slice ||
--- a/src/label/jt_snapshot_fetch.h
+++ b/src/label/jt_snapshot_fetch.h
@@ -33,11 +33,13 @@
 struct jt_snapshot_request
 jt_snapshot_fetch_request(struct jt_snapshot_fetch *fetch,
 			  const struct jt_own_state *own);
-/* Records a response received at @now_ms. Returns true if it completes the
- * snapshot; @fetch then describes the result until the next call of
- * jt_snapshot_fetch_request. Ignores a response to another request. */
+/* Records the response to a request sent at @requested_ms, from which the age
+ * of the sender's state is counted, since the response may have been held up.
+ * Returns true if it completes the snapshot; @fetch then describes the result
+ * until the next call of jt_snapshot_fetch_request. Ignores a response to
+ * another request. */
 bool jt_snapshot_fetch_record(struct jt_snapshot_fetch *fetch,
 			      const jt_wire_snapshot *snapshot,
-			      uint64_t now_ms);
+			      uint64_t requested_ms);
 
 #endif
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -25,14 +25,14 @@
 	uint64_t normal_ms, initial_sync_ms;
 
 	(void)state;
-	jt_follower_watched(&follower, JT_KV_OK, 11, true, 0);
+	jt_follower_watched(&follower, JT_KV_OK, 11, true, 0, 0);
 	normal_ms = follower.due_ms;
 	jt_follower_set_initial_sync(&follower, true);
-	jt_follower_watched(&follower, JT_KV_OK, 12, true, 0);
+	jt_follower_watched(&follower, JT_KV_OK, 12, true, 0, 0);
 	initial_sync_ms = follower.due_ms;
 	assert_true(initial_sync_ms > 0 && initial_sync_ms * 4 <= normal_ms);
 	jt_follower_set_initial_sync(&follower, false);
-	jt_follower_watched(&follower, JT_KV_OK, 13, true, 0);
+	jt_follower_watched(&follower, JT_KV_OK, 13, true, 0, 0);
 	assert_int_equal(follower.due_ms, normal_ms);
 }
 
@@ -110,7 +110,7 @@
 	struct jt_follower follower = follower_listed(10, 0);
 
 	(void)state;
-	jt_follower_watched(&follower, JT_KV_LOST, 0, false, 0);
+	jt_follower_watched(&follower, JT_KV_LOST, 0, false, 0, 0);
 	assert_int_equal(follower.revision, 10);
 	assert_int_equal(jt_follower_next(&follower, 5000), JT_FOLLOWER_WATCH);
 }
@@ -120,7 +120,7 @@
 	struct jt_follower follower = follower_listed(10, 0);
 
 	(void)state;
-	jt_follower_watched(&follower, JT_KV_COMPACTED, 0, false, 0);
+	jt_follower_watched(&follower, JT_KV_COMPACTED, 0, false, 0, 0);
 	assert_int_equal(jt_follower_next(&follower, 0), JT_FOLLOWER_LIST);
 	assert_true(jt_follower_page(&follower, JT_KV_OK, 30, false, 0, 0));
 	assert_int_equal(follower.revision, 30);
@@ -135,19 +135,21 @@
 
 	(void)state;
 	other.random.seed = 77;
-	jt_follower_watched(&follower, JT_KV_THROTTLED, 0, false, now_ms);
+	jt_follower_watched(&follower, JT_KV_THROTTLED, 0, false, now_ms,
+			    now_ms);
 	first = follower.due_ms - now_ms;
 	for (int i = 0; i < 10; i++) {
 		now_ms = follower.due_ms;
 		jt_follower_watched(&follower, JT_KV_THROTTLED, 0, false,
+				    now_ms, now_ms);
+		jt_follower_watched(&other, JT_KV_THROTTLED, 0, false, now_ms,
 				    now_ms);
-		jt_follower_watched(&other, JT_KV_THROTTLED, 0, false, now_ms);
 		spread = spread || follower.due_ms != other.due_ms;
 	}
 	assert_true(follower.due_ms - now_ms > first);
 	assert_in_range(follower.due_ms - now_ms, 500, 2000);
 	assert_true(spread);
-	jt_follower_watched(&follower, JT_KV_OK, 12, false, now_ms);
+	jt_follower_watched(&follower, JT_KV_OK, 12, false, now_ms, now_ms);
 	assert_int_equal(jt_follower_next(&follower, now_ms),
 			 JT_FOLLOWER_WATCH);
 	assert_int_equal(follower.revision, 12);
@@ -158,11 +160,11 @@
 	struct jt_follower follower = follower_listed(10, 0);
 
 	(void)state;
-	jt_follower_watched(&follower, JT_KV_OK, 11, true, 1000);
+	jt_follower_watched(&follower, JT_KV_OK, 11, true, 1000, 1000);
 	assert_int_equal(jt_follower_next(&follower, 1000), JT_FOLLOWER_WAIT);
 	assert_int_equal(jt_follower_next(&follower, 2000), JT_FOLLOWER_WATCH);
 	/* A late response never decreases the revision. */
-	jt_follower_watched(&follower, JT_KV_OK, 9, true, 2000);
+	jt_follower_watched(&follower, JT_KV_OK, 9, true, 2000, 2000);
 	assert_int_equal(follower.revision, 11);
 }
 
@@ -203,7 +205,8 @@
 
 		jt_follower_init(&follower, node);
 		jt_follower_page(&follower, JT_KV_OK, 5, false, 10, 1000);
-		jt_follower_watched(&follower, JT_KV_COMPACTED, 0, false, 2000);
+		jt_follower_watched(&follower, JT_KV_COMPACTED, 0, false, 2000,
+				    2000);
 		assert_int_equal(jt_follower_next(&follower, 2000),
 				 JT_FOLLOWER_LIST);
 		assert_false(jt_follower_yields_listing(&follower, 2150));
@@ -256,14 +259,35 @@
 
 	(void)state;
 	assert_false(jt_follower_record_watch_check(&follower, JT_KV_OK, 10, 0,
-						    700));
+						    700, 700));
 	assert_int_equal(follower.as_of_ms, 700);
-	/* A stale response reports no change. */
+	/* A response sent before the last change reports none. */
 	assert_false(jt_follower_record_watch_check(&follower, JT_KV_OK, 8, 0,
-						    1200));
+						    1200, 1200));
 	assert_int_equal(follower.as_of_ms, 1200);
 }
 
+/* Guards against a response that was held up, or read after this node stood
+ * still, and is taken for the store's content as of its arrival. */
+static void test_state_is_as_old_as_the_call_that_showed_it(void **state)
+{
+	struct jt_follower follower = follower_watching(10);
+
+	(void)state;
+	jt_follower_record_watch_check(&follower, JT_KV_OK, 10, 0, 500, 5500);
+	assert_int_equal(follower.as_of_ms, 500);
+	/* What was known later remains known. */
+	jt_follower_watched(&follower, JT_KV_OK, 11, true, 0, 5500);
+	assert_int_equal(follower.as_of_ms, 500);
+	jt_follower_record_check(&follower, JT_KV_OK, 11, 11, 6000, 6700);
+	assert_int_equal(follower.as_of_ms, 6000);
+	/* Changes during a listing are reported only by the next call. */
+	jt_follower_watched(&follower, JT_KV_COMPACTED, 0, false, 6800, 6900);
+	jt_follower_page(&follower, JT_KV_OK, 20, true, 1000, 8000);
+	jt_follower_page(&follower, JT_KV_OK, 25, false, 1000, 9000);
+	assert_int_equal(follower.as_of_ms, 7000);
+}
+
 static void test_watch_that_misses_change_is_given_up(void **state)
 {
 	struct jt_follower follower = follower_watching(10);
@@ -271,10 +295,10 @@
 	(void)state;
 	/* The change may be in transit. */
 	assert_false(jt_follower_record_watch_check(&follower, JT_KV_OK, 11, 0,
-						    700));
+						    700, 700));
 	assert_int_equal(follower.as_of_ms, 0);
 	assert_true(jt_follower_record_watch_check(&follower, JT_KV_OK, 11, 0,
-						   1200));
+						   1200, 1200));
 }
 
 static void test_watch_that_reports_changes_is_kept(void **state)
@@ -283,12 +307,12 @@
 
 	(void)state;
 	assert_false(jt_follower_record_watch_check(&follower, JT_KV_OK, 11, 0,
-						    700));
-	jt_follower_watched(&follower, JT_KV_OK, 11, true, 750);
+						    700, 700));
+	jt_follower_watched(&follower, JT_KV_OK, 11, true, 750, 750);
 	assert_false(jt_follower_record_watch_check(&follower, JT_KV_OK, 12,
-						    1150, 1200));
+						    1150, 1200, 1200));
 	assert_false(jt_follower_record_watch_check(&follower, JT_KV_OK, 12,
-						    1150, 1300));
+						    1150, 1300, 1300));
 }
 
 static void test_failed_poll_ends_watch(void **state)
@@ -297,11 +321,11 @@
 
 	(void)state;
 	assert_true(jt_follower_record_watch_check(&follower, JT_KV_LOST, 0, 0,
-						   700));
-	jt_follower_watched(&follower, JT_KV_LOST, 0, false, 700);
+						   700, 700));
+	jt_follower_watched(&follower, JT_KV_LOST, 0, false, 700, 700);
 	/* The next watch is short, so that a response comes soon. */
 	assert_in_range(jt_follower_wait_ms(&follower), 100, 1000);
-	jt_follower_watched(&follower, JT_KV_OK, 10, false, 1500);
+	jt_follower_watched(&follower, JT_KV_OK, 10, false, 1500, 1500);
 	assert_in_range(jt_follower_wait_ms(&follower), 5000, 30000);
 }
 
@@ -359,7 +383,7 @@
 	assert_int_equal(jt_follower_next(&follower, 0), JT_FOLLOWER_WAIT);
 	assert_int_equal(jt_follower_next(&follower, 1000), JT_FOLLOWER_CHECK);
 	/* Peers have reported revision 12 meanwhile. */
-	jt_follower_record_check(&follower, JT_KV_OK, 12, 12, 1000);
+	jt_follower_record_check(&follower, JT_KV_OK, 12, 12, 1000, 1000);
 	assert_int_equal(follower.as_of_ms, 1000);
 	assert_int_equal(jt_follower_next(&follower, 1000), JT_FOLLOWER_WAIT);
 	assert_int_equal(jt_follower_next(&follower, 2000), JT_FOLLOWER_CHECK);
@@ -371,19 +395,19 @@
 	uint64_t now_ms = 1000;
 
 	(void)state;
-	jt_follower_record_check(&follower, JT_KV_OK, 13, 10, now_ms);
+	jt_follower_record_check(&follower, JT_KV_OK, 13, 10, now_ms, now_ms);
 	/* The change may be in transit. */
 	assert_int_equal(jt_follower_next(&follower, now_ms), JT_FOLLOWER_WAIT);
 	now_ms += 200;
 	assert_int_equal(jt_follower_next(&follower, now_ms),
 			 JT_FOLLOWER_CHECK);
-	jt_follower_record_check(&follower, JT_KV_OK, 13, 10, now_ms);
+	jt_follower_record_check(&follower, JT_KV_OK, 13, 10, now_ms, now_ms);
 	assert_int_equal(jt_follower_next(&follower, now_ms),
 			 JT_FOLLOWER_WATCH);
 	assert_in_range(jt_follower_wait_ms(&follower), 100, 1000);
 	assert_int_equal(follower.as_of_ms, 0);
 	/* One watch is enough. */
-	jt_follower_watched(&follower, JT_KV_OK, 13, true, now_ms);
+	jt_follower_watched(&follower, JT_KV_OK, 13, true, now_ms, now_ms);
 	assert_int_equal(follower.as_of_ms, now_ms);
 	assert_int_equal(jt_follower_next(&follower, now_ms + 1000),
 			 JT_FOLLOWER_CHECK);
@@ -399,7 +423,7 @@
 
 		/* Each change is reported by peers shortly after the poll. */
 		jt_follower_record_check(&follower, JT_KV_OK, at, at - 1,
-					 now_ms);
+					 now_ms, now_ms);
 		assert_int_equal(jt_follower_next(&follower, now_ms + 150),
 				 JT_FOLLOWER_CHECK);
 	}
@@ -410,13 +434,14 @@
 	struct jt_follower follower = follower_polling(10);
 
 	(void)state;
-	jt_follower_record_check(&follower, JT_KV_UNAVAILABLE, 0, 10, 1000);
+	jt_follower_record_check(&follower, JT_KV_UNAVAILABLE, 0, 10, 1000,
+				 1000);
 	assert_int_equal(follower.failures, 1);
-	jt_follower_record_check(&follower, JT_KV_LOST, 0, 10, 2000);
+	jt_follower_record_check(&follower, JT_KV_LOST, 0, 10, 2000, 2000);
 	assert_int_equal(follower.failures, 2);
 	assert_int_equal(jt_follower_next(&follower, 2000), JT_FOLLOWER_WAIT);
 	assert_int_equal(follower.as_of_ms, 0);
-	jt_follower_record_check(&follower, JT_KV_OK, 10, 10, 4000);
+	jt_follower_record_check(&follower, JT_KV_OK, 10, 10, 4000, 4000);
 	assert_int_equal(follower.failures, 0);
 }
 
@@ -425,9 +450,9 @@
 	struct jt_follower follower = follower_polling(10);
 
 	(void)state;
-	jt_follower_record_check(&follower, JT_KV_OK, 13, 10, 1000);
-	jt_follower_record_check(&follower, JT_KV_OK, 13, 10, 1200);
-	jt_follower_watched(&follower, JT_KV_COMPACTED, 0, false, 1200);
+	jt_follower_record_check(&follower, JT_KV_OK, 13, 10, 1000, 1000);
+	jt_follower_record_check(&follower, JT_KV_OK, 13, 10, 1200, 1200);
+	jt_follower_watched(&follower, JT_KV_COMPACTED, 0, false, 1200, 1200);
 	assert_int_equal(jt_follower_next(&follower, 1200), JT_FOLLOWER_LIST);
 }
 
@@ -436,7 +461,7 @@
 	struct jt_follower follower = follower_polling(10);
 
 	(void)state;
-	jt_follower_record_check(&follower, JT_KV_OK, 10, 10, 1000);
+	jt_follower_record_check(&follower, JT_KV_OK, 10, 10, 1000, 1000);
 	jt_follower_set_read_mode(&follower, JT_READ_MODE_WATCH, 1100);
 	assert_int_equal(jt_follower_next(&follower, 1100), JT_FOLLOWER_WATCH);
 }
@@ -459,6 +484,8 @@
 		cmocka_unit_test(test_throttling_backs_off_with_jitter),
 		cmocka_unit_test(test_changes_are_batched),
 		cmocka_unit_test(test_poll_confirms_that_store_answers),
+		cmocka_unit_test(
+			test_state_is_as_old_as_the_call_that_showed_it),
 		cmocka_unit_test(test_watch_that_misses_change_is_given_up),
 		cmocka_unit_test(test_watch_that_reports_changes_is_kept),
 		cmocka_unit_test(test_failed_poll_ends_watch),
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -75,6 +75,23 @@
 	assert_in_range(reading, 20, 80);
 }
 
+/* Guards against a node that wakes up, reads peers' reports that have waited
+ * for seconds, and tells its peers that its state is fresh. */
+static void test_reports_that_waited_are_ignored(void **state)
+{
+	struct jt_reader reader = reader_at(1000);
+	uint64_t from;
+
+	(void)state;
+	/* The node stood still from 1100 to 6000. */
+	jt_reader_stalled(&reader, 6100);
+	jt_reader_record_report(&reader, 5800, OTHER, 6000);
+	assert_int_equal(jt_reader_as_of(&reader, SELF, &from), 1000);
+	assert_true(jt_reader_decide(&reader, JT_READER_RANK_NONE, true, 6000));
+	jt_reader_record_report(&reader, 5900, OTHER, 6100);
+	assert_int_equal(jt_reader_as_of(&reader, SELF, &from), 5900);
+}
+
 static void test_newest_reading_is_reported(void **state)
 {
 	struct jt_reader reader = reader_at(1000);
@@ -396,6 +413,7 @@
 		cmocka_unit_test(test_stale_state_makes_node_read),
 		cmocka_unit_test(
 			test_stale_nodes_start_reading_at_different_times),
+		cmocka_unit_test(test_reports_that_waited_are_ignored),
 		cmocka_unit_test(test_newest_reading_is_reported),
 		cmocka_unit_test(test_weak_nodes_wait_for_peers_at_start),
 		cmocka_unit_test(test_every_node_waits_for_peers_at_start),
