--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -353,6 +353,41 @@
 	json_decref(item);
 }
 
+/* Guards against an entry whose decoded document takes more memory than a small
+ * node has, so that every node that lists it is ended. */
+static void test_large_entry_is_not_decoded(void **state)
+{
+	enum { LISTS = 400000 };
+	char *lists = talloc_zero_size(NULL, 3 * LISTS + 1), *text, *digits;
+	struct jt_directory_change change;
+	size_t length, size;
+	json_t *item;
+
+	(void)state;
+	for (size_t i = 0; i < LISTS; i++)
+		memcpy(&lists[3 * i], i + 1 < LISTS ? "[]," : "[] ", 3);
+	text = make_entry("", NULL);
+	length = strlen(text);
+	/* A field more, which the entry's reader doesn't know. */
+	text = talloc_asprintf(lists, "%.*s,\"more\":[%s]}", (int)length - 1,
+			       text, lists);
+	length = strlen(text);
+	size = sodium_base64_ENCODED_LEN(length,
+					 sodium_base64_VARIANT_ORIGINAL);
+	digits = talloc_size(lists, size);
+	sodium_bin2base64(digits, size, (const uint8_t *)text, length,
+			  sodium_base64_VARIANT_ORIGINAL);
+	item = json_pack("{s:s, s:s, s:i}", "tlsKey", "servers/i-1", "value",
+			 digits, "revision", 5);
+	assert_true(jt_platform_item_parse(NULL, item, &change));
+	assert_int_equal(change.kind, JT_DIRECTORY_CHANGE_INVALID);
+	assert_string_equal(change.field, "value");
+	assert_int_equal(change.endpoint.id, 1);
+	assert_int_equal(change.endpoint.revision, 5);
+	json_decref(item);
+	talloc_free(lists);
+}
+
 /* Malformed keys below servers/ are rejected. */
 static void test_malformed_keys(void **state)
 {
@@ -502,6 +537,7 @@
 		cmocka_unit_test(test_call_count_is_ignored),
 		cmocka_unit_test(test_malformed_fields),
 		cmocka_unit_test(test_malformed_values),
+		cmocka_unit_test(test_large_entry_is_not_decoded),
 		cmocka_unit_test(test_malformed_keys),
 		cmocka_unit_test(test_key_escaping),
 		cmocka_unit_test(test_malformed_items_do_not_affect_others),
--- a/tests/test_platform_sync.c
+++ b/tests/test_platform_sync.c
@@ -1,5 +1,5 @@
-/* Keeping in step with a store whose stale reads lag behind, in one loop with a
- * stand-in for the store. */
+/* Keeping in step with a store whose stale reads lag behind, or which has an
+ * odd entry of another writer, in one loop with a stand-in for the store. */
 #include "test.h"
 
 #include "jt_directory_sync.h"
@@ -9,6 +9,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sodium.h>
 #include <stdio.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -20,6 +21,13 @@
 	/* Checks after which a change must have been found. */
 	CHECKS_MAX = 4,
 	CPU_PERMILLE = 1000,
+	/* Endpoints in the store: the odd entry stands between two good ones.
+	 */
+	ENTRIES = 3,
+	ODD_ENTRY = 1,
+	/* Lists in a large or deeply nested entry. */
+	NESTED = 3000,
+	LISTS = 300000,
 };
 
 struct fixture {
@@ -30,6 +38,12 @@
 	struct jt_address store;
 	bool changed;		    /* the store is at NEW_REVISION */
 	bool first_watch_is_silent; /* the first watch gets no response */
+	/* Values of the entries of endpoints, base64; NULL: there are none. */
+	const char *values[ENTRIES];
+	bool watched; /* the entries are written after the listing */
+	uint64_t endpoints[ENTRIES]; /* ids of the entries that were read */
+	unsigned endpoint_count;
+	unsigned invalid_count;
 	unsigned watches;
 	uint64_t known_revision;
 };
@@ -52,14 +66,27 @@
 
 /* The store */
 
-static void reply(struct jt_http_request *request, const char *kind,
-		  const char *items, int revision)
+/* Replies with the entries of endpoints, or without any. */
+static void reply(const struct fixture *fixture,
+		  struct jt_http_request *request, const char *kind,
+		  bool entries, int revision)
 {
-	char body[256];
-
-	snprintf(body, sizeof(body), "{\"%s\":[%s],\"more\":false,\"at\":%d}",
-		 kind, items, revision);
-	jt_http_reply(request, 200, "application/json", body);
+	json_t *items = json_array(), *body;
+	char key[16], *text;
+
+	for (int i = 0; entries && i < ENTRIES; i++) {
+		snprintf(key, sizeof(key), "servers/i-%d", i + 1);
+		json_array_append_new(
+			items, json_pack("{s:s,s:s,s:i,s:i}", "tlsKey", key,
+					 "value", fixture->values[i],
+					 "revision", revision, "created", 1));
+	}
+	body = json_pack("{s:o,s:b,s:i}", kind, items, "more", false, "at",
+			 revision);
+	text = json_dumps(body, 0);
+	jt_http_reply(request, 200, "application/json", text);
+	free(text);
+	json_decref(body);
 }
 
 static void watch_reply(struct fixture *fixture,
@@ -71,9 +98,7 @@
 	if ((fixture->watches == 1 && fixture->first_watch_is_silent) ||
 	    !fixture->changed || atoi(after) >= NEW_REVISION)
 		return;
-	reply(request, "events",
-	      "{\"tlsKey\":\"servers/aa\",\"revision\":11,\"gone\":true}",
-	      NEW_REVISION);
+	reply(fixture, request, "events", true, NEW_REVISION);
 }
 
 /* Stale reads show the store as it was before the change. */
@@ -82,7 +107,7 @@
 {
 	bool stale = jt_http_query(request, "stale") != NULL;
 
-	reply(request, "items", "",
+	reply(fixture, request, "items", false,
 	      fixture->changed && !stale ? NEW_REVISION : OLD_REVISION);
 }
 
@@ -96,7 +121,8 @@
 	} else if (prefix != NULL && *prefix != '\0') {
 		check_reply(fixture, request);
 	} else {
-		reply(request, "items", "", OLD_REVISION);
+		reply(fixture, request, "items", !fixture->watched,
+		      OLD_REVISION);
 		fixture->changed = true;
 	}
 }
@@ -106,8 +132,14 @@
 static void on_change(const struct jt_directory_change *change,
 		      void *private_data)
 {
-	(void)change;
-	(void)private_data;
+	struct fixture *fixture = private_data;
+
+	if (change->kind == JT_DIRECTORY_CHANGE_INVALID)
+		fixture->invalid_count++;
+	else if (change->kind == JT_DIRECTORY_CHANGE_ENDPOINT &&
+		 fixture->endpoint_count < ENTRIES)
+		fixture->endpoints[fixture->endpoint_count++] =
+			change->endpoint.id;
 }
 
 static void on_revision(uint64_t revision, void *private_data)
@@ -143,6 +175,31 @@
 	(void)private_data;
 }
 
+/* Returns @text in base64, a talloc child of @mem_ctx. */
+static char *to_base64(TALLOC_CTX *mem_ctx, const char *text)
+{
+	size_t length = strlen(text);
+	size_t size = sodium_base64_ENCODED_LEN(length,
+						sodium_base64_VARIANT_ORIGINAL);
+	char *digits = talloc_size(mem_ctx, size);
+
+	return sodium_bin2base64(digits, size, (const uint8_t *)text, length,
+				 sodium_base64_VARIANT_ORIGINAL);
+}
+
+/* Returns an entry with the JSON text @address and @capacity, and @more after
+ * its last field. */
+static char *entry(TALLOC_CTX *mem_ctx, const char *address,
+		   const char *capacity, const char *more)
+{
+	return talloc_asprintf(
+		mem_ctx,
+		"{\"service\":\"counter\",\"address\":%s,\"zone\":"
+		"\"regina\",\"version\":\"v1\",\"capacity\":%s,"
+		"\"state\":\"ready\",\"coldLeftMs\":0,\"callCount\":4%s}",
+		address, capacity, more);
+}
+
 static struct fixture *fixture_create(enum jt_read_mode mode)
 {
 	struct fixture *fixture = talloc_zero(NULL, struct fixture);
@@ -159,6 +216,11 @@
 		.private_data = fixture,
 	};
 
+	for (int i = 0; i < ENTRIES; i++)
+		fixture->values[i] =
+			to_base64(fixture, entry(fixture, "\"10.128.0.9:8080\"",
+						 "2", ""));
+	fixture->watched = true;
 	fixture->loop = tevent_context_init(fixture);
 	fixture->store = (struct jt_address){LOOPBACK, free_port()};
 	options.address = fixture->store;
@@ -211,6 +273,83 @@
 	talloc_free(fixture);
 }
 
+/* Returns @count times @text, a talloc child of @mem_ctx. */
+static char *repeat(TALLOC_CTX *mem_ctx, const char *text, size_t count)
+{
+	size_t length = strlen(text);
+	char *all = talloc_zero_size(mem_ctx, length * count + 1);
+
+	for (size_t i = 0; i < count; i++)
+		memcpy(&all[i * length], text, length);
+	return all;
+}
+
+/* Returns the text of the entry in each odd form; NULL after the last one. */
+static char *odd_entry(TALLOC_CTX *mem_ctx, int form)
+{
+	static const char good[] = "\"10.128.0.9:8080\"";
+
+	switch (form) {
+	case 0:
+		return repeat(mem_ctx, "[", NESTED);
+	case 1: /* well-formed, and nested as deeply in one field */
+		return entry(mem_ctx, good, "2",
+			     talloc_asprintf(mem_ctx, ",\"more\":%s%s",
+					     repeat(mem_ctx, "[", NESTED),
+					     repeat(mem_ctx, "]", NESTED)));
+	case 2: /* many nested lists in one field */
+		return entry(mem_ctx, good, "2",
+			     talloc_asprintf(mem_ctx, ",\"more\":[%s[]]",
+					     repeat(mem_ctx, "[],", LISTS)));
+	case 3:
+		return entry(mem_ctx, good, "1e999", "");
+	case 4:
+		return entry(mem_ctx, good, "123456789012345678901234", "");
+	case 5:
+		return entry(mem_ctx, good, "4294967296", "");
+	case 6:
+		return entry(mem_ctx, "\"10.128.0.9:65536\"", "2", "");
+	case 7:
+		return entry(mem_ctx, "\"10.128.0.9:99999999999999999999\"",
+			     "2", "");
+	default:
+		return NULL;
+	}
+}
+
+/* Guards against an odd entry of another writer, in a listing or in the
+ * response to a watch, that hides the entries beside it or ends the node's
+ * following of the store. */
+static void test_odd_entry_does_not_affect_others(void **state)
+{
+	TALLOC_CTX *frame = talloc_new(NULL);
+	char *text;
+
+	(void)state;
+	for (int form = 0; (text = odd_entry(frame, form)) != NULL; form++) {
+		for (int watched = 0; watched < 2; watched++) {
+			struct fixture *fixture =
+				fixture_create(JT_READ_MODE_WATCH);
+
+			fixture->watched = watched;
+			fixture->values[ODD_ENTRY] = to_base64(fixture, text);
+			run(fixture);
+			/* What is listed is reported again by the watch. */
+			assert_int_equal(fixture->endpoint_count,
+					 watched ? 2 : ENTRIES);
+			assert_int_equal(fixture->endpoints[0], 1);
+			assert_int_equal(fixture->endpoints[1], 3);
+			assert_int_equal(fixture->invalid_count,
+					 watched ? 1 : 2);
+			assert_int_equal(fixture->known_revision, NEW_REVISION);
+			assert_false(
+				jt_directory_sync_unreachable(fixture->sync));
+			talloc_free(fixture);
+		}
+	}
+	talloc_free(frame);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -218,6 +357,7 @@
 			test_check_finds_a_change_that_stale_reads_hide),
 		cmocka_unit_test(
 			test_dead_watch_is_found_though_stale_reads_lag),
+		cmocka_unit_test(test_odd_entry_does_not_affect_others),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
