Platform: callCount is any whole number, not one of 32 bits

An endpoint that has served more than 4,294,967,295 calls would have become unreadable: its entry names no endpoint to use, so new flows would have avoided it for good.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -236,11 +236,12 @@
 /* The field callCount has no effect on the parsed entry. */
 static void test_call_count_is_ignored(void **state)
 {
-	static const char *const counts[] = {"0", "4", "4000000000"};
+	static const char *const counts[] = {"0", "4", "4000000000",
+					     "9000000000000000000"};
 	struct jt_directory_change first, change;
 
 	(void)state;
-	for (size_t i = 0; i < 3; i++) {
+	for (size_t i = 0; i < sizeof(counts) / sizeof(counts[0]); i++) {
 		char *text = make_entry("callCount", counts[i]);
 
 		assert_int_equal(
