Addresses have no blank before the port; a large capacity doesn't overflow

strtoul() skips white space, so that "10.0.0.1: 80" passed for an address. The rate of new flows during the initial synchronisation was capacity x 40 in 32 bits: of an entry with a capacity of, say, 107,374,183 it was 24 a second, of 2^29 none at all.

--- a/src/common/jt_net.c
+++ b/src/common/jt_net.c
@@ -1,6 +1,7 @@
 #include "jt_net.h"
 
 #include <arpa/inet.h>
+#include <ctype.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <stdio.h>
@@ -29,8 +30,8 @@
 	if (inet_pton(AF_INET, host, &ip) != 1)
 		return -1;
 	port = strtoul(colon + 1, &end, 10);
-	if (*end != '\0' || port == 0 || port > 65535 || colon[1] == '+' ||
-	    colon[1] == '-')
+	if (*end != '\0' || port == 0 || port > UINT16_MAX ||
+	    !isdigit((unsigned char)colon[1]))
 		return -1;
 	address->ip = ntohl(ip.s_addr);
 	address->port = (uint16_t)port;
--- a/src/label/jt_flow_rate.c
+++ b/src/label/jt_flow_rate.c
@@ -71,7 +71,11 @@
 
 uint32_t jt_flow_rate_initial_sync(const struct jt_incarnation *in)
 {
-	return jt_incarnation_slots(in) * SLOT_FLOWS_PER_S;
+	uint32_t slots = jt_incarnation_slots(in);
+
+	return slots < JT_FLOW_RATE_UNLIMITED / SLOT_FLOWS_PER_S
+		       ? slots * SLOT_FLOWS_PER_S
+		       : JT_FLOW_RATE_UNLIMITED;
 }
 
 /* Rank of a node for an endpoint; each endpoint orders the nodes
