One odd endpoint of another writer doesn't hide the document (own interface)

What operators of the cell would have seen: another writer leaves one endpoint that is nested too deeply for the parser, has a number too large or a port out of range; every node refuses the whole document, so that endpoints beside it are not followed any more; a node that starts has no configuration at all; a change is answered "the store is unreachable (status 503)".

Cause: all resources are one JSON document, parsed and checked as a whole, in listing, watch and peers' messages alike, and a change was applied to the document as stored.

Change: values nested deeper than any resource, numbers out of range and resources above 4 KB become null before the parser sees them; then each invalid endpoint is taken out and logged (endpoint_rejected). Peers get the text without it. A change is checked as strictly as before against the valid rest; the odd endpoint stays as it is until it is corrected or removed by its name. The list of machines is read by the same reader.

--- a/fuzz/fuzz_resource.c
+++ b/fuzz/fuzz_resource.c
@@ -2,6 +2,7 @@
  * reason. */
 #include "fuzz_input.h"
 #include "jt_change.h"
+#include "jt_document_text.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -110,11 +111,33 @@
 	json_decref(document);
 }
 
+/* Parses a document of another writer, leaves its invalid endpoints out, and
+ * checks that nothing is left out of the rest. */
+static void document_of_other_writer(const uint8_t *data, size_t size)
+{
+	struct jt_resource_rejected rejected;
+	TALLOC_CTX *frame = talloc_new(NULL);
+	char *text = talloc_strndup(frame, (const char *)data, size);
+	bool replaced;
+	json_t *document = jt_document_text_parse(text, &replaced), *invalid;
+
+	if (document != NULL) {
+		json_decref(jt_resource_take_invalid(document, &rejected));
+		invalid = jt_resource_take_invalid(document, &rejected);
+		if (json_array_size(invalid) > 0)
+			abort();
+		json_decref(invalid);
+	}
+	document_build(document);
+	talloc_free(frame);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	struct input input = {.data = data, .remaining = size};
 
 	document_build(json_loadb((const char *)data, size, 0, NULL));
 	document_build(choose_document(&input));
+	document_of_other_writer(data, size);
 	return 0;
 }
--- a/scripts/real-nodes.sh
+++ b/scripts/real-nodes.sh
@@ -23,7 +23,7 @@
 # INDEX: starts a node. A function "settings INDEX FILE", if defined, may modify
 # its settings.
 node() {
-  local zone; zone=$(echo a b c a | cut -d' ' -f"$1")
+  local zone; zone=$(echo a b c a b | cut -d' ' -f"$1")
   sed -e "s/name = \"scl-renca-0\"/name = \"node-$1\"/" -e "s/zone = \"scl-renca\"/zone = \"zone-$zone\"/" \
     -e "s/127\.40\.0\.1:\(608[012]\)\";  *#/127.41.0.$1:\1\"; #/" \
     -e 's/seeds = .*/seeds = ( "127.41.0.1:6081", "127.41.0.2:6081", "127.41.0.3:6081" );/' \
--- a/scripts/store-faults.sh
+++ b/scripts/store-faults.sh
@@ -84,4 +84,24 @@
 kill -CONT "${pid[node-$holder]}"
 wait_revision 12 "$rev" 1 2 3 4
 report "the resumed coordinator serves the latest revision" $?
+
+# Another writer, which uses the store directly, adds endpoints that no node
+# would accept: one nested deeply, a number too large, a port out of range.
+key=$(printf %s "/jaspertrack/$(sed -n 's/^ *cell = "\([^"]*\)".*/\1/p' "$run/node-1.cfg")/resources" | base64 -w0)
+stored() { curl -s "http://$store/v3/kv/range" -d "{\"key\":\"$key\"}" | jq -r '.kvs[0].value' | base64 -d; }
+deep=$(printf '[%.0s' $(seq 5000))$(printf ']%.0s' $(seq 5000))
+port='{"name":"odd-port","service":"planilla","address":"127.0.0.1:65536","health":"127.0.0.1:1","slots":1,"connections":1}'
+number='{"name":"odd-number","service":"planilla","address":"127.0.0.1:2","health":"127.0.0.1:1","slots":1e999,"connections":1}'
+before=$(revision 1)
+stored | sed "s/\"endpoints\":\[/&{\"name\":\"odd-deep\",\"more\":$deep},$port,$number,/" | base64 -w0 >"$run/odd"
+printf '{"key":"%s","value":"%s"}' "$key" "$(cat "$run/odd")" >"$run/odd.json"
+curl -s "http://$store/v3/kv/put" -d "@$run/odd.json" >/dev/null
+wait_revision 6 $((before + 1)) 1 2 3 4
+report "odd endpoints of another writer: in force without them on every node within 6 s" $?
+out=$(ctl 2 apply -f "$(weight 31)"); code=$?
+[ $code = 0 ] && [[ $out == accepted* ]]
+report "odd endpoints of another writer: changes are still accepted" $?
+node 5
+wait_revision 10 "$(echo "$out" | sed 's/.*revision \([0-9]*\).*/\1/')" 5
+report "odd endpoints of another writer: a new node starts" $?
 exit $failed
--- a/src/daemon/jt_config_sync.c
+++ b/src/daemon/jt_config_sync.c
@@ -1,4 +1,5 @@
 #include "jt_config_sync.h"
+#include "jt_document_text.h"
 #include "jt_founding.h"
 #include "jt_net.h"
 #include "jt_store.h"
@@ -301,8 +302,10 @@
 static void write_evaluate(struct pending_write *write,
 			   const struct jt_store_value *value)
 {
-	json_t *document = value->present ? json_loads(value->value, 0, NULL)
-					  : json_object();
+	bool replaced;
+	json_t *document =
+		value->present ? jt_document_text_parse(value->value, &replaced)
+			       : json_object();
 	uint64_t revision = value->present ? value->mod_revision : 0;
 
 	if (document == NULL) {
--- a/src/daemon/jt_document.c
+++ b/src/daemon/jt_document.c
@@ -1,18 +1,35 @@
 #include "jt_document.h"
+#include "jt_document_text.h"
+
+#include <stdlib.h>
+
+/* Returns the text of @root, a talloc child of @mem_ctx. */
+static char *document_dump(TALLOC_CTX *mem_ctx, const json_t *root)
+{
+	char *dumped = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
+	char *text = talloc_strdup(mem_ctx, dumped);
+
+	free(dumped);
+	return text;
+}
 
 struct jt_document *jt_document_create(TALLOC_CTX *mem_ctx, uint64_t revision,
 				       const char *text,
 				       struct jt_resource_error *error)
 {
 	struct jt_document *document = talloc_zero(mem_ctx, struct jt_document);
+	bool replaced;
 	json_t *root;
 
 	if (document == NULL)
 		return NULL;
-	root = json_loads(text, 0, NULL);
+	root = jt_document_text_parse(text, &replaced);
 	document->revision = revision;
-	document->text = talloc_strdup(document, text);
+	json_decref(jt_resource_take_invalid(root, &document->rejected));
 	document->config = jt_resource_build(document, root, revision, error);
+	document->text = replaced || document->rejected.count > 0
+				 ? document_dump(document, root)
+				 : talloc_strdup(document, text);
 	json_decref(root);
 	return document;
 }
--- a/src/daemon/jt_document.h
+++ b/src/daemon/jt_document.h
@@ -10,11 +10,13 @@
 
 #include <talloc.h>
 
-/* A document; config is NULL if the text is invalid. */
+/* A document; config is NULL if the text is invalid. Endpoints that another
+ * writer has stored and that are invalid are not in text and config. */
 struct jt_document {
 	uint64_t revision;
 	char *text;
 	const struct jt_config *config;
+	struct jt_resource_rejected rejected;
 };
 
 enum { JT_DOCUMENT_CACHE_SIZE = 8 };
--- a/src/daemon/jt_health_probe.c
+++ b/src/daemon/jt_health_probe.c
@@ -1,4 +1,5 @@
 #include "jt_health_probe.h"
+#include "jt_document_text.h"
 #include "jt_http_client.h"
 #include "jt_net.h"
 
@@ -160,13 +161,14 @@
 	long status = 0;
 	int failed = jt_http_recv(req, probe, &status, &body, &bytes);
 	json_t *list = NULL, *entry;
+	bool replaced;
 	size_t index;
 
 	talloc_free(req);
 	probe->machines_pending = false;
 	probe->node->counters.probe_bytes += bytes;
 	if (!failed && status == 200)
-		list = json_loads(body, 0, NULL);
+		list = jt_document_text_parse(body, &replaced);
 	talloc_free(body);
 	for (; count < settings->seed_count; count++)
 		addresses[count] = settings->seeds[count];
--- a/src/daemon/jt_node.c
+++ b/src/daemon/jt_node.c
@@ -40,6 +40,27 @@
 	return jt_document_cache_newest(&node->documents);
 }
 
+/* Logs the endpoints that were left out of a document. */
+static void rejected_log(const struct jt_node *node,
+			 const struct jt_document *document)
+{
+	const struct jt_resource_rejected *rejected = &document->rejected;
+
+	for (size_t i = 0; i < rejected->count; i++)
+		jt_log_line(node->log, LOG_ERR,
+			    "event=endpoint_rejected revision=%llu resource=%s "
+			    "field=%s reason=\"%s\"",
+			    (unsigned long long)document->revision,
+			    rejected->errors[i].resource,
+			    rejected->errors[i].field,
+			    rejected->errors[i].reason);
+	if (rejected->more > 0)
+		jt_log_line(node->log, LOG_ERR,
+			    "event=endpoints_rejected revision=%llu more=%zu",
+			    (unsigned long long)document->revision,
+			    rejected->more);
+}
+
 bool jt_node_add_document(struct jt_node *node, uint64_t revision,
 			  const char *text)
 {
@@ -61,6 +82,7 @@
 		talloc_free(document);
 		return false;
 	}
+	rejected_log(node, document);
 	event.u.config = document->config;
 	jt_node_handle_event(node, &event);
 	jt_document_cache_add(&node->documents, document);
--- a/src/resource/jt_change.c
+++ b/src/resource/jt_change.c
@@ -144,6 +144,43 @@
 	return -1;
 }
 
+/* Returns true if one of the changes is about the endpoint @resource. */
+static bool endpoint_is_changed(const json_t *resource,
+				const struct jt_change *changes, size_t count)
+{
+	const char *name = json_string_value(json_object_get(resource, "name"));
+
+	for (size_t i = 0; i < count && name != NULL; i++) {
+		if (changes[i].kind == JT_RESOURCE_ENDPOINT &&
+		    strcmp(changes[i].name, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Removes the invalid endpoints of another writer from the document, except for
+ * those that a change is about: they must not block changes of other resources.
+ * Returns them as a list, a new reference. */
+static json_t *set_invalid_aside(json_t *document,
+				 const struct jt_change *changes, size_t count)
+{
+	struct jt_resource_rejected rejected;
+	json_t *list = get_or_create_list(document, JT_RESOURCE_ENDPOINT);
+	json_t *invalid = jt_resource_take_invalid(document, &rejected);
+
+	for (size_t i = 0; i < json_array_size(invalid);) {
+		json_t *resource = json_array_get(invalid, i);
+
+		if (!endpoint_is_changed(resource, changes, count)) {
+			i++;
+			continue;
+		}
+		json_array_append(list, resource);
+		json_array_remove(invalid, i);
+	}
+	return invalid;
+}
+
 enum jt_change_result jt_change_apply(const json_t *before,
 				      const struct jt_change *changes,
 				      size_t count, const char *write_id,
@@ -152,6 +189,7 @@
 {
 	enum jt_change_result result = JT_CHANGE_OK;
 	json_t *document = json_deep_copy(before);
+	json_t *invalid = set_invalid_aside(document, changes, count);
 	struct jt_config *config;
 
 	*after = NULL;
@@ -169,10 +207,13 @@
 		result = JT_CHANGE_INVALID;
 		goto fail;
 	}
+	json_array_extend(json_object_get(document, "endpoints"), invalid);
+	json_decref(invalid);
 	add_write_id(document, write_id);
 	*after = document;
 	return JT_CHANGE_OK;
 fail:
+	json_decref(invalid);
 	json_decref(document);
 	return result;
 }
--- a/src/resource/jt_resource.c
+++ b/src/resource/jt_resource.c
@@ -91,6 +91,10 @@
 	struct jt_resource_error *error;
 	enum jt_resource_kind kind;
 	const json_t *resource;
+	/* Where to move invalid endpoints, and their errors; NULL: an invalid
+	 * one is an error. */
+	json_t *invalid;
+	struct jt_resource_rejected *rejected;
 };
 
 __attribute__((format(printf, 3, 4))) static int
@@ -407,7 +411,22 @@
 	return a->protocol - b->protocol;
 }
 
-static int build_kind(struct builder *b, const json_t *list)
+/* Moves entry @index of the list, which is invalid, to those left out. */
+static void reject(struct builder *b, json_t *list, size_t index)
+{
+	struct jt_resource_rejected *rejected = b->rejected;
+
+	json_array_append(b->invalid, json_array_get(list, index));
+	json_array_remove(list, index);
+
+	if (rejected->count < JT_REJECTED_LIMIT)
+		rejected->errors[rejected->count++] = *b->error;
+	else
+		rejected->more++;
+	memset(b->error, 0, sizeof(*b->error));
+}
+
+static int build_kind(struct builder *b, json_t *list)
 {
 	static int (*const builders[JT_RESOURCE_KIND_COUNT])(
 		struct builder *) = {
@@ -421,10 +440,15 @@
 	b->resource = NULL;
 	if (list != NULL && !json_is_array(list))
 		return fail(b, "", "must be a list");
-	for (size_t i = 0; i < json_array_size(list); i++) {
+	for (size_t i = 0; i < json_array_size(list);) {
 		b->resource = json_array_get(list, i);
-		if (check_fields(b) != 0 || builders[b->kind](b) != 0)
+		if (check_fields(b) == 0 && builders[b->kind](b) == 0) {
+			i++;
+			continue;
+		}
+		if (b->invalid == NULL || b->kind != JT_RESOURCE_ENDPOINT)
 			return -1;
+		reject(b, list, i);
 	}
 	return 0;
 }
@@ -481,11 +505,12 @@
 	return config;
 }
 
-struct jt_config *jt_resource_build(TALLOC_CTX *mem_ctx, const json_t *document,
-				    uint64_t revision,
-				    struct jt_resource_error *error)
+/* Builds a configuration; @b has the error and what to do with invalid
+ * endpoints. */
+static struct jt_config *build(TALLOC_CTX *mem_ctx, const json_t *document,
+			       uint64_t revision, struct builder b)
 {
-	struct builder b = {.error = error};
+	struct jt_resource_error *error = b.error;
 
 	memset(error, 0, sizeof(*error));
 	if (!json_is_object(document)) {
@@ -516,3 +541,30 @@
 	talloc_free(b.config);
 	return NULL;
 }
+
+struct jt_config *jt_resource_build(TALLOC_CTX *mem_ctx, const json_t *document,
+				    uint64_t revision,
+				    struct jt_resource_error *error)
+{
+	return build(mem_ctx, document, revision,
+		     (struct builder){.error = error});
+}
+
+json_t *jt_resource_take_invalid(json_t *document,
+				 struct jt_resource_rejected *rejected)
+{
+	struct jt_resource_error error;
+	json_t *invalid = json_array();
+
+	memset(rejected, 0, sizeof(*rejected));
+	if (invalid == NULL)
+		return NULL;
+	/* Errors of other resources are left to the caller's own build. */
+	talloc_free(build(NULL, document, 0,
+			  (struct builder){
+				  .error = &error,
+				  .rejected = rejected,
+				  .invalid = invalid,
+			  }));
+	return invalid;
+}
--- a/src/resource/jt_resource.h
+++ b/src/resource/jt_resource.h
@@ -59,4 +59,23 @@
 				    uint64_t revision,
 				    struct jt_resource_error *error);
 
+/* Errors of invalid endpoints, as far as they fit, and the number of the
+ * others. */
+enum { JT_REJECTED_LIMIT = 16 };
+
+struct jt_resource_rejected {
+	struct jt_resource_error errors[JT_REJECTED_LIMIT];
+	size_t count;
+	size_t more;
+};
+
+/*
+ * Removes the invalid endpoints, which another writer has stored, from
+ * @document: they must not make the other resources invalid. Returns them as a
+ * list, a new reference, with their errors in @rejected; NULL if memory runs
+ * out.
+ */
+json_t *jt_resource_take_invalid(json_t *document,
+				 struct jt_resource_rejected *rejected);
+
 #endif
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -368,18 +368,16 @@
 static void test_large_entry_is_not_decoded(void **state)
 {
 	enum { LISTS = 400000 };
-	char *lists = talloc_zero_size(NULL, 3 * LISTS + 1), *text, *digits;
+	char *lists = test_repeat(NULL, "[],", LISTS), *text, *digits;
 	struct jt_directory_change change;
 	size_t length, size;
 	json_t *item;
 
 	(void)state;
-	for (size_t i = 0; i < LISTS; i++)
-		memcpy(&lists[3 * i], i + 1 < LISTS ? "[]," : "[] ", 3);
 	text = make_entry("", NULL);
 	length = strlen(text);
 	/* A field more, which the entry's reader doesn't know. */
-	text = talloc_asprintf(lists, "%.*s,\"more\":[%s]}", (int)length - 1,
+	text = talloc_asprintf(lists, "%.*s,\"more\":[%s[]]}", (int)length - 1,
 			       text, lists);
 	length = strlen(text);
 	size = sodium_base64_ENCODED_LEN(length,
--- a/tests/test_platform_sync.c
+++ b/tests/test_platform_sync.c
@@ -273,17 +273,6 @@
 	talloc_free(fixture);
 }
 
-/* Returns @count times @text, a talloc child of @mem_ctx. */
-static char *repeat(TALLOC_CTX *mem_ctx, const char *text, size_t count)
-{
-	size_t length = strlen(text);
-	char *all = talloc_zero_size(mem_ctx, length * count + 1);
-
-	for (size_t i = 0; i < count; i++)
-		memcpy(&all[i * length], text, length);
-	return all;
-}
-
 /* Returns the text of the entry in each odd form; NULL after the last one. */
 static char *odd_entry(TALLOC_CTX *mem_ctx, int form)
 {
@@ -291,16 +280,18 @@
 
 	switch (form) {
 	case 0:
-		return repeat(mem_ctx, "[", NESTED);
+		return test_repeat(mem_ctx, "[", NESTED);
 	case 1: /* well-formed, and nested as deeply in one field */
-		return entry(mem_ctx, good, "2",
-			     talloc_asprintf(mem_ctx, ",\"more\":%s%s",
-					     repeat(mem_ctx, "[", NESTED),
-					     repeat(mem_ctx, "]", NESTED)));
+		return entry(
+			mem_ctx, good, "2",
+			talloc_asprintf(mem_ctx, ",\"more\":%s%s",
+					test_repeat(mem_ctx, "[", NESTED),
+					test_repeat(mem_ctx, "]", NESTED)));
 	case 2: /* many nested lists in one field */
-		return entry(mem_ctx, good, "2",
-			     talloc_asprintf(mem_ctx, ",\"more\":[%s[]]",
-					     repeat(mem_ctx, "[],", LISTS)));
+		return entry(
+			mem_ctx, good, "2",
+			talloc_asprintf(mem_ctx, ",\"more\":[%s[]]",
+					test_repeat(mem_ctx, "[],", LISTS)));
 	case 3:
 		return entry(mem_ctx, good, "1e999", "");
 	case 4:
