--- a/src/director/jt_directory_sync.c
+++ b/src/director/jt_directory_sync.c
@@ -16,8 +16,8 @@
 	/* The same while a page is pending. */
 	PAGE_CHECK_MS = 250,
 	PAGE_CHECK_TIMEOUT_MS = 400,
-	/* A first page later than this means that many nodes request one, or
-	 * that the store is slow. */
+	/* A first page takes some 20 ms where few nodes request one. Later
+	 * than this means that many do, or that the store is slow. */
 	FIRST_PAGE_LATE_MS = 150,
 	/* A node that relies on peers checks whether the store is reachable
 	 * again. */
--- a/src/director/jt_peer_sender.h
+++ b/src/director/jt_peer_sender.h
@@ -23,7 +23,8 @@
 			     const jt_wire_director_message *message,
 			     bool only_zone);
 /* Sends to the next @peers live peers of this node's zone. Other zones are
- * left out: their nodes send few flows to endpoints here. */
+ * left out: their nodes send few flows to endpoints here, and bytes between
+ * zones cost. */
 void jt_peer_sender_send_rotating(struct jt_peer_sender *sender,
 				  const jt_wire_director_message *message,
 				  size_t peers);
--- a/src/director/jt_peer_snapshots.c
+++ b/src/director/jt_peer_snapshots.c
@@ -9,7 +9,8 @@
 enum {
 	FETCH_TIMEOUT_MS = 1000,
 	/* A node that has not started turns to another peer sooner, unless
-	 * this one has already answered. */
+	 * this one has already answered: the peer may have lost power together
+	 * with this node. */
 	FETCH_START_TIMEOUT_MS = 250,
 	SNAPSHOT_MAX = 8 << 20,
 	FETCH_RETRY_MS = 70, /* retry interval of a node that is behind */
--- a/src/label/admission/jt_concurrency_limit.c
+++ b/src/label/admission/jt_concurrency_limit.c
@@ -6,7 +6,8 @@
 
 /* The controlled delay is the lower quartile of the response times, since
  * requests bound to slow endpoints do not reflect what a new flow meets. It
- * may reach this part of the target. */
+ * may reach this part of the target: the slowest requests of a mix take about
+ * four times as long, and are still in time. */
 #define DELAY_QUANTILE 4
 #define DELAY_PART 0.23
 /* Maximum of that part, for services whose service time is long relative to
@@ -15,8 +16,8 @@
 /* Allowed part while endpoints reject few requests: a late response is better
  * than a refusal. */
 #define DELAY_PART_RELAXED 0.5
-/* Endpoints that reject more than this part of the requests have full
- * queues. */
+/* Endpoints that reject more than this part of the requests have full queues,
+ * and what waits there costs others their responses. */
 #define REJECTED_PART_MAX 0.05
 /* Each step, the pressure rises by the first amount while endpoints reject too
  * much, and falls by the second once there is no limit. It does not fall under
@@ -24,7 +25,8 @@
 #define PRESSURE_INCREASE 0.35
 #define PRESSURE_DECREASE 0.01
 /* Allowed delay and estimated mean service time, as multiples of the lowest
- * decile. */
+ * decile. Without queueing, the lower quartile is one and a half times the
+ * lowest decile, and queueing may add as much. */
 #define ALLOWED_TO_FAST_DELAY 2
 #define SERVICE_TO_FAST_DELAY 2
 /* A response within this part of the lowest decile, or this part of the target,
@@ -52,7 +54,7 @@
 #define LIMIT_FACTOR_MIN 0.7
 #define LIMIT_FACTOR_MAX 1.2
 /* Upper bound of the change at low delay, and the delay, relative to the
- * allowed one, below which it applies. */
+ * allowed one, below which it applies: the demand has fallen. */
 #define LOW_DELAY_FACTOR_MAX 1.5
 #define LOW_DELAY_PART 0.5
 /* A step raises the limit by this part of the geometric mean of limit and
--- a/src/label/jt_failure_reports.c
+++ b/src/label/jt_failure_reports.c
@@ -8,7 +8,8 @@
 	COLLECT_MS = 50,
 	/* The same if the rate limit doesn't allow a message to all peers. */
 	COLLECT_MAX_MS = 200,
-	/* Rate and burst of the limit on datagrams sent. */
+	/* Rate and burst of the limit on datagrams sent, of 60 to 250 bytes:
+	 * some 7 KB/s at most. */
 	DATAGRAMS_PER_S = 30,
 	DATAGRAMS_BURST = 400,
 };
--- a/src/label/jt_flow_lookup.c
+++ b/src/label/jt_flow_lookup.c
@@ -4,7 +4,9 @@
 #include <uthash.h>
 
 enum {
-	/* Message budget: burst size and long-term rate per second. */
+	/* Message budget: burst size and long-term rate per second. With their
+	 * frames this rate is some 3 KB/s, of the 7 KB/s that a node may use
+	 * for control. */
 	MESSAGES_BURST = 512,
 	MESSAGES_PER_S = 32,
 	LOOKUPS_MAX = 128, /* concurrent lookups */
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -15,7 +15,8 @@
 	 * any zone. */
 	CROSS_ZONE_ROUNDS = 8,
 	/* Expected number of nodes, for each zone, that forward an update to a
-	 * node of any zone. */
+	 * node of any zone. An update misses a zone once in some thousand
+	 * times, and digests make up for it. */
 	CROSS_ZONE_SENDERS = 8,
 	MAX_ZONES = 16,
 	/* Minimum number of store readers over all zones. */
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -24,7 +24,8 @@
 #include <talloc.h>
 
 enum {
-	/* Maximum number of known peers; bounds the memory of the list. */
+	/* Maximum number of known peers, twice the nodes to design for; bounds
+	 * the memory of the list. */
 	JT_PEER_LIMIT = 38000,
 	JT_DIGEST_FANOUT = 2, /* peers that get a digest in each round */
 	JT_UPDATE_FANOUT = 4, /* peers to which a gossip update is forwarded */
--- a/src/label/jt_membership_source.h
+++ b/src/label/jt_membership_source.h
@@ -6,7 +6,8 @@
 
 enum {
 	/* A peer whose last message is this old has half the rank of one with a
-	 * new message: it may have ended since then. */
+	 * new message: it may have ended since then. Where there are many
+	 * peers, each one is heard of every few seconds. */
 	SOURCE_HALF_RANK_AGE_MS = 2000,
 	/* Factor by which a source of the same zone is preferred. */
 	SOURCE_OWN_ZONE_FACTOR = 32,
--- a/src/label/jt_outlier.c
+++ b/src/label/jt_outlier.c
@@ -8,12 +8,14 @@
 #define PRIOR_REQUESTS 0.3
 /* At the first failure, the endpoint is assumed to have served the requests of
  * this part of the averaging time (jt_recent_load.h). The number of failures
- * that makes it an outlier is then independent of the request rate. */
+ * that makes it an outlier is then independent of the request rate. This
+ * part is some 0.15 s. */
 #define SERVED_BEFORE_PART 0.2
 /* Weight of an overdue response in failures: it is detected late, and clients
  * wait long for the next ones. */
 #define OVERDUE_WEIGHT 8.0
-/* The share falls with this power of the success rate relative to others. */
+/* The share falls with this power of the success rate relative to others: what
+ * others serve better is left to them. */
 #define SHARE_POWER 4.0
 /* Minimum weight of a failure, when the service has no free slots. */
 #define FREE_SLOTS_WEIGHT_MIN 0.3
--- a/src/label/jt_outlier.h
+++ b/src/label/jt_outlier.h
@@ -15,7 +15,9 @@
 
 #include "jt_endpoint_table.h"
 
-/* Minimum time until a response is overdue, milliseconds. */
+/* Minimum time until a response is overdue, milliseconds. The longest requests
+ * of services with a mean of 20 to 50 ms take up to 180 ms, and longer just
+ * after the endpoint's start. */
 enum { JT_OVERDUE_MIN_MS = 300 };
 
 enum { JT_FULL_SHARE_PERMILLE = 1000 };
--- a/src/label/jt_reader.c
+++ b/src/label/jt_reader.c
@@ -6,7 +6,8 @@
 	/* Time for which one report of no newer state stands for all peers. */
 	PEERS_NO_NEWER_MS = 1000,
 	/* While the store is unreachable for all nodes, one node on average
-	 * retries per interval of this length. */
+	 * retries per interval of this length: 40 retries a second find it
+	 * soon when it is back, and hardly load it. */
 	RETRY_INTERVAL_MS = 25,
 	/* Minimum range of the random retry delay of a node. */
 	RETRY_MIN_MS = 1600,
@@ -32,8 +33,10 @@
 	 * times. */
 	FIRST_START_SEEDS_MS = 1000,
 	FIRST_START_MS = 2000,
-	/* Time after which a node knows enough of its peers to watch; longer
-	 * on the first start, when there are no changes to deliver yet. */
+	/* Time after which a node knows enough of its peers to watch. If it
+	 * were longer, changes just after a restart of all nodes would come
+	 * late. It is longer on the first start, when there are no changes to
+	 * deliver yet. */
 	WATCH_AFTER_MS = 300,
 	WATCH_AFTER_FIRST_START_MS = 2500,
 };
--- a/src/label/jt_response_ratio.c
+++ b/src/label/jt_response_ratio.c
@@ -4,11 +4,13 @@
 
 enum {
 	/* Responses of all nodes together that an average covers; older ones
-	 * decay. */
+	 * decay. Enough to tell an endpoint that is half as fast from chance,
+	 * and few enough to follow one that turns slow within some seconds. */
 	WINDOW_RESPONSES = 24,
 	/* Weight of the usual response time as a prior, in responses. */
 	PRIOR_RESPONSES = 1,
-	/* Upper bound of the nodes that contribute to an average. */
+	/* Upper bound of the nodes that contribute to an average: more nodes
+	 * add hardly any responses. */
 	SHARING_NODES_MAX = 16,
 	/* Responses of one node that the usual time covers. */
 	BASELINE_RESPONSES = 256,
--- a/src/label/jt_serve_budget.c
+++ b/src/label/jt_serve_budget.c
@@ -2,7 +2,7 @@
 
 enum {
 	/* Maximum queueing delay of state snapshots on the link; below the
-	 * timeout of a requesting peer. */
+	 * timeout of a requesting peer, 250 ms while it starts. */
 	QUEUE_MAX_MS = 100,
 	BYTES_PER_MS_PER_MBPS = 125,
 	/* Snapshots use at most 1/2 of the link; the rest is for client
