Soak: stale reads that lag, and odd entries of another writer

The soak's store answered stale reads fresh, so that it could not show failure 73.

Foreign entries have the odd forms, too: nested too deeply, a number too large, a port out of range; they broke nothing on either code.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -141,6 +141,9 @@
 void soak_store_down(struct soak_store *store, uint64_t until_ms);
 /* Answers requests of the node with 429 until @until_ms. */
 void soak_store_throttle(struct soak_store *store, int node, uint64_t until_ms);
+/* Stale reads show the revision of @lag_ms ago until @until_ms. */
+void soak_store_lag(struct soak_store *store, uint64_t lag_ms,
+		    uint64_t until_ms);
 /* Discards the history and ends the watches with 410. */
 void soak_store_compact(struct soak_store *store);
 /* Returns the time of the last fault of the store; 0: never. */
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -2,6 +2,11 @@
 #include "soak.h"
 
 #include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Depth of an odd entry; more than the JSON parser allows. */
+enum { NESTED_LISTS = 3000 };
 
 /* Returns true if enough endpoints remain for another to fail. */
 static bool enough_endpoints(const struct soak *soak)
@@ -67,10 +72,31 @@
 	return true;
 }
 
+/* Puts an entry that differs from a valid one in its port and capacity. */
+static void put_odd_entry(struct soak *soak, const char *key, const char *port,
+			  const char *capacity)
+{
+	char text[256];
+
+	snprintf(text, sizeof(text),
+		 "{\"service\":\"planilla\",\"address\":\"127.0.0.1:%s\","
+		 "\"zone\":\"odd\",\"version\":\"v1\",\"capacity\":%s,"
+		 "\"state\":\"ready\",\"coldLeftMs\":0,\"callCount\":1}",
+		 port, capacity);
+	soak_store_put(soak->store, key, text);
+}
+
 static bool apply_foreign_entries(struct soak *soak)
 {
+	char deep[NESTED_LISTS + 1];
+
+	memset(deep, '[', NESTED_LISTS);
+	deep[NESTED_LISTS] = '\0';
 	soak_store_put(soak->store, "servers/none", "{}");
 	soak_store_put(soak->store, "servers/i-77/more", "no JSON");
+	soak_store_put(soak->store, "servers/i-78", deep);
+	put_odd_entry(soak, "servers/i-79", "1", "1e999");
+	put_odd_entry(soak, "servers/i-7a", "65536", "2");
 	return true;
 }
 
@@ -134,6 +160,11 @@
 		for (int i = (int)fault->target; i < soak->node_count; i++)
 			soak_store_throttle(soak->store, i, until_ms);
 		break;
+	case SOAK_STORE_LAGS:
+		soak_store_lag(soak->store,
+			       (uint64_t)fault->strength * SOAK_LAG_UNIT_MS,
+			       until_ms);
+		break;
 	default:
 		soak_store_compact(soak->store);
 		break;
@@ -181,6 +212,7 @@
 	case SOAK_STORE_DOWN:
 	case SOAK_STORE_THROTTLES:
 	case SOAK_STORE_COMPACTS:
+	case SOAK_STORE_LAGS:
 		return apply_store_fault(soak, fault);
 	case SOAK_PACKETS:
 		return apply_packet_fault(soak, fault);
@@ -213,6 +245,7 @@
 	soak->faults_ended_ms = now_ms;
 	soak->drop_percent = soak->duplicate_percent = 0;
 	soak->packet_faults_until_ms = 0;
+	soak_store_lag(soak->store, 0, 0);
 	soak_log(soak, "faults end");
 	for (uint32_t zone = 0; zone < SOAK_ZONES; zone++) {
 		if (soak->zones[zone].drained)
--- a/tests/soak/soak_schedule.c
+++ b/tests/soak/soak_schedule.c
@@ -50,6 +50,19 @@
 	PACKETS_MAX_MS = 4000,
 	PACKETS_PERCENT = 10,
 	PERCENT = 100,
+	/* Interval between lags of the store, and their duration. While it
+	 * lags, one node pauses, and a new version comes soon after. */
+	LAG_EVERY_MIN_MS = 5000,
+	LAG_EVERY_MAX_MS = 9000,
+	LAG_FOR_MS = 7000,
+	LAG_UNITS_MIN = 30,
+	LAG_UNITS_MAX = 60,
+	LAG_PAUSE_AFTER_MS = 500,
+	LAG_PAUSE_MIN_MS = 3000,
+	LAG_VERSION_MAX_MS = 500,
+	/* Seeds with all of these bits have these faults; none of the seeds
+	 * kept from before does. */
+	LAG_SEED_BITS = 5,
 };
 
 /* Each group of faults has its own random stream. */
@@ -59,7 +72,8 @@
 	STREAM_RESTARTS,
 	STREAM_ROUTERS,
 	STREAM_SERIES,
-	STREAM_PROFILE
+	STREAM_PROFILE,
+	STREAM_LAG
 };
 
 /* Optional groups of faults of a seed; the others always apply. */
@@ -85,6 +99,7 @@
 	[SOAK_STORE_DOWN] = "store_down",
 	[SOAK_STORE_THROTTLES] = "store_throttles",
 	[SOAK_STORE_COMPACTS] = "store_forgets",
+	[SOAK_STORE_LAGS] = "store_lags",
 	[SOAK_PACKETS] = "packets",
 	[SOAK_VERSION] = "version",
 	[SOAK_ZONE_TOGGLED] = "zone_turns",
@@ -396,6 +411,43 @@
 	}
 }
 
+/* Stale reads lag while a node pauses, which may be the one that watches the
+ * store, and the configuration changes. */
+static void draw_lags(struct soak_schedule *schedule,
+		      const struct soak_schedule_plan *plan,
+		      struct jt_random *random)
+{
+	uint64_t at_ms = plan->start_ms;
+
+	for (; at_ms < plan->end_ms;
+	     at_ms +=
+	     random_between(random, LAG_EVERY_MIN_MS, LAG_EVERY_MAX_MS)) {
+		struct soak_fault lag = {
+			.at_ms = at_ms,
+			.kind = SOAK_STORE_LAGS,
+			.for_ms = LAG_FOR_MS,
+			.strength = (unsigned)random_between(
+				random, LAG_UNITS_MIN, LAG_UNITS_MAX),
+		};
+		struct soak_fault pause = {
+			.at_ms = at_ms + LAG_PAUSE_AFTER_MS,
+			.kind = SOAK_NODE_PAUSES,
+			.target = (unsigned)random_below(random, plan->nodes),
+			.for_ms = random_between(random, LAG_PAUSE_MIN_MS,
+						 NODE_PAUSE_MAX_MS),
+		};
+		struct soak_fault version = {
+			.at_ms = pause.at_ms +
+				 random_between(random, 1, LAG_VERSION_MAX_MS),
+			.kind = SOAK_VERSION,
+		};
+
+		fault_add(schedule, lag);
+		fault_add(schedule, pause);
+		fault_add(schedule, version);
+	}
+}
+
 static int compare_faults(const void *one, const void *other)
 {
 	const struct soak_fault *a = one, *b = other;
@@ -422,6 +474,7 @@
 		talloc_zero(mem_ctx, struct soak_schedule);
 	struct jt_random random = stream_random(plan, STREAM_PROFILE);
 	uint64_t profile = jt_random_next(&random);
+	struct jt_random lag_random = stream_random(plan, STREAM_LAG);
 
 	if (schedule == NULL)
 		return NULL;
@@ -432,6 +485,8 @@
 		draw_routers(schedule, plan);
 	if (profile & PROFILE_SERIES)
 		draw_series(schedule, plan);
+	if ((plan->seed & LAG_SEED_BITS) == LAG_SEED_BITS)
+		draw_lags(schedule, plan, &lag_random);
 	sort_faults(schedule);
 	return schedule;
 }
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -36,6 +36,7 @@
 	SOAK_STORE_DOWN,
 	SOAK_STORE_THROTTLES, /* the nodes from the target on */
 	SOAK_STORE_COMPACTS,
+	SOAK_STORE_LAGS, /* stale reads show its content of some time ago */
 	/* Other targets. */
 	SOAK_PACKETS,	   /* loss and duplication */
 	SOAK_VERSION,	   /* a new configuration version */
@@ -43,13 +44,16 @@
 	SOAK_FAULT_KINDS,
 };
 
+enum { SOAK_LAG_UNIT_MS = 100 };
+
 struct soak_fault {
 	uint64_t at_ms; /* since the run began */
 	enum soak_fault_kind kind;
 	unsigned target; /* index of an endpoint address, node or zone */
 	uint64_t for_ms; /* duration, 0 if it doesn't end by itself */
 	/* SOAK_STORE_LINK: enum soak_link; SOAK_ENTRY_CORRUPTED: kind of
-	 * entry; SOAK_PACKETS: percentage lost. */
+	 * entry; SOAK_PACKETS: percentage lost; SOAK_STORE_LAGS: lag in units
+	 * of SOAK_LAG_UNIT_MS. */
 	unsigned strength;
 	unsigned doubled; /* SOAK_PACKETS: percentage duplicated */
 };
--- a/tests/soak/soak_store.c
+++ b/tests/soak/soak_store.c
@@ -10,7 +10,10 @@
 	ITEM_LIMIT = 512,
 	HISTORY_LIMIT = 4096,
 	WATCH_LIMIT = 1024,
-	VALUE_SIZE = 8192
+	VALUE_SIZE = 8192,
+	TIMER_MS = 50,
+	/* Revisions of the recent past, one for each run of the timer. */
+	PAST_LIMIT = 256,
 };
 
 struct item {
@@ -38,6 +41,10 @@
 	uint64_t down_until_ms;
 	uint64_t disturbed_ms;
 	uint64_t throttled_until_ms[SOAK_NODES_MAX];
+	uint64_t past_revisions[PAST_LIMIT]; /* a ring */
+	size_t past_count;
+	uint64_t lag_ms; /* of stale reads */
+	uint64_t lag_until_ms;
 	struct jt_http_server *server;
 	struct jt_timer *timer;
 };
@@ -67,10 +74,27 @@
 	reply(request, status, json_pack("{s:s}", "error", "not now"));
 }
 
+/* Returns the revision that a stale read shows. */
+static uint64_t stale_revision(const struct soak_store *store)
+{
+	size_t steps = store->lag_ms / TIMER_MS;
+
+	if (jt_clock_ms() >= store->lag_until_ms)
+		return store->revision;
+	if (steps >= store->past_count)
+		steps = store->past_count - 1;
+	if (steps >= PAST_LIMIT)
+		steps = PAST_LIMIT - 1;
+	return store
+		->past_revisions[(store->past_count - 1 - steps) % PAST_LIMIT];
+}
+
+/* A stale read lags in its revision only: nodes read no items that way. */
 static void range_reply(struct soak_store *store,
 			struct jt_http_request *request)
 {
 	const char *prefix = jt_http_query(request, "pathPrefix");
+	bool stale = jt_http_query(request, "stale") != NULL;
 	json_t *items = json_array();
 
 	for (size_t i = 0; i < store->item_count; i++) {
@@ -82,7 +106,8 @@
 	}
 	reply(request, 200,
 	      json_pack("{s:o, s:b, s:I}", "items", items, "more", 0, "at",
-			(json_int_t)store->revision));
+			(json_int_t)(stale ? stale_revision(store)
+					   : store->revision)));
 }
 
 static bool watch_reply(struct soak_store *store,
@@ -203,7 +228,9 @@
 	struct soak_store *store = private_data;
 
 	watches_serve(store, false);
-	jt_timer_set(store->timer, 50);
+	store->past_revisions[store->past_count++ % PAST_LIMIT] =
+		store->revision;
+	jt_timer_set(store->timer, TIMER_MS);
 }
 
 struct soak_store *soak_store_create(struct soak *soak)
@@ -221,7 +248,7 @@
 		return NULL;
 	}
 	store->timer = jt_timer_create(store, soak->loop, on_timer, store);
-	jt_timer_set(store->timer, 50);
+	on_timer(store);
 	return store;
 }
 
@@ -283,6 +310,13 @@
 	store->throttled_until_ms[node] = until_ms;
 }
 
+void soak_store_lag(struct soak_store *store, uint64_t lag_ms,
+		    uint64_t until_ms)
+{
+	store->lag_ms = lag_ms;
+	store->lag_until_ms = until_ms;
+}
+
 void soak_store_compact(struct soak_store *store)
 {
 	store->compacted_revision = store->revision;
