Fuzzing of endpoints that share flow labels

Three nodes and endpoints whose ids give two labels: planned work, changes that arrive up to 3 s late, listings, restarts from a peer's state, and times long beside the life of a flow. The oracle: no open flow of a live endpoint is reset by a node.

--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -19,9 +19,10 @@
   grep -E 'number_of_executed_units|DONE' "$work.log"
   rm -rf "$work" "$work.log"
 }
-part=$((seconds / 10))
+part=$((seconds / 11))
 [ $part -gt 0 ] || part=1
 for target in packet message resource settings document; do run $target $part 1000; done
+run shared_labels $part 1200
 run director $((3 * part)) 4000
-run cluster $((seconds - 8 * part > 0 ? seconds - 8 * part : 1)) 400
+run cluster $((seconds - 9 * part > 0 ? seconds - 9 * part : 1)) 400
 exit $failed
