--- a/src/label/jt_director_incarnation.c
+++ b/src/label/jt_director_incarnation.c
@@ -125,15 +125,30 @@
 }
 
 /* Returns true if another incarnation has taken over the address
- * permanently: a later entry with the same start time is a delayed write and
- * does not show that the incarnation is alive. */
+ * permanently: a later entry with the same start time, or with the same id
+ * where every start has an id of its own, is a delayed write and does not show
+ * that the incarnation is alive. */
 static bool address_lost(const struct jt_incarnation *incarnation)
 {
-	return incarnation->entry.start_time_ms != 0 &&
-	       incarnation->state == JT_INCARNATION_DEAD &&
+	return incarnation->state == JT_INCARNATION_DEAD &&
 	       incarnation->cause == JT_DEATH_REPLACED;
 }
 
+/* Returns true if @a was assigned the address later than @b. Where every start
+ * has an id of its own, an incarnation has its address from the creation of its
+ * entry on, and a later write may be a delayed one. Otherwise an entry may get
+ * another address with each write. */
+static bool assigned_later(const struct jt_incarnation *a,
+			   const struct jt_incarnation *b)
+{
+	const struct jt_endpoint_entry *one = &a->entry, *other = &b->entry;
+
+	if (one->start_time_ms == 0 && other->start_time_ms == 0 &&
+	    one->created_revision != 0 && other->created_revision != 0)
+		return one->created_revision > other->created_revision;
+	return one->revision > other->revision;
+}
+
 void jt_director_address_assign(struct jt_director *director,
 				struct jt_incarnation *updated, uint64_t now_ms,
 				struct jt_director_actions *actions)
@@ -145,8 +160,7 @@
 	if (address_lost(updated))
 		return;
 	for (other = first; other != NULL; other = other->address_next) {
-		if (!address_lost(other) &&
-		    other->entry.revision > newest->entry.revision)
+		if (!address_lost(other) && assigned_later(other, newest))
 			newest = other;
 	}
 	for (other = first; other != NULL; other = other->address_next) {
@@ -182,14 +196,13 @@
 {
 	struct jt_incarnation *newest = NULL, *other;
 
-	if (removed->entry.start_time_ms == 0 || address_lost(removed))
+	if (address_lost(removed))
 		return;
 	other = jt_endpoint_table_at(director->endpoints,
 				     removed->entry.address);
 	for (; other != NULL; other = other->address_next) {
 		if (address_lost(other) && other->entry.removed_revision == 0 &&
-		    (newest == NULL ||
-		     other->entry.revision > newest->entry.revision))
+		    (newest == NULL || assigned_later(other, newest)))
 			newest = other;
 	}
 	if (newest != NULL)
