--- a/include/jaspertrack/director-t.h
+++ b/include/jaspertrack/director-t.h
@@ -337,6 +337,8 @@
 	JT_DIRECTOR_DEATH_UNCONFIRMED,	 /* the endpoint may have restarted */
 	JT_DIRECTOR_OVERLOADED,		 /* rejected by admission control */
 	JT_DIRECTOR_FLOW_LOOKUP_PENDING, /* waits for a flow lookup at peers */
+	/* The SYN is sent again after the route's service has changed. */
+	JT_DIRECTOR_ROUTE_CHANGED,
 	JT_DIRECTOR_REASONS,
 };
 
--- a/src/cli/why.c
+++ b/src/cli/why.c
@@ -255,6 +255,9 @@
 	{"no_endpoint",
 	 "no endpoint of the route's services was eligible "
 	 "(draining, expired, dead or full): see endpoint_state"},
+	{"route_changed",
+	 "its first packet got no answer, and when the client sent it again "
+	 "the route had another service: the client was told to try anew"},
 	{"no_zone", "the zones of all eligible endpoints are drained by "
 		    "operators: see zone_drained"},
 	{"learning", "endpoints were still registering again after a store "
--- a/src/label/jt_director_packet.c
+++ b/src/label/jt_director_packet.c
@@ -275,6 +275,61 @@
 		    now_ms, actions);
 }
 
+/* Returns true if the client has sent a SYN again for a flow that has not
+ * opened here, and the route no longer names the service of its endpoint. */
+static bool retransmission_is_outdated(const struct jt_cached_flow *flow,
+				       const struct jt_label_packet *packet,
+				       const struct jt_incarnation *incarnation,
+				       const struct jt_route *route)
+{
+	return flow->opening_ms != 0 && packet->acknowledged > 0 &&
+	       !jt_route_names_service(route, incarnation->entry.service_id);
+}
+
+/* Handles a SYN of a flow that is in the cache. Returns false if it must be
+ * assigned anew. */
+static bool packet_syn_known(struct jt_director *director,
+			     const struct jt_label_packet *packet,
+			     const struct jt_route *route,
+			     struct jt_cached_flow *flow, uint64_t now_ms,
+			     struct jt_director_actions *actions)
+{
+	struct jt_incarnation *incarnation =
+		jt_endpoint_table_by_label(director->endpoints, flow->label);
+
+	if (incarnation == NULL ||
+	    director->options.injected_faults &
+		    JT_DIRECTOR_FAULT_REASSIGN_RETRANSMITTED)
+		return false;
+	if (retransmission_is_stale(director, flow, incarnation, now_ms)) {
+		drop_add(director, packet, JT_DIRECTOR_NO_ZONE, actions);
+		return true;
+	}
+	/* Another endpoint's response could disrupt the flow if its first one
+	 * has responded meanwhile. The client ignores a reset then. */
+	if (retransmission_is_outdated(flow, packet, incarnation, route)) {
+		jt_director_flow_forget(director, flow);
+		reset_add(director, &packet->key, JT_DIRECTOR_ROUTE_CHANGED,
+			  actions);
+		return true;
+	}
+	if (incarnation->state != JT_INCARNATION_DEAD) {
+		if (!fault_rejects_assigned(director, packet, route, now_ms,
+					    actions))
+			packet_syn_repeated(director, packet, flow, incarnation,
+					    now_ms, actions);
+		return true;
+	}
+	/* The flow may be open at the restarted endpoint. */
+	if (!syn_retransmitted(flow, packet) &&
+	    !jt_director_flow_ended(flow, incarnation)) {
+		drop_add(director, packet, JT_DIRECTOR_DEATH_UNCONFIRMED,
+			 actions);
+		return true;
+	}
+	return false;
+}
+
 /* Handles the SYN of a flow or a retransmission of it. */
 static void packet_syn(struct jt_director *director,
 		       const struct jt_label_packet *packet, uint64_t now_ms,
@@ -285,7 +340,6 @@
 	struct jt_cached_flow *flow =
 		jt_flow_cache_find(director->flows, &packet->key);
 	enum jt_director_reason reason = JT_DIRECTOR_PLACED;
-	struct jt_incarnation *incarnation;
 
 	if (!jt_director_accepts_flows(director)) {
 		hold_add(director, packet, JT_DIRECTOR_NOT_STARTED, actions);
@@ -302,34 +356,9 @@
 		flow = NULL;
 	}
 	if (flow != NULL) {
-		incarnation = jt_endpoint_table_by_label(director->endpoints,
-							 flow->label);
-		if (director->options.injected_faults &
-		    JT_DIRECTOR_FAULT_REASSIGN_RETRANSMITTED)
-			incarnation = NULL;
-		if (incarnation != NULL &&
-		    retransmission_is_stale(director, flow, incarnation,
-					    now_ms)) {
-			drop_add(director, packet, JT_DIRECTOR_NO_ZONE,
-				 actions);
-			return;
-		}
-		if (incarnation != NULL &&
-		    incarnation->state != JT_INCARNATION_DEAD) {
-			if (fault_rejects_assigned(director, packet, route,
-						   now_ms, actions))
-				return;
-			packet_syn_repeated(director, packet, flow, incarnation,
-					    now_ms, actions);
-			return;
-		}
-		/* The flow may be open at the restarted endpoint. */
-		if (incarnation != NULL && !syn_retransmitted(flow, packet) &&
-		    !jt_director_flow_ended(flow, incarnation)) {
-			drop_add(director, packet,
-				 JT_DIRECTOR_DEATH_UNCONFIRMED, actions);
+		if (packet_syn_known(director, packet, route, flow, now_ms,
+				     actions))
 			return;
-		}
 		jt_director_flow_forget(director, flow);
 		reason = JT_DIRECTOR_PLACED_AGAIN;
 	} else if (jt_director_lookup_waits(director, packet, now_ms,
--- a/src/label/jt_director_view.c
+++ b/src/label/jt_director_view.c
@@ -254,6 +254,7 @@
 		[JT_DIRECTOR_DEATH_UNCONFIRMED] = "death_unproven",
 		[JT_DIRECTOR_OVERLOADED] = "overloaded",
 		[JT_DIRECTOR_FLOW_LOOKUP_PENDING] = "peers_asked",
+		[JT_DIRECTOR_ROUTE_CHANGED] = "route_changed",
 	};
 
 	return names[reason];
--- a/src/label/jt_routing.c
+++ b/src/label/jt_routing.c
@@ -80,3 +80,13 @@
 	}
 	return true;
 }
+
+bool jt_route_names_service(const struct jt_route *route, uint32_t service_id)
+{
+	for (size_t i = 0; i < route->part_count; i++) {
+		if (route->parts[i].service_id == service_id &&
+		    route->parts[i].weight > 0)
+			return true;
+	}
+	return false;
+}
--- a/src/label/jt_routing.h
+++ b/src/label/jt_routing.h
@@ -18,6 +18,9 @@
  */
 const char *jt_routing_sort(struct jt_routing *routing);
 
+/* Returns true if the route sends new flows to the service. */
+bool jt_route_names_service(const struct jt_route *route, uint32_t service_id);
+
 /* Returns true if both routes have the same services with the same weights. */
 bool jt_route_same_parts(const struct jt_route *a, const struct jt_route *b);
 
--- a/tests/test_director.c
+++ b/tests/test_director.c
@@ -99,6 +99,40 @@
 
 /* Guards against placing a late duplicate of the first packet anew when the
  * flow is already open. */
+/* Guards against copies of a first packet, which a full endpoint leaves
+ * unanswered, that go to the old service after a new routing is in force. */
+static void test_retransmitted_syn_follows_the_routing(void **state)
+{
+	const struct jt_director_action *reset;
+	struct fixture *fixture = fixture_with_two_endpoints(0);
+	struct client_flow flow, open;
+
+	(void)state;
+	fixture_add_endpoint(fixture, 0x201, SERVICE_EXPORT, ZONE_A, 4);
+	fixture_set_routing(fixture, 2, 1, 0);
+	flow = flow_new(fixture, CLIENT_IP, SPLIT_PORT);
+	assert_int_equal(flow_send_syn(fixture, &flow) & 0x100, 0x100);
+	open = flow_new(fixture, CLIENT_IP + 1, SPLIT_PORT);
+	flow_open(fixture, &open);
+	fixture->now_ms += 100;
+	fixture_set_routing(fixture, 3, 0, 1);
+	/* The network's duplicate was sent before, and belongs to the flow. */
+	assert_non_null(flow_send(fixture, &flow, JT_PACKET_SYN, 0));
+	fixture->now_ms += 100;
+	flow.acknowledged = 1; /* the first copy */
+	assert_null(flow_send(fixture, &flow, JT_PACKET_SYN, 0));
+	reset = fixture_find_action(fixture, JT_DIRECTOR_RESET);
+	assert_non_null(reset);
+	assert_int_equal(reset->reason, JT_DIRECTOR_ROUTE_CHANGED);
+	/* An open flow stays where it is. */
+	assert_int_equal(
+		flow_send(fixture, &open, JT_PACKET_ACK, 10)->endpoint_id,
+		open.endpoint_id);
+	flow = flow_new(fixture, CLIENT_IP, SPLIT_PORT);
+	assert_int_equal(flow_send_syn(fixture, &flow), 0x201);
+	talloc_free(fixture);
+}
+
 static void test_late_duplicate_syn_goes_to_same_endpoint(void **state)
 {
 	struct fixture *fixture = fixture_with_two_endpoints(0);
@@ -815,6 +849,7 @@
 		cmocka_unit_test(test_unknown_route_is_reset_at_once),
 		cmocka_unit_test(test_endpoint_side_packets_are_dropped),
 		cmocka_unit_test(test_retransmitted_syn_goes_to_same_endpoint),
+		cmocka_unit_test(test_retransmitted_syn_follows_the_routing),
 		cmocka_unit_test(test_late_duplicate_syn_goes_to_same_endpoint),
 		cmocka_unit_test(
 			test_late_syn_of_a_known_flow_goes_to_same_endpoint),
