--- a/src/director/jt_endpoint_probes.c
+++ b/src/director/jt_endpoint_probes.c
@@ -1,7 +1,12 @@
 #include "jt_endpoint_probes.h"
 #include "jt_prober.h"
 
-enum { CONNECT_TIMEOUT_MS = 250, IDENTIFY_TIMEOUT_MS = 500 };
+enum {
+	/* A full queue of connections drops the opening packet, which is sent
+	 * again after one second: less tells nothing about a busy endpoint. */
+	CONNECT_TIMEOUT_MS = 1250,
+	IDENTIFY_TIMEOUT_MS = 500,
+};
 
 struct jt_endpoint_probes {
 	struct tevent_context *loop;
--- a/src/lab/label.c
+++ b/src/lab/label.c
@@ -18,7 +18,7 @@
 enum {
 	DISCOVERY_POLL_US = 500000, /* also the tick interval */
 	PROBE_CONNECT_US = 3000,    /* duration of a probe of a live endpoint */
-	PROBE_TIMEOUT_US = 250000,  /* timeout of a probe */
+	PROBE_TIMEOUT_US = 1250000, /* timeout of a probe */
 	DISCOVERY_EXPIRY_US = 3600000, /* three announcement intervals */
 	REPORT_BYTES = 1100,	       /* digest and loads to two peers */
 	STORE_CALL_BYTES = 260,	       /* store call or probe */
