--- a/tests/soak/soak_schedule.c
+++ b/tests/soak/soak_schedule.c
@@ -1,16 +1,12 @@
-/* Drawing, writing and reading the faults of a run. */
+/* Drawing the faults of a run. */
 #include "soak_schedule.h"
 #include "jt_random.h"
 #include "soak.h"
 
-#include <errno.h>
-#include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 enum {
 	GROWTH = 64, /* faults allocated at once */
-	LINE = 256,
 	/* Interval between single faults. */
 	SINGLE_EVERY_MIN_MS = 150,
 	SINGLE_EVERY_MAX_MS = 1500,
@@ -49,7 +45,6 @@
 	PACKETS_MIN_MS = 500,
 	PACKETS_MAX_MS = 4000,
 	PACKETS_PERCENT = 10,
-	PERCENT = 100,
 	/* Interval between lags of the store, and their duration. While it
 	 * lags, one node pauses, and a new version comes soon after. */
 	LAG_EVERY_MIN_MS = 5000,
@@ -129,7 +124,7 @@
 	return min + random_below(random, max - min);
 }
 
-static void fault_add(struct soak_schedule *schedule, struct soak_fault fault)
+void soak_schedule_add(struct soak_schedule *schedule, struct soak_fault fault)
 {
 	if (schedule->count % GROWTH == 0)
 		schedule->faults = talloc_realloc(schedule, schedule->faults,
@@ -156,22 +151,23 @@
 	if (fault.kind == SOAK_ENDPOINT_DISCONNECT)
 		fault.for_ms = random_between(random, ENDPOINT_CUT_MIN_MS,
 					      ENDPOINT_CUT_MAX_MS);
-	fault_add(schedule, fault);
+	soak_schedule_add(schedule, fault);
 }
 
 static void add_link_fault(struct soak_schedule *schedule, unsigned node,
 			   struct jt_random *random, uint64_t at_ms)
 {
-	fault_add(schedule,
-		  (struct soak_fault){
-			  .at_ms = at_ms,
-			  .kind = SOAK_STORE_LINK,
-			  .target = node,
-			  .for_ms = random_between(random, LINK_MIN_MS,
-						   LINK_MAX_MS),
-			  .strength = 1 + (unsigned)random_below(
-						  random, SOAK_LINK_STALE - 1),
-		  });
+	soak_schedule_add(
+		schedule,
+		(struct soak_fault){
+			.at_ms = at_ms,
+			.kind = SOAK_STORE_LINK,
+			.target = node,
+			.for_ms = random_between(random, LINK_MIN_MS,
+						 LINK_MAX_MS),
+			.strength = 1 + (unsigned)random_below(
+						random, SOAK_LINK_STALE - 1),
+		});
 }
 
 static void add_node_fault(struct soak_schedule *schedule,
@@ -197,7 +193,7 @@
 	if (fault.kind == SOAK_NODE_PAUSES)
 		fault.for_ms = random_between(random, NODE_PAUSE_MIN_MS,
 					      NODE_PAUSE_MAX_MS);
-	fault_add(schedule, fault);
+	soak_schedule_add(schedule, fault);
 }
 
 static void add_store_fault(struct soak_schedule *schedule,
@@ -214,23 +210,24 @@
 		.for_ms = random_between(random, STORE_MIN_MS, STORE_MAX_MS),
 	};
 
-	fault_add(schedule, fault);
+	soak_schedule_add(schedule, fault);
 }
 
 static void add_packet_faults(struct soak_schedule *schedule,
 			      struct jt_random *random, uint64_t at_ms)
 {
-	fault_add(schedule,
-		  (struct soak_fault){
-			  .at_ms = at_ms,
-			  .kind = SOAK_PACKETS,
-			  .for_ms = random_between(random, PACKETS_MIN_MS,
-						   PACKETS_MAX_MS),
-			  .strength = (unsigned)random_below(random,
-							     PACKETS_PERCENT),
-			  .doubled = (unsigned)random_below(random,
-							    PACKETS_PERCENT),
-		  });
+	soak_schedule_add(
+		schedule,
+		(struct soak_fault){
+			.at_ms = at_ms,
+			.kind = SOAK_PACKETS,
+			.for_ms = random_between(random, PACKETS_MIN_MS,
+						 PACKETS_MAX_MS),
+			.strength =
+				(unsigned)random_below(random, PACKETS_PERCENT),
+			.doubled =
+				(unsigned)random_below(random, PACKETS_PERCENT),
+		});
 }
 
 static void draw_single(struct soak_schedule *schedule,
@@ -253,11 +250,12 @@
 		else if (kind < 16)
 			add_packet_faults(schedule, &random, at_ms);
 		else
-			fault_add(schedule,
-				  (struct soak_fault){
-					  .at_ms = at_ms,
-					  .kind = kind < 19 ? SOAK_VERSION
-							    : SOAK_ALL_KILLED});
+			soak_schedule_add(
+				schedule,
+				(struct soak_fault){
+					.at_ms = at_ms,
+					.kind = kind < 19 ? SOAK_VERSION
+							  : SOAK_ALL_KILLED});
 	}
 }
 
@@ -279,7 +277,7 @@
 			.target = (unsigned)random_below(&random, plan->zones),
 		};
 
-		fault_add(schedule, fault);
+		soak_schedule_add(schedule, fault);
 	}
 }
 
@@ -311,7 +309,7 @@
 			fault.strength =
 				(unsigned)random_below(&random, ENTRY_KINDS);
 		}
-		fault_add(schedule, fault);
+		soak_schedule_add(schedule, fault);
 	}
 }
 
@@ -324,14 +322,15 @@
 	for (; at_ms < plan->end_ms;
 	     at_ms += random_between(&random, UNROUTED_EVERY_MIN_MS,
 				     UNROUTED_EVERY_MAX_MS))
-		fault_add(schedule,
-			  (struct soak_fault){.at_ms = at_ms,
-					      .kind = SOAK_NODE_UNROUTED,
-					      .target = (unsigned)random_below(
-						      &random, plan->nodes),
-					      .for_ms = random_between(
-						      &random, UNROUTED_MIN_MS,
-						      UNROUTED_MAX_MS)});
+		soak_schedule_add(
+			schedule,
+			(struct soak_fault){.at_ms = at_ms,
+					    .kind = SOAK_NODE_UNROUTED,
+					    .target = (unsigned)random_below(
+						    &random, plan->nodes),
+					    .for_ms = random_between(
+						    &random, UNROUTED_MIN_MS,
+						    UNROUTED_MAX_MS)});
 }
 
 /* Series: a fault repeated before the previous one has ended, or several at
@@ -406,7 +405,7 @@
 
 			fault.at_ms = begin_ms + i * pause_ms;
 			if (fault.at_ms < plan->end_ms)
-				fault_add(schedule, fault);
+				soak_schedule_add(schedule, fault);
 		}
 	}
 }
@@ -442,9 +441,9 @@
 			.kind = SOAK_VERSION,
 		};
 
-		fault_add(schedule, lag);
-		fault_add(schedule, pause);
-		fault_add(schedule, version);
+		soak_schedule_add(schedule, lag);
+		soak_schedule_add(schedule, pause);
+		soak_schedule_add(schedule, version);
 	}
 }
 
@@ -460,7 +459,7 @@
 	return (a->target > b->target) - (a->target < b->target);
 }
 
-static void sort_faults(struct soak_schedule *schedule)
+void soak_schedule_sort(struct soak_schedule *schedule)
 {
 	if (schedule->count > 0)
 		qsort(schedule->faults, schedule->count,
@@ -487,115 +486,6 @@
 		draw_series(schedule, plan);
 	if ((plan->seed & LAG_SEED_BITS) == LAG_SEED_BITS)
 		draw_lags(schedule, plan, &lag_random);
-	sort_faults(schedule);
-	return schedule;
-}
-
-/* Files */
-
-bool soak_schedule_write(const struct soak_schedule *schedule, const char *file)
-{
-	FILE *stream = fopen(file, "w");
-
-	if (stream == NULL)
-		return false;
-	fprintf(stream, "# at_ms kind target for_ms strength doubled\n");
-	for (size_t i = 0; i < schedule->count; i++) {
-		const struct soak_fault *fault = &schedule->faults[i];
-
-		fprintf(stream, "%llu %s %u %llu %u %u\n",
-			(unsigned long long)fault->at_ms,
-			fault_names[fault->kind], fault->target,
-			(unsigned long long)fault->for_ms, fault->strength,
-			fault->doubled);
-	}
-	return fclose(stream) == 0;
-}
-
-static unsigned target_limit(enum soak_fault_kind kind,
-			     const struct soak_schedule_plan *plan)
-{
-	if (kind <= SOAK_ENTRY_FOREIGN)
-		return plan->addresses;
-	return kind == SOAK_ZONE_TOGGLED ? plan->zones : plan->nodes;
-}
-
-static unsigned strength_limit(enum soak_fault_kind kind)
-{
-	return kind == SOAK_STORE_LINK ? SOAK_LINK_STALE : PERCENT;
-}
-
-/* Returns NULL, or the reason why the line is invalid. */
-static const char *line_parse(const char *line,
-			      const struct soak_schedule_plan *plan,
-			      struct soak_fault *fault)
-{
-	unsigned long long at_ms, for_ms;
-	char name[32];
-	int kind = 0;
-
-	if (sscanf(line, "%llu %31s %u %llu %u %u", &at_ms, name,
-		   &fault->target, &for_ms, &fault->strength,
-		   &fault->doubled) != 6)
-		return "six fields expected";
-	while (kind < SOAK_FAULT_KINDS && strcmp(fault_names[kind], name) != 0)
-		kind++;
-	if (kind == SOAK_FAULT_KINDS)
-		return "kind: unknown fault";
-	fault->kind = (enum soak_fault_kind)kind;
-	fault->at_ms = at_ms;
-	fault->for_ms = for_ms;
-	if (fault->target >= target_limit(fault->kind, plan))
-		return "target: out of range";
-	if (fault->strength >= strength_limit(fault->kind))
-		return "strength: too large";
-	if (fault->doubled > PERCENT)
-		return "doubled: must be a percentage";
-	return NULL;
-}
-
-static bool lines_read(struct soak_schedule *schedule, FILE *stream,
-		       const char *file, const struct soak_schedule_plan *plan,
-		       char **error)
-{
-	struct soak_fault fault;
-	const char *reason;
-	char line[LINE];
-
-	for (unsigned number = 1; fgets(line, sizeof(line), stream) != NULL;
-	     number++) {
-		if (line[0] == '#' || line[0] == '\n')
-			continue;
-		reason = line_parse(line, plan, &fault);
-		if (reason != NULL) {
-			*error = talloc_asprintf(talloc_parent(schedule),
-						 "%s: line %u: %s", file,
-						 number, reason);
-			return false;
-		}
-		fault_add(schedule, fault);
-	}
-	return true;
-}
-
-struct soak_schedule *soak_schedule_read(TALLOC_CTX *mem_ctx, const char *file,
-					 const struct soak_schedule_plan *plan,
-					 char **error)
-{
-	struct soak_schedule *schedule =
-		talloc_zero(mem_ctx, struct soak_schedule);
-	FILE *stream = fopen(file, "r");
-
-	if (stream == NULL) {
-		*error = talloc_asprintf(mem_ctx, "%s: %s", file,
-					 strerror(errno));
-		TALLOC_FREE(schedule);
-		return NULL;
-	}
-	if (!lines_read(schedule, stream, file, plan, error))
-		TALLOC_FREE(schedule);
-	else
-		sort_faults(schedule);
-	fclose(stream);
+	soak_schedule_sort(schedule);
 	return schedule;
 }
--- a/tests/soak/soak_schedule.h
+++ b/tests/soak/soak_schedule.h
@@ -73,6 +73,10 @@
 	uint64_t end_ms;   /* end of the faults */
 };
 
+/* Appends a fault; ends the process if memory runs out. */
+void soak_schedule_add(struct soak_schedule *schedule, struct soak_fault fault);
+/* Orders the faults by time. */
+void soak_schedule_sort(struct soak_schedule *schedule);
 /* Returns the drawn faults, a talloc child of @mem_ctx; NULL if out of
  * memory. */
 struct soak_schedule *soak_schedule_draw(TALLOC_CTX *mem_ctx,
--- a/tests/test_endpoint_probes.c
+++ b/tests/test_endpoint_probes.c
@@ -1,16 +1,10 @@
 /* Probes of endpoints against sockets of this process. */
-#include "test.h"
+#include "test_net.h"
 
 #include "jt_endpoint_probes.h"
 #include "jt_timer.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 enum {
-	LOOPBACK = 0x7f000001,
 	ENDPOINT_ID = 0x101,
 	QUEUE_MAX = 16,
 	/* When the endpoint accepts its connections: before an opening packet
@@ -53,21 +47,10 @@
 
 static void listener_open(struct fixture *fixture)
 {
-	struct sockaddr_in name = {
-		.sin_family = AF_INET,
-		.sin_addr.s_addr = htonl(LOOPBACK),
-	};
-	socklen_t size = sizeof(name);
-
 	fixture->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-	assert_true(fixture->listener >= 0);
-	assert_int_equal(
-		bind(fixture->listener, (struct sockaddr *)&name, size), 0);
+	fixture->address =
+		(struct jt_address){LOOPBACK, test_bind(fixture->listener)};
 	assert_int_equal(listen(fixture->listener, 0), 0);
-	assert_int_equal(
-		getsockname(fixture->listener, (struct sockaddr *)&name, &size),
-		0);
-	fixture->address = (struct jt_address){LOOPBACK, ntohs(name.sin_port)};
 }
 
 /* Opens connections, which nobody accepts, until the queue drops one. */
--- a/tests/test_http_plain.c
+++ b/tests/test_http_plain.c
@@ -1,5 +1,5 @@
 /* Tests the plain HTTP client against the plain HTTP server in one loop. */
-#include "test.h"
+#include "test_net.h"
 
 #include "jt_http_client.h"
 #include "jt_http_server.h"
@@ -13,7 +13,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-enum { LOOPBACK = 0x7f000001, SHORT_MS = 50, LONG_MS = 5000 };
+enum { SHORT_MS = 50, LONG_MS = 5000 };
 
 struct fixture {
 	struct tevent_context *loop;
@@ -25,23 +25,6 @@
 	unsigned served;
 };
 
-/* Returns a local port without a listener. */
-static uint16_t free_port(void)
-{
-	struct sockaddr_in name = {
-		.sin_family = AF_INET,
-		.sin_addr.s_addr = htonl(LOOPBACK),
-	};
-	socklen_t size = sizeof(name);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	assert_true(fd >= 0);
-	assert_int_equal(bind(fd, (struct sockaddr *)&name, size), 0);
-	assert_int_equal(getsockname(fd, (struct sockaddr *)&name, &size), 0);
-	close(fd);
-	return ntohs(name.sin_port);
-}
-
 static void on_close(void *private_data)
 {
 	struct fixture *fixture = private_data;
@@ -93,7 +76,7 @@
 
 	signal(SIGPIPE, SIG_IGN);
 	fixture->loop = tevent_context_init(fixture);
-	fixture->address = (struct jt_address){LOOPBACK, free_port()};
+	fixture->address = (struct jt_address){LOOPBACK, test_free_port()};
 	fixture->client = jt_http_client_create(fixture, fixture->loop);
 	server_start(fixture);
 	return fixture;
--- a/tests/test_platform_sync.c
+++ b/tests/test_platform_sync.c
@@ -1,6 +1,6 @@
 /* Keeping in step with a store whose stale reads lag behind, or which has an
  * odd entry of another writer, in one loop with a stand-in for the store. */
-#include "test.h"
+#include "test_net.h"
 
 #include "jt_directory_sync.h"
 #include "jt_http_server.h"
@@ -15,7 +15,7 @@
 #include <unistd.h>
 
 enum {
-	LOOPBACK = 0x7f000001,
+
 	OLD_REVISION = 10,
 	NEW_REVISION = 11,
 	/* Checks after which a change must have been found. */
@@ -48,22 +48,6 @@
 	uint64_t known_revision;
 };
 
-static uint16_t free_port(void)
-{
-	struct sockaddr_in name = {
-		.sin_family = AF_INET,
-		.sin_addr.s_addr = htonl(LOOPBACK),
-	};
-	socklen_t size = sizeof(name);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	assert_true(fd >= 0);
-	assert_int_equal(bind(fd, (struct sockaddr *)&name, size), 0);
-	assert_int_equal(getsockname(fd, (struct sockaddr *)&name, &size), 0);
-	close(fd);
-	return ntohs(name.sin_port);
-}
-
 /* The store */
 
 /* Replies with the entries of endpoints, or without any. */
@@ -222,7 +206,7 @@
 						 "2", ""));
 	fixture->watched = true;
 	fixture->loop = tevent_context_init(fixture);
-	fixture->store = (struct jt_address){LOOPBACK, free_port()};
+	fixture->store = (struct jt_address){LOOPBACK, test_free_port()};
 	options.address = fixture->store;
 	fixture->server = jt_http_server_create(fixture, fixture->loop,
 						&options, on_request, fixture);
