--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -4,6 +4,7 @@
 #include "jt_net.h"
 #include "jt_peer_flows.h"
 #include "jt_peer_snapshots.h"
+#include "jt_peer_updates.h"
 #include "jt_peer_sender.h"
 #include "jt_timer.h"
 
@@ -20,7 +21,6 @@
 	FAST_ROUND_MS = 100,
 	FAST_ROUNDS_TOTAL_MS = 3000,
 	DATAGRAM_BATCH = 32,
-	UPDATE_DELAY_MS = 10, /* delay that batches changes into one message */
 };
 
 struct jt_peer_exchange {
@@ -32,9 +32,7 @@
 	struct jt_peer_snapshots *snapshots;
 	struct jt_http_server *server;
 	struct jt_timer *timer;
-	struct jt_timer *update_timer;
-	bool update_pending;
-	uint64_t sent_revision; /* up to which updates were sent */
+	struct jt_peer_updates *updates;
 	uint64_t created_ms;
 };
 
@@ -155,90 +153,9 @@
 	return jt_membership_zone(exchange->membership, jt_clock_ms());
 }
 
-/* Gossip updates */
-
-/* Adds the zone drains that changed since the last update. Returns false if
- * there are too many. */
-static bool update_add_zones(const jt_wire_snapshot *snapshot,
-			     jt_wire_update *update)
-{
-	jt_wire_zone_drain *zones = snapshot->zones.zones_val;
-	u_int count = 0;
-
-	for (u_int i = 0; i < snapshot->zones.zones_len; i++) {
-		if (zones[i].revision <= snapshot->since)
-			continue;
-		if (count == JT_DIRECTOR_MAX_UPDATE_ZONES)
-			return false;
-		zones[count++] = zones[i];
-	}
-	update->zones.zones_val = zones;
-	update->zones.zones_len = count;
-	return true;
-}
-
-static void update_add_entries(struct jt_peer_exchange *exchange,
-			       TALLOC_CTX *frame,
-			       const struct jt_own_state *own,
-			       jt_wire_update *update)
-{
-	jt_wire_snapshot snapshot = {0};
-	const struct jt_snapshot_request snapshot_request = {
-		.since = exchange->sent_revision,
-		.version = own->routing_version,
-	};
-
-	/* An update without entries makes the receivers request a snapshot. */
-	update->since = own->revision;
-	if (exchange->sent_revision == 0 ||
-	    !exchange->handler.snapshot(frame, &snapshot_request, &snapshot,
-					exchange->handler.private_data) ||
-	    !jt_snapshot_is_complete(&snapshot) ||
-	    snapshot.since != exchange->sent_revision ||
-	    snapshot.entries.entries_len > JT_DIRECTOR_MAX_UPDATE_ENTRIES ||
-	    !update_add_zones(&snapshot, update))
-		return;
-	update->since = snapshot.since;
-	update->gap_from = snapshot.gap_from;
-	update->gap_to = snapshot.gap_to;
-	update->entries.entries_val = snapshot.entries.entries_val;
-	update->entries.entries_len = snapshot.entries.entries_len;
-}
-
-static void on_update_due(void *private_data)
-{
-	struct jt_peer_exchange *exchange = private_data;
-	struct jt_address targets[JT_UPDATE_FANOUT];
-	size_t count =
-		jt_membership_update_targets(exchange->membership, targets);
-	jt_wire_director_message message = {
-		.from = exchange->membership->id,
-		.body.kind = JT_WIRE_UPDATE,
-	};
-	jt_wire_update *update = &message.body.jt_wire_director_body_u.update;
-	TALLOC_CTX *frame = talloc_new(exchange);
-	struct jt_own_state own = {0};
-
-	exchange->update_pending = false;
-	exchange->handler.own_state(&own, exchange->handler.private_data);
-	jt_membership_own_state(exchange->membership, &own, jt_clock_ms(),
-				&update->digest);
-	update_add_entries(exchange, frame, &own, update);
-	exchange->sent_revision = own.revision;
-	for (size_t i = 0; i < count; i++) {
-		jt_peer_sender_send(&exchange->sender, targets[i], &message);
-	}
-	talloc_free(frame);
-}
-
 void jt_peer_exchange_updates_schedule(struct jt_peer_exchange *exchange)
 {
-	if (exchange->update_pending ||
-	    !jt_feature_enabled(exchange->membership->disabled_features,
-				JT_FEATURE_GOSSIP_UPDATES))
-		return;
-	exchange->update_pending = true;
-	jt_timer_set(exchange->update_timer, UPDATE_DELAY_MS);
+	jt_peer_updates_schedule(exchange->updates);
 }
 
 void jt_peer_exchange_suspicion_send(struct jt_peer_exchange *exchange,
@@ -499,6 +416,19 @@
 			     TEVENT_FD_READ, on_datagrams, exchange) != NULL;
 }
 
+/* Returns the callbacks that concern this node's state and snapshots of it. */
+static struct jt_snapshot_handler
+snapshot_handler(const struct jt_peer_exchange *exchange)
+{
+	return (struct jt_snapshot_handler){
+		.own_state = exchange->handler.own_state,
+		.snapshot = exchange->handler.snapshot,
+		.snapshot_part = exchange->handler.snapshot_part,
+		.snapshot_complete = exchange->handler.snapshot_complete,
+		.private_data = exchange->handler.private_data,
+	};
+}
+
 static struct jt_peer_snapshots *
 snapshots_create(struct jt_peer_exchange *exchange,
 		 struct jt_http_client *client)
@@ -509,21 +439,24 @@
 		.log = exchange->log,
 		.membership = exchange->membership,
 		.frames = &exchange->sender.frames,
-		.handler =
-			{
-				.own_state = exchange->handler.own_state,
-				.snapshot = exchange->handler.snapshot,
-				.snapshot_part =
-					exchange->handler.snapshot_part,
-				.snapshot_complete =
-					exchange->handler.snapshot_complete,
-				.private_data = exchange->handler.private_data,
-			},
+		.handler = snapshot_handler(exchange),
 	};
 
 	return jt_peer_snapshots_create(exchange, &options);
 }
 
+static struct jt_peer_updates *updates_create(struct jt_peer_exchange *exchange)
+{
+	const struct jt_peer_updates_options options = {
+		.loop = exchange->loop,
+		.sender = &exchange->sender,
+		.membership = exchange->membership,
+		.handler = snapshot_handler(exchange),
+	};
+
+	return jt_peer_updates_create(exchange, &options);
+}
+
 struct jt_peer_exchange *
 jt_peer_exchange_create(TALLOC_CTX *mem_ctx, struct tevent_context *loop,
 			struct jt_http_client *client, const struct jt_log *log,
@@ -552,11 +485,10 @@
 		exchange->membership->disabled_features =
 			settings->disabled_features;
 	exchange->timer = jt_timer_create(exchange, loop, on_round, exchange);
-	exchange->update_timer =
-		jt_timer_create(exchange, loop, on_update_due, exchange);
+	exchange->updates = updates_create(exchange);
 	exchange->snapshots = snapshots_create(exchange, client);
 	if (exchange->membership == NULL || exchange->timer == NULL ||
-	    exchange->update_timer == NULL || exchange->snapshots == NULL)
+	    exchange->updates == NULL || exchange->snapshots == NULL)
 		goto fail;
 	if (!peer_address_open(exchange)) {
 		*error = talloc_asprintf(
