--- a/src/lab/label.c
+++ b/src/lab/label.c
@@ -7,11 +7,11 @@
  * listing. A probe returns the state of the endpoint at the time of its
  * completion.
  */
+#include "label_routing.h"
 #include "world_private.h"
 
 #include "jaspertrack/director.h"
 #include "jt_flow_lookup.h"
-#include "jt_routing.h"
 
 #include <string.h>
 
@@ -94,50 +94,11 @@
 
 /* Routing and discovery */
 
-static struct jt_routing *create_routing(TALLOC_CTX *mem_ctx,
-					 const struct world *world)
-{
-	const struct jt_config *config = world->config;
-	struct jt_routing *routing = talloc_zero(mem_ctx, struct jt_routing);
-
-	routing->version = world->revision;
-	routing->flow_idle_ms = 600000;
-	routing->routes = talloc_zero_array(routing, struct jt_route,
-					    config->address_count);
-	for (size_t i = 0; i < config->address_count; i++) {
-		struct jt_route *route = &routing->routes[i];
-
-		route->address = config->addresses[i].address;
-		route->parts[0].service_id = config->addresses[i].service + 1;
-		route->parts[0].weight = 1;
-		route->part_count = 1;
-	}
-	routing->route_count = config->address_count;
-	routing->services = talloc_zero_array(routing, struct jt_routed_service,
-					      config->service_count);
-	routing->service_count = config->service_count;
-	for (size_t i = 0; i < config->service_count; i++)
-		routing->services[i].id = (uint32_t)i + 1;
-	for (size_t i = 0; i < config->endpoint_count; i++) {
-		const struct jt_endpoint_config *endpoint =
-			&config->endpoints[i];
-		const struct jt_service_config *service =
-			&config->services[endpoint->service];
-
-		routing->services[endpoint->service].connection_limit =
-			service->kind == JT_SERVICE_REQUEST
-				? endpoint->slots
-				: endpoint->connections;
-	}
-	jt_routing_sort(routing);
-	return routing;
-}
-
 static void send_routing(struct world *world, uint16_t index)
 {
 	struct label_node *node = &world->label->nodes[index];
 	struct jt_director_event event = {.kind = JT_DIRECTOR_ROUTING};
-	struct jt_routing *routing = create_routing(world->label, world);
+	struct jt_routing *routing = label_routing_create(world->label, world);
 
 	event.u.routing = routing;
 	handle_event(world, index, &event);
