One throttled check doesn't end the store's watch

Since checks are linearizable they count against the rate of reading calls, which stale ones escaped: with too many calls of all nodes together a watcher would have given up a live watch for one 429, and made another call for the next. It does on the second in a row, as a store that turns one node away answers. test_one_throttled_poll_keeps_watch. Found by reading; no run has shown it.

--- a/src/label/jt_follower.c
+++ b/src/label/jt_follower.c
@@ -95,6 +95,13 @@
 				    uint64_t store_revision, uint64_t watch_ms,
 				    uint64_t sent_ms, uint64_t now_ms)
 {
+	/* One rejected call shows that all nodes make too many, not that the
+	 * watch is dead. */
+	if (status == JT_KV_THROTTLED && !follower->check_throttled) {
+		follower->check_throttled = true;
+		return false;
+	}
+	follower->check_throttled = false;
 	if (status != JT_KV_OK)
 		return true;
 	follower->answered_ms = now_ms;
--- a/src/label/jt_follower.h
+++ b/src/label/jt_follower.h
@@ -69,6 +69,7 @@
 	uint64_t listing_ms; /* when the listing's first page was requested */
 	/* A revision seen by a check but not yet reported; 0: none. */
 	uint64_t unreported_revision;
+	bool check_throttled; /* the last check beside a watch was throttled */
 	bool page_check_lost; /* the last check beside a page request was lost
 			       */
 	struct jt_random random;
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -329,6 +329,26 @@
 	assert_in_range(jt_follower_wait_ms(&follower), 5000, 30000);
 }
 
+/* Guards against giving up a live watch, which costs another call, when all
+ * nodes together make too many. */
+static void test_one_throttled_poll_keeps_watch(void **state)
+{
+	struct jt_follower follower = follower_watching(10);
+
+	(void)state;
+	assert_false(jt_follower_record_watch_check(&follower, JT_KV_THROTTLED,
+						    0, 0, 500, 505));
+	assert_int_equal(follower.as_of_ms, 0);
+	assert_false(jt_follower_record_watch_check(&follower, JT_KV_OK, 10, 0,
+						    1000, 1005));
+	assert_int_equal(follower.as_of_ms, 1000);
+	/* A node that the store turns away lets another one watch. */
+	assert_false(jt_follower_record_watch_check(&follower, JT_KV_THROTTLED,
+						    0, 0, 1500, 1505));
+	assert_true(jt_follower_record_watch_check(&follower, JT_KV_THROTTLED,
+						   0, 0, 2000, 2005));
+}
+
 /* Guards against waiting until the timeout for a page that was requested during
  * an outage of the store. */
 static void test_page_of_outage_is_requested_again(void **state)
@@ -489,6 +509,7 @@
 		cmocka_unit_test(test_watch_that_misses_change_is_given_up),
 		cmocka_unit_test(test_watch_that_reports_changes_is_kept),
 		cmocka_unit_test(test_failed_poll_ends_watch),
+		cmocka_unit_test(test_one_throttled_poll_keeps_watch),
 		cmocka_unit_test(test_page_of_outage_is_requested_again),
 		cmocka_unit_test(test_resumes_at_revision_from_peers),
 		cmocka_unit_test(test_poll_with_changes_known_from_peers),
