--- a/src/label/jt_director_flow.h
+++ b/src/label/jt_director_flow.h
@@ -40,9 +40,9 @@
 			    uint64_t now_ms,
 			    struct jt_director_actions *actions);
 
-/* Counts the cached flows with @label, which several incarnations share or have
- * shared, at the one that holds them: call it after
- * another one with that label has died, is alive again or was forgotten. */
+/* Counts the cached flows with @label, which several incarnations share, at the
+ * one that holds them. Call it after one of them has died, is alive again or
+ * was removed from the table. */
 void jt_director_flows_recount(struct jt_director *director, uint32_t label);
 
 /* Returns true if the flow ended with its dead endpoint. A flow first seen
