Checks show the store's revision only where nothing else does

A node with an open watch hears of changes by it. If that has died without a sign, a single watcher must find out by itself, each half second as before; where others watch, their changes tell, and one check in 20 s shows the revision.

--- a/src/director/jt_director_node_sync.c
+++ b/src/director/jt_director_node_sync.c
@@ -180,6 +180,8 @@
 	jt_directory_sync_set_initial_sync(
 		node->sync,
 		jt_director_initial_sync_ms(node->director, now_ms) > 0);
+	jt_directory_sync_set_others_watch(
+		node->sync, jt_peer_exchange_many_watch(node->peers));
 	jt_reader_read(&node->reader, jt_directory_sync_as_of_ms(node->sync));
 	if (failures > node->store_failures)
 		jt_reader_failed(&node->reader,
--- a/src/director/jt_directory_sync.c
+++ b/src/director/jt_directory_sync.c
@@ -41,6 +41,7 @@
 	uint64_t watch_ms;	  /* when the pending watch began */
 	uint64_t check_ms;	  /* when the pending check was sent */
 	enum jt_check_kind check_kind;
+	bool check_of_watch;	 /* the pending check was sent beside a watch */
 	bool watching;		 /* the pending call is a watch */
 	bool polling;		 /* the pending check is the follower's step */
 	bool first_page_pending; /* the check timer waits for a first page */
@@ -204,11 +205,16 @@
 static void poll_apply(struct jt_directory_sync *sync, enum jt_kv_status status,
 		       uint64_t revision)
 {
+	/* A check that does not show the revision does not make the state
+	 * fresh. */
+	uint64_t as_of_ms =
+		sync->check_kind == JT_CHECK_REVISION ? sync->check_ms : 0;
+
 	sync->polling = false;
 	jt_follower_record_check(
 		&sync->follower, status, revision,
 		sync->watcher.known_revision(sync->watcher.private_data),
-		sync->check_ms, jt_clock_ms());
+		as_of_ms, jt_clock_ms());
 	reachability_update(sync, status);
 	sync_step(sync);
 }
@@ -234,7 +240,7 @@
 		idle_check_apply(sync, status);
 	else if (sync->call != NULL && !sync->watching)
 		page_check_apply(sync, status);
-	else if (sync->watching && sync->check_kind == JT_CHECK_REVISION &&
+	else if (sync->watching && sync->check_of_watch &&
 		 jt_follower_record_watch_check(&sync->follower, status,
 						revision, sync->watch_ms,
 						sync->check_ms, jt_clock_ms()))
@@ -247,8 +253,12 @@
 	bool idle = sync->follower.read_mode == JT_READ_MODE_NONE;
 
 	sync->check_ms = jt_clock_ms();
-	sync->check_kind =
-		page_pending || idle ? JT_CHECK_ANSWERS : JT_CHECK_REVISION;
+	sync->check_of_watch = sync->watching;
+	sync->check_kind = JT_CHECK_ANSWERS;
+	if (!page_pending && !idle &&
+	    jt_follower_check_confirms(&sync->follower, sync->watching,
+				       sync->check_ms))
+		sync->check_kind = JT_CHECK_REVISION;
 	sync->check = sync->directory->check_send(
 		sync, sync->client, sync->store, sync->check_kind,
 		page_pending ? PAGE_CHECK_TIMEOUT_MS : CHECK_TIMEOUT_MS);
@@ -341,10 +351,9 @@
 
 static void poll_start(struct jt_directory_sync *sync)
 {
-	if (sync->check_kind != JT_CHECK_REVISION)
-		TALLOC_FREE(sync->check);
-	if (sync->check == NULL)
-		check_start(sync);
+	/* One beside a page that was late does not count. */
+	TALLOC_FREE(sync->check);
+	check_start(sync);
 	sync->polling = sync->check != NULL;
 }
 
@@ -443,6 +452,12 @@
 	jt_follower_set_initial_sync(&sync->follower, initial_sync);
 }
 
+void jt_directory_sync_set_others_watch(struct jt_directory_sync *sync,
+					bool others_watch)
+{
+	sync->follower.others_watch = others_watch;
+}
+
 bool jt_directory_sync_unreachable(const struct jt_directory_sync *sync)
 {
 	return sync->is_unreachable;
--- a/src/director/jt_directory_sync.h
+++ b/src/director/jt_directory_sync.h
@@ -70,6 +70,10 @@
  * changes are requested sooner, a few at a time. */
 void jt_directory_sync_set_initial_sync(struct jt_directory_sync *sync,
 					bool initial_sync);
+/* Sets whether other nodes watch the store, too: then most checks beside a
+ * watch show only that the store answers. */
+void jt_directory_sync_set_others_watch(struct jt_directory_sync *sync,
+					bool others_watch);
 /* Returns true if the store is unreachable for this node. */
 bool jt_directory_sync_unreachable(const struct jt_directory_sync *sync);
 /* Returns the number of failed calls since the start. */
--- a/src/director/jt_peer_exchange.c
+++ b/src/director/jt_peer_exchange.c
@@ -512,6 +512,11 @@
 	return jt_membership_reader_rank(exchange->membership, own_capacity);
 }
 
+bool jt_peer_exchange_many_watch(const struct jt_peer_exchange *exchange)
+{
+	return jt_membership_many_watch(exchange->membership);
+}
+
 bool jt_peer_exchange_fetching(const struct jt_peer_exchange *exchange)
 {
 	return jt_peer_snapshots_fetching(exchange->snapshots);
--- a/src/director/jt_peer_exchange.h
+++ b/src/director/jt_peer_exchange.h
@@ -90,6 +90,8 @@
 enum jt_reader_rank
 jt_peer_exchange_reader_rank(const struct jt_peer_exchange *exchange,
 			     uint32_t own_capacity);
+/* Returns true if several nodes watch the store. */
+bool jt_peer_exchange_many_watch(const struct jt_peer_exchange *exchange);
 /* Returns true while a snapshot request to a peer is pending. */
 bool jt_peer_exchange_fetching(const struct jt_peer_exchange *exchange);
 /* Returns true if that peer has already sent a part of its snapshot. */
--- a/src/label/jt_follower.c
+++ b/src/label/jt_follower.c
@@ -24,6 +24,12 @@
 	/* Pause between two checks of a node that does not watch, and the time
 	 * that a change found by a check may take to arrive from peers. */
 	CHECK_PAUSE_MS = 700,
+	/* Interval of the checks beside a watch that show the revision, where
+	 * other nodes watch as well. */
+	CONFIRM_PAUSE_MS = 20000,
+	/* A check without a watch shows the revision if the state was complete
+	 * longer ago than this. */
+	CONFIRM_AGE_MS = 1000,
 	GOSSIP_DELAY_MS = 150,
 };
 
@@ -90,6 +96,17 @@
 	follower->unreported_revision = 0;
 }
 
+bool jt_follower_check_confirms(struct jt_follower *follower, bool watching,
+				uint64_t now_ms)
+{
+	if (!watching)
+		return now_ms - follower->as_of_ms >= CONFIRM_AGE_MS;
+	if (follower->others_watch && now_ms < follower->confirm_due_ms)
+		return false;
+	follower->confirm_due_ms = now_ms + CONFIRM_PAUSE_MS;
+	return true;
+}
+
 bool jt_follower_record_watch_check(struct jt_follower *follower,
 				    enum jt_kv_status status,
 				    uint64_t store_revision, uint64_t watch_ms,
--- a/src/label/jt_follower.h
+++ b/src/label/jt_follower.h
@@ -69,6 +69,10 @@
 	uint64_t listing_ms; /* when the listing's first page was requested */
 	/* A revision seen by a check but not yet reported; 0: none. */
 	uint64_t unreported_revision;
+	/* Other nodes watch the store, too, so that a watch that has died is
+	 * noticed by their changes. */
+	bool others_watch;
+	uint64_t confirm_due_ms; /* when a check must show the revision again */
 	bool check_throttled; /* the last check beside a watch was throttled */
 	bool page_check_lost; /* the last check beside a page request was lost
 			       */
@@ -91,11 +95,18 @@
  * elsewhere. */
 void jt_follower_resume(struct jt_follower *follower, uint64_t revision,
 			uint64_t now_ms);
+/* Returns true if a check sent at @now_ms must show the store's revision, and
+ * not only that the store answers: without a pending watch if the state is not
+ * fresh, beside one at times where other nodes watch, too, and otherwise
+ * always. Between two such checks a pending watch counts as alive. */
+bool jt_follower_check_confirms(struct jt_follower *follower, bool watching,
+				uint64_t now_ms);
 /*
  * Records the result of a revision check, sent at @sent_ms, made while a watch
  * is pending; the watch began at @watch_ms. @store_revision is the store's
- * revision at some time after @sent_ms. Returns true if the watch has missed a
- * change and should be cancelled.
+ * revision at some time after @sent_ms, or an older one if the check did not
+ * have to show it (jt_follower_check_confirms()). Returns true if the watch has
+ * missed a change and should be cancelled.
  */
 bool jt_follower_record_watch_check(struct jt_follower *follower,
 				    enum jt_kv_status status,
--- a/src/label/jt_membership.c
+++ b/src/label/jt_membership.c
@@ -409,6 +409,15 @@
 	       readers_ahead(membership, own_capacity, true) < readers;
 }
 
+bool jt_membership_many_watch(const struct jt_membership *membership)
+{
+	/* In a large cluster each zone has its own watchers: a single one that
+	 * served all other nodes could saturate its link. */
+	return membership->count > JT_DIRECTOR_MAX_PEERS ||
+	       !jt_feature_enabled(membership->disabled_features,
+				   JT_FEATURE_SINGLE_WATCHER);
+}
+
 enum jt_reader_rank
 jt_membership_reader_rank(const struct jt_membership *membership,
 			  uint32_t own_capacity)
@@ -418,11 +427,7 @@
 		return JT_READER_RANK_WATCHER;
 	if (!jt_membership_is_preferred_reader(membership, own_capacity))
 		return JT_READER_RANK_NONE;
-	/* In a large cluster each zone has its own watchers: a single one that
-	 * served all other nodes could saturate its link. */
-	if (membership->count > JT_DIRECTOR_MAX_PEERS ||
-	    !jt_feature_enabled(membership->disabled_features,
-				JT_FEATURE_SINGLE_WATCHER))
+	if (jt_membership_many_watch(membership))
 		return JT_READER_RANK_WATCHER;
 	return readers_ahead(membership, own_capacity, false) == 0
 		       ? JT_READER_RANK_WATCHER
--- a/src/label/jt_membership.h
+++ b/src/label/jt_membership.h
@@ -156,6 +156,8 @@
  * There is at least one in each zone, and at least three in total. */
 bool jt_membership_is_preferred_reader(const struct jt_membership *membership,
 				       uint32_t own_capacity);
+/* Returns true if several nodes watch the store, and not a single one. */
+bool jt_membership_many_watch(const struct jt_membership *membership);
 /* Returns the rank of this node among the store readers: of its zone, or of all
  * nodes. In a large cluster each zone has its own watchers. */
 enum jt_reader_rank
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -329,6 +329,34 @@
 	assert_in_range(jt_follower_wait_ms(&follower), 5000, 30000);
 }
 
+/* Guards against a watch that is trusted for long without a check that shows
+ * the revision, and against many such checks of many watching nodes. */
+static void test_checks_show_the_revision_in_time(void **state)
+{
+	struct jt_follower follower = follower_watching(10);
+	unsigned confirming = 0;
+
+	(void)state;
+	for (uint64_t now_ms = 500; now_ms <= 20000; now_ms += 500)
+		confirming +=
+			jt_follower_check_confirms(&follower, true, now_ms);
+	assert_int_equal(confirming, 40);
+	follower.others_watch = true;
+	confirming = 0;
+	for (uint64_t now_ms = 20500; now_ms <= 120000; now_ms += 500)
+		confirming +=
+			jt_follower_check_confirms(&follower, true, now_ms);
+	assert_in_range(confirming, 4, 5);
+	/* Without a watch nothing else shows a change: the state must not grow
+	 * old. */
+	for (uint64_t now_ms = 130000; now_ms < 140000; now_ms += 700) {
+		if (jt_follower_check_confirms(&follower, false, now_ms))
+			jt_follower_record_check(&follower, JT_KV_OK, 10, 10,
+						 now_ms, now_ms);
+		assert_true(now_ms - follower.as_of_ms < 1000);
+	}
+}
+
 /* Guards against giving up a live watch, which costs another call, when all
  * nodes together make too many. */
 static void test_one_throttled_poll_keeps_watch(void **state)
@@ -510,6 +538,7 @@
 		cmocka_unit_test(test_watch_that_reports_changes_is_kept),
 		cmocka_unit_test(test_failed_poll_ends_watch),
 		cmocka_unit_test(test_one_throttled_poll_keeps_watch),
+		cmocka_unit_test(test_checks_show_the_revision_in_time),
 		cmocka_unit_test(test_page_of_outage_is_requested_again),
 		cmocka_unit_test(test_resumes_at_revision_from_peers),
 		cmocka_unit_test(test_poll_with_changes_known_from_peers),
